--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools."""
