Serve requests end to end through separate processes

Cause: nothing ran yet; every later measurement needs a whole path. Conclusion: the path works; order is arrival order per router, so nothing is fair across routers yet.

--- /dev/null
+++ b/crowwinch/cli/_router.py
@@ -0,0 +1,32 @@
+"""The `router` command."""
+
+import argparse
+import os
+from typing import ClassVar
+
+from crowwinch.app import add_settings_arguments, load_settings, run_router
+from crowwinch.observability import configure_logs
+
+
+class RouterCommand:
+    """Runs a router."""
+
+    name: ClassVar[str] = "router"
+    description: ClassVar[str] = "Run a router, the only daemon."
+    examples: ClassVar[str] = (
+        "Each setting is a flag or an environment variable; the flag goes "
+        "first.\n\nexample:\n  CROWWINCH_REGION=midlands crowwinch router "
+        "--name r1 --availability-zone az-1"
+    )
+
+    @staticmethod
+    def add_arguments(parser: argparse.ArgumentParser) -> None:
+        """Adds a flag for each setting."""
+        add_settings_arguments(parser)
+
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Runs until a graceful shutdown has finished."""
+        settings = load_settings(vars(arguments), os.environ)
+        configure_logs(settings.log_level)
+        run_router(settings)
+        return 0
--- /dev/null
+++ b/crowwinch/coordination/__init__.py
@@ -0,0 +1,24 @@
+"""Coordination parts that can be used alone.
+
+The package imports nothing from the rest of the project.
+"""
+
+from crowwinch.coordination._placement import identifier, owner, rank
+from crowwinch.coordination._timers import (
+    Clock,
+    ManualClock,
+    Subscription,
+    SystemClock,
+    TimerService,
+)
+
+__all__ = [
+    "Clock",
+    "ManualClock",
+    "Subscription",
+    "SystemClock",
+    "TimerService",
+    "identifier",
+    "owner",
+    "rank",
+]
--- a/crowwinch/errors.py
+++ b/crowwinch/errors.py
@@ -81,7 +81,7 @@
     """Base of all errors that this project raises."""
 
 
-class Refusal(CrowwinchError):
+class RefusalError(CrowwinchError):
     """A request that the fleet gives up on.
 
     Attributes:
--- /dev/null
+++ b/crowwinch/routing/_requests.py
@@ -0,0 +1,59 @@
+"""Requests and answers as the rest of the router sees them."""
+
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass
+
+from crowwinch.scheduling import RequestClass
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """An authenticated request.
+
+    Attributes:
+        request_id: Unique in the fleet.
+        workspace: Identifier of the workspace.
+        groups: Groups that can serve it, preferred first.
+        path: Path and query at the target.
+        stream: Whether the answer is a stream of server-sent events.
+        estimate: Hint of the cost in service units.
+        deadline: Monotonic time in seconds at which the caller gives up.
+        idempotency_key: Key issued by the fleet, or "".
+    """
+
+    request_id: str
+    workspace: int
+    groups: tuple[int, ...]
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    stream: bool
+    request_class: RequestClass
+    estimate: int
+    deadline: float
+    idempotency_key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """A complete answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StreamAnswer:
+    """An answer that arrives as server-sent events.
+
+    Iterating raises RefusalError when the stream lacks its terminal event.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    events: AsyncIterator[bytes]
+
+
+Answer = WholeAnswer | StreamAnswer
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,252 @@
+"""Starts routers and stand-ins as separate processes on loopback."""
+
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.parse
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from crowwinch.configuration import digest_of, key_hash
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_START_TIMEOUT_S = 20.0
+
+
+def free_port() -> int:
+    """Returns a TCP port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def call(
+    method: str,
+    url: str,
+    body: bytes = b"",
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> tuple[int, bytes]:
+    """Makes one HTTP call and returns status and body."""
+    parts = urllib.parse.urlsplit(url)
+    connection = http.client.HTTPConnection(
+        parts.hostname or "", parts.port, timeout=timeout_s
+    )
+    try:
+        path = parts.path + (f"?{parts.query}" if parts.query else "")
+        connection.request(method, path, body, dict(headers or {}))
+        response = connection.getresponse()
+        return response.status, response.read()
+    finally:
+        connection.close()
+
+
+@dataclass
+class Process:
+    """A started process with its URL."""
+
+    name: str
+    url: str
+    handle: subprocess.Popen
+    operator_url: str = ""
+    arguments: Sequence[str] = ()
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to the process if it still runs."""
+        if self.handle.poll() is None:
+            self.handle.send_signal(number)
+
+    def stop(self, timeout_s: float = 10.0) -> int:
+        """Stops the process and returns its exit code."""
+        self.signal(signal.SIGTERM)
+        try:
+            return self.handle.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.handle.kill()
+            return self.handle.wait()
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        self.handle.kill()
+        self.handle.wait()
+
+
+def start_standin(module: str, *arguments: str) -> Process:
+    """Starts a stand-in and waits until it listens."""
+    command = [sys.executable, "-m", f"standins.{module}", *arguments]
+    handle = subprocess.Popen(
+        command, cwd=_ROOT, stdout=subprocess.PIPE, text=True
+    )
+    assert handle.stdout is not None
+    line = handle.stdout.readline()
+    if "listening on" not in line:
+        raise RuntimeError(f"{module} did not start")
+    return Process(module, line.split()[-1], handle, arguments=tuple(command))
+
+
+@dataclass
+class Fleet:
+    """A platform stand-in, targets and routers."""
+
+    log_path: str = os.devnull
+    platform: Process | None = None
+    routers: list[Process] = field(default_factory=list)
+    targets: dict[str, Process] = field(default_factory=dict)
+    router_command: Sequence[str] = (sys.executable, "-m", "crowwinch")
+
+    def start_platform(self) -> None:
+        """Starts the stand-in for the platform."""
+        self.platform = start_standin("platform_service")
+
+    def start_target(self, name: str, module: str, *arguments: str) -> None:
+        """Starts a target stand-in; module is engine or plain_service."""
+        self.targets[name] = start_standin(module, *arguments)
+
+    def publish(
+        self,
+        revision: int,
+        workspaces: Sequence[Mapping[str, object]],
+        groups: Sequence[Mapping[str, object]],
+    ) -> None:
+        """Publishes a configuration."""
+        parts = {
+            "workspaces-000": {"workspaces": list(workspaces)},
+            "groups-000": {"groups": list(groups)},
+        }
+        documents = {
+            name: json.dumps(part).encode() for name, part in parts.items()
+        }
+        manifest = {
+            "revision": revision,
+            "parts": [
+                {"name": name, "digest": digest_of(document)}
+                for name, document in documents.items()
+            ],
+        }
+        for name, document in documents.items():
+            self.put(f"/control/values/{name}", document)
+        self.put("/control/values/manifest", json.dumps(manifest).encode())
+
+    def put(self, path: str, body: bytes) -> None:
+        """Writes to the platform stand-in."""
+        assert self.platform is not None
+        status, _ = call("PUT", self.platform.url + path, body)
+        if status != 204:
+            raise RuntimeError(f"{path}: status {status}")
+
+    def start_routers(self, count: int, zones: Sequence[str]) -> None:
+        """Starts routers spread over availability zones."""
+        ports = [(free_port(), free_port(), free_port()) for _ in range(count)]
+        machines = [
+            {
+                "name": f"router-{index}",
+                "address": f"127.0.0.1:{peer}",
+                "role": "router",
+                "availability_zone": zones[index % len(zones)],
+                "region": "region-1",
+                "state": "live",
+            }
+            for index, (_, _, peer) in enumerate(ports)
+        ]
+        self.put(
+            "/control/vms",
+            json.dumps({"version": 1, "machines": machines}).encode(),
+        )
+        for index, (caller, operator, peer) in enumerate(ports):
+            self.routers.append(
+                self.start_router(
+                    f"router-{index}",
+                    zones[index % len(zones)],
+                    caller,
+                    operator,
+                    peer,
+                )
+            )
+        self.wait_ready()
+
+    def start_router(
+        self, name: str, zone: str, caller: int, operator: int, peer: int
+    ) -> Process:
+        """Starts one router on the given ports."""
+        assert self.platform is not None
+        command = [
+            *self.router_command,
+            "router",
+            f"--name={name}",
+            f"--availability-zone={zone}",
+            "--region=region-1",
+            f"--caller-port={caller}",
+            f"--operator-port={operator}",
+            f"--peer-port={peer}",
+            f"--configuration-url={self.platform.url}",
+            f"--vm-list-url={self.platform.url}",
+        ]
+        with open(self.log_path, "a", encoding="utf-8") as log:
+            handle = subprocess.Popen(command, cwd=_ROOT, stderr=log)
+        return Process(
+            name,
+            f"http://127.0.0.1:{caller}",
+            handle,
+            f"http://127.0.0.1:{operator}",
+            command,
+        )
+
+    def restart_router(self, index: int) -> None:
+        """Starts a router again with the arguments that it had."""
+        old = self.routers[index]
+        with open(self.log_path, "a", encoding="utf-8") as log:
+            handle = subprocess.Popen(old.arguments, cwd=_ROOT, stderr=log)
+        self.routers[index] = Process(
+            old.name, old.url, handle, old.operator_url, old.arguments
+        )
+
+    def wait_ready(self, timeout_s: float = _START_TIMEOUT_S) -> None:
+        """Waits until every running router is ready.
+
+        Raises:
+            RuntimeError: If a router is not ready in time.
+        """
+        end = time.monotonic() + timeout_s
+        for router in self.routers:
+            while not _is_ready(router):
+                if time.monotonic() > end or router.handle.poll() is not None:
+                    raise RuntimeError(f"{router.name} is not ready")
+                time.sleep(0.05)
+
+    def stop(self) -> None:
+        """Stops every process that this fleet started."""
+        running = [*self.routers, *self.targets.values()]
+        if self.platform is not None:
+            running.append(self.platform)
+        for process in running:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGTERM)
+        for process in running:
+            process.stop()
+            if process.handle.stdout is not None:
+                process.handle.stdout.close()
+
+
+def _is_ready(router: Process) -> bool:
+    try:
+        return call("GET", f"{router.operator_url}/readyz")[0] == 200
+    except OSError:
+        return False
+
+
+def workspace(
+    name: str, weight: float = 1.0, **limits: object
+) -> dict[str, object]:
+    """Returns a workspace document whose bearer key is `key-NAME`."""
+    return {
+        "name": name,
+        "weight": weight,
+        "key_hashes": [key_hash(f"key-{name}")],
+        **limits,
+    }
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole processes."""
