Add the domain scheduler and the router-side dispatcher

Cause: slots have to be shared over all routers, in weighted order. Change: DomainScheduler and RouterDispatcher with one method per message, no sockets; slots, outbox, reuse of slots, admission and answers are separate modules. A small fleet on a fake clock supports tests.

--- a/crowwinch/scheduling/__init__.py
+++ b/crowwinch/scheduling/__init__.py
@@ -1,5 +1,9 @@
 """Fair order of requests over the slots of targets."""
 
+from crowwinch.scheduling._dispatcher import RouterDispatcher
+from crowwinch.scheduling._domain_scheduler import DomainScheduler
+from crowwinch.scheduling._estimates import CostEstimator
+from crowwinch.scheduling._fair_queue import Entry, FairQueue
 from crowwinch.scheduling._first_free import FirstFreeDispatcher
 from crowwinch.scheduling._interfaces import (
     Dispatcher,
@@ -8,12 +12,26 @@
     SlotOutcome,
     SlotRequest,
 )
+from crowwinch.scheduling._pacing import Pacing, UnlimitedPacing
+from crowwinch.scheduling._slots import GRANT_LIFETIME_S, WaitingRequest
+from crowwinch.scheduling._target_limits import TargetLimit, TargetReport
 
 __all__ = [
+    "GRANT_LIFETIME_S",
+    "CostEstimator",
     "Dispatcher",
+    "DomainScheduler",
+    "Entry",
+    "FairQueue",
     "FirstFreeDispatcher",
+    "Pacing",
     "RequestClass",
+    "RouterDispatcher",
     "Slot",
     "SlotOutcome",
     "SlotRequest",
+    "TargetLimit",
+    "TargetReport",
+    "UnlimitedPacing",
+    "WaitingRequest",
 ]
--- /dev/null
+++ b/crowwinch/scheduling/_answers.py
@@ -0,0 +1,107 @@
+"""Messages of a domain scheduler, batched for each router."""
+
+from collections.abc import Callable, Mapping
+
+from crowwinch.coordination import Clock, TimerService
+from crowwinch.generated.peer_messages import (
+    Grants,
+    GroupStatus,
+    RegistrationRequest,
+)
+from crowwinch.scheduling._fair_queue import FairQueue
+from crowwinch.scheduling._pacing import message_size
+from crowwinch.scheduling._records import GroupRecord, RouterRecord
+
+# Lags and floors travel as integers in thousandths, because the cost of a
+# request divided by a large weight may be far below 1.
+VIRTUAL_SCALE = 1000
+# Floor of a group whose slots must not be reused: one of its targets is
+# drained, leaves or is above its limit.
+REUSE_FORBIDDEN = -1
+
+RouterMessage = Grants | RegistrationRequest
+
+
+class AnswerSender:
+    """Sends what has gathered for a router when its budget allows."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        timers: TimerService,
+        send: Callable[[str, RouterMessage], None],
+        queue: FairQueue,
+        groups: Mapping[int, GroupRecord],
+    ) -> None:
+        """Stores what answers are made of.
+
+        Args:
+            clock: Monotonic time.
+            timers: Runs delayed answers.
+            send: Sends a message to a router by name.
+            queue: Source of floors.
+            groups: Source of forecasts.
+        """
+        self._clock = clock
+        self._timers = timers
+        self._send = send
+        self._queue = queue
+        self._groups = groups
+
+    def schedule(self, router: RouterRecord, delay: float) -> None:
+        """Sends an answer after at most a delay in seconds."""
+        due = self._clock.monotonic() + delay
+        if due >= router.flush_at:
+            return
+        if router.flush is not None:
+            router.flush.cancel()
+        router.flush_at = due
+        router.flush = self._timers.call_later(
+            delay, lambda: self._flush(router)
+        )
+
+    def cancel(self, router: RouterRecord) -> None:
+        """Drops what has gathered for a router."""
+        if router.flush is not None:
+            router.flush.cancel()
+
+    def forecast(self, group_number: int) -> float:
+        """Returns the wait of a new entry in seconds, 0 if unknown."""
+        group = self._groups.get(group_number)
+        if group is None:
+            return 0.0
+        rate = group.rate.per_second(self._clock.monotonic())
+        waiting = self._queue.waiting(group_number)
+        return waiting / rate if rate else 0.0
+
+    def _flush(self, router: RouterRecord) -> None:
+        router.flush = None
+        router.flush_at = float("inf")
+        now = self._clock.monotonic()
+        statuses = [
+            self._status(group)
+            for number in sorted(router.groups)
+            if (group := self._groups.get(number)) is not None
+        ]
+        events = len(router.granted) + len(router.refused) + len(statuses)
+        delay = router.pacing.allows(message_size(events), now)
+        if delay > 0:
+            self.schedule(router, delay)
+            return
+        message = Grants(
+            router.echo_ms, router.granted, router.refused, statuses
+        )
+        router.granted, router.refused = [], []
+        router.groups = {each.group for each in router.entries.values()} | {
+            each.entry.group for each in router.grants.values()
+        }
+        self._send(router.name, message)
+
+    def _status(self, group: GroupRecord) -> GroupStatus:
+        floor = REUSE_FORBIDDEN
+        if group.allows_reuse:
+            floor = max(
+                round(self._queue.floor(group.number) * VIRTUAL_SCALE), 0
+            )
+        forecast = round(self.forecast(group.number) * 1000)
+        return GroupStatus(group.number, floor, forecast)
--- /dev/null
+++ b/crowwinch/scheduling/_dispatcher.py
@@ -0,0 +1,393 @@
+"""The router's side of scheduling."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from crowwinch.configuration import Snapshot
+from crowwinch.coordination import Clock, Subscription, TimerService
+from crowwinch.errors import RefusalError, RefusalReason, RetryReason
+from crowwinch.generated.peer_messages import (
+    Completion,
+    Demand,
+    Grant,
+    Grants,
+    RefusedDemand,
+    Registration,
+    ReusedSlot,
+)
+from crowwinch.scheduling._admission import LocalAdmission
+from crowwinch.scheduling._estimates import CostEstimator
+from crowwinch.scheduling._interfaces import Slot, SlotOutcome, SlotRequest
+from crowwinch.scheduling._outbox import DemandOutbox
+from crowwinch.scheduling._pacing import Pacing, UnlimitedPacing, message_size
+from crowwinch.scheduling._reuse import ServiceView
+from crowwinch.scheduling._slots import (
+    GRANT_LIFETIME_S,
+    GrantedSlot,
+    PendingSlot,
+    WaitingRequest,
+    WaitingTable,
+)
+
+# A grant carries the time stamp of the last message, so a router with waiting
+# requests sends one at least this often; 0.5 s leaves 1.5 s of a grant's
+# lifetime.
+KEEP_ALIVE_S = 0.5
+
+
+class RouterDispatcher:
+    """Asks the domain's scheduler for slots and hands them to requests."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        timers: TimerService,
+        snapshot: Callable[[], Snapshot],
+        send: Callable[[Demand], None],
+        pacing: Pacing | None = None,
+        reuse_slots: bool = True,
+        on_retry: Callable[[RetryReason], None] = lambda reason: None,
+    ) -> None:
+        """Creates a dispatcher without a scheduler.
+
+        Args:
+            clock: Monotonic and Unix time.
+            timers: Runs delayed messages and deadlines.
+            snapshot: Returns the configuration in force.
+            send: Sends a message to the connected scheduler.
+            pacing: Budget of control bytes, None for no limit.
+            reuse_slots: Whether slots may pass to waiting requests unasked.
+            on_retry: Is told the reason of each repeated ask.
+        """
+        self._clock = clock
+        self._timers = timers
+        self._snapshot = snapshot
+        self._send = send
+        self._pacing = pacing or UnlimitedPacing()
+        self._reuse_slots = reuse_slots
+        self._on_retry = on_retry
+        self._view = ServiceView(clock, snapshot)
+        self._estimator = CostEstimator()
+        self._outbox = DemandOutbox()
+        self._numbers = itertools.count(1)
+        self._waiting = WaitingTable()
+        self._admission = LocalAdmission(
+            clock, snapshot, self._waiting.by_workspace, self._view.forecast
+        )
+        self._slots: dict[int, GrantedSlot] = {}
+        self._scheduler: tuple[str, int] | None = None
+        self._flush: Subscription | None = None
+        self._last_echo = 0
+        self._registered_echo = 0
+        self._heard_echo = 0
+        self._heard_at = 0.0
+        self._sent_at = 0.0
+        self._unanswered: tuple[float, int] | None = None
+        self._keep_alive = timers.call_every(KEEP_ALIVE_S, self._on_keep_alive)
+
+    @property
+    def scheduler(self) -> str | None:
+        """Name of the connected scheduler."""
+        return self._scheduler[0] if self._scheduler else None
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests without a slot."""
+        return len(self._waiting)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of slots that have been handed out."""
+        return len(self._slots)
+
+    async def acquire(self, request: SlotRequest) -> Slot:
+        """Waits for a slot.
+
+        Cancelling the wait withdraws the request.
+
+        Raises:
+            RefusalError: If the request cannot be served in time.
+        """
+        while True:
+            pending = PendingSlot()
+            waiting = self.ask(request, pending.deliver, pending.refuse)
+            try:
+                slot = await pending.future
+            except asyncio.CancelledError:
+                self.withdraw(waiting)
+                pending.give_back()
+                raise
+            if slot.is_valid():
+                return slot
+            # The process was paused between the grant and this point.
+            slot.finish(0, SlotOutcome.UNUSED)
+            self._on_retry(RetryReason.GRANT_EXPIRED)
+
+    def ask(
+        self,
+        request: SlotRequest,
+        on_slot: Callable[[Slot], None],
+        on_refusal: Callable[[RefusalError], None],
+    ) -> WaitingRequest:
+        """Asks for a slot; exactly one of the two callables is called.
+
+        Returns:
+            A handle to withdraw the request with.
+        """
+        waiting = WaitingRequest(
+            next(self._numbers), request, on_slot, on_refusal
+        )
+        refusal = self._admission.check(request)
+        if refusal is not None:
+            on_refusal(refusal)
+            return waiting
+        if request.deadline is not None:
+            waiting.timeout = self._timers.call_later(
+                request.deadline - self._clock.monotonic(),
+                lambda: self._exceed_deadline(waiting),
+            )
+        self._add(waiting)
+        return waiting
+
+    def withdraw(self, waiting: WaitingRequest) -> None:
+        """Withdraws a request; one that does not wait is ignored."""
+        if self._waiting.remove(waiting):
+            waiting.stop_timeout()
+            self._outbox.withdraw(waiting.number)
+            self._schedule_flush()
+
+    def connect(self, scheduler: str, lease: int = 0) -> Registration:
+        """Turns to a scheduler.
+
+        Args:
+            scheduler: Name of the router that hosts it.
+            lease: Its incarnation, as far as known.
+
+        Returns:
+            The router's state, to be sent before any other message.
+        """
+        lags = self._view.lags()
+        same = self._scheduler == (scheduler, lease)
+        self._outbox.clear(keep_completions=same)
+        if not same:
+            self._view.forget()
+        self._scheduler = (scheduler, lease)
+        now = self._clock.monotonic()
+        echo = self._next_echo(now)
+        self._registered_echo = echo
+        self._unanswered = (now, echo)
+        self._heard_at = self._sent_at = now
+        self._schedule_flush()
+        return Registration(
+            echo,
+            [each.to_entry(now) for each in self._waiting],
+            [slot.to_in_flight() for slot in self._slots.values()],
+            lags,
+        )
+
+    def disconnect(self) -> None:
+        """Turns away from the scheduler; requests wait for the next one."""
+        self._scheduler = None
+        self._unanswered = None
+
+    def silent_for(self) -> float:
+        """Returns how long the scheduler has owed an answer, in seconds."""
+        if self._unanswered is None:
+            return 0.0
+        since = max(self._unanswered[0], self._heard_at)
+        return self._clock.monotonic() - since
+
+    def receive_grants(self, message: Grants) -> None:
+        """Hands granted slots to requests and passes refusals on."""
+        now = self._clock.monotonic()
+        self._heard_at = now
+        if message.echo_ms < self._registered_echo:
+            # The scheduler replaced this router's state by the registration.
+            for grant in message.grants:
+                self._return(grant.grant)
+            return
+        self._heard_echo = max(self._heard_echo, message.echo_ms)
+        if self._unanswered is not None:
+            answered = message.echo_ms >= self._unanswered[1]
+            if message.echo_ms >= self._last_echo:
+                self._unanswered = None
+            elif answered:
+                self._unanswered = (now, self._last_echo)
+        self._view.update_groups(message.groups)
+        for grant in message.grants:
+            self._accept(grant, message.echo_ms / 1000 + GRANT_LIFETIME_S)
+        for refused in message.refused:
+            self._pass_refusal(refused)
+
+    def close(self) -> None:
+        """Stops all timers."""
+        self._keep_alive.cancel()
+        if self._flush is not None:
+            self._flush.cancel()
+
+    def slot_overrun(self, slot: GrantedSlot) -> None:
+        """Reports that a slot's cost exceeds its charge."""
+        request = slot.request
+        self._view.charge(request.workspace, request.group, slot.charged)
+        self._outbox.overrun(slot.grant)
+        self._schedule_flush()
+
+    def slot_finished(
+        self, slot: GrantedSlot, cost: int, outcome: SlotOutcome
+    ) -> None:
+        """Passes a slot to a waiting request or reports its end."""
+        if self._slots.get(slot.grant) is not slot:
+            return
+        del self._slots[slot.grant]
+        request = slot.request
+        self._view.charge(request.workspace, request.group, cost - slot.charged)
+        if outcome == SlotOutcome.SERVED:
+            self._estimator.observe(
+                request.workspace, request.group, request.estimate, cost
+            )
+        successor = self._successor(slot, outcome)
+        if successor is None:
+            self._outbox.complete(Completion(slot.grant, cost, int(outcome)))
+            self._schedule_flush()
+            return
+        charged = self._estimate(successor.request)
+        self._waiting.remove(successor)
+        self._outbox.reuse(
+            ReusedSlot(slot.grant, cost, successor.number, charged)
+        )
+        self._view.charge(successor.request.workspace, request.group, charged)
+        self._schedule_flush()
+        expires_at = self._heard_echo / 1000 + GRANT_LIFETIME_S
+        self._hand_out(successor, slot.grant, slot.target, charged, expires_at)
+
+    def _successor(
+        self, slot: GrantedSlot, outcome: SlotOutcome
+    ) -> WaitingRequest | None:
+        fresh = self._heard_echo / 1000 + GRANT_LIFETIME_S
+        if (
+            not self._reuse_slots
+            or outcome != SlotOutcome.SERVED
+            or self._scheduler is None
+            or self._heard_echo < self._registered_echo
+            or self._clock.monotonic() >= fresh
+        ):
+            return None
+        candidates = self._waiting.group(slot.request.group)
+        return self._view.choose(slot, candidates, self._estimate)
+
+    def _estimate(self, request: SlotRequest) -> int:
+        return self._estimator.estimate(
+            request.workspace, request.group, request.estimate
+        )
+
+    def _hand_out(
+        self,
+        waiting: WaitingRequest,
+        grant: int,
+        target: int,
+        charged: int,
+        expires_at: float,
+    ) -> None:
+        slot = GrantedSlot(
+            self, self._clock, waiting, grant, target, charged, expires_at
+        )
+        self._slots[grant] = slot
+        waiting.stop_timeout()
+        waiting.on_slot(slot)
+
+    def _accept(self, grant: Grant, expires_at: float) -> None:
+        waiting = self._waiting.get(grant.request)
+        if grant.grant in self._slots:
+            return
+        if waiting is None:
+            self._return(grant.grant)
+            return
+        request = waiting.request
+        self._view.update_workspace(request.workspace, request.group, grant)
+        if self._clock.monotonic() >= expires_at:
+            self._return(grant.grant)
+            self._waiting.remove(waiting)
+            waiting.number = next(self._numbers)
+            self._add(waiting)
+            self._on_retry(RetryReason.GRANT_EXPIRED)
+        elif grant.target in request.excluded_targets:
+            # The same number tells the scheduler to avoid this target.
+            self._return(grant.grant)
+            self._outbox.add_entry(waiting)
+        else:
+            self._waiting.remove(waiting)
+            self._hand_out(
+                waiting, grant.grant, grant.target, grant.charged, expires_at
+            )
+
+    def _return(self, grant: int) -> None:
+        self._outbox.complete(Completion(grant, 0, int(SlotOutcome.UNUSED)))
+        self._schedule_flush()
+
+    def _pass_refusal(self, refused: RefusedDemand) -> None:
+        waiting = self._waiting.get(refused.request)
+        if waiting is None or not self._waiting.remove(waiting):
+            return
+        waiting.stop_timeout()
+        reason = RefusalReason(refused.reason)
+        retry_after_s = refused.retry_after_ms / 1000
+        if reason == RefusalReason.QUEUE_FULL:
+            self._admission.note_full(waiting.request.workspace, retry_after_s)
+        waiting.on_refusal(
+            RefusalError(
+                reason,
+                "the scheduler refused the request",
+                retry_after_s=retry_after_s,
+            )
+        )
+
+    def _exceed_deadline(self, waiting: WaitingRequest) -> None:
+        self.withdraw(waiting)
+        waiting.on_refusal(
+            RefusalError(
+                RefusalReason.DEADLINE_EXCEEDED,
+                "no slot was free before the deadline",
+                retry_after_s=self._view.forecast(waiting.request.group),
+            )
+        )
+
+    def _schedule_flush(self, delay: float = 0.0) -> None:
+        if self._flush is None and self._scheduler is not None:
+            self._flush = self._timers.call_later(delay, self._on_flush)
+
+    def _on_flush(self) -> None:
+        self._flush = None
+        if self._outbox.events:
+            self._send_demand()
+
+    def _on_keep_alive(self) -> None:
+        idle = self._clock.monotonic() - self._sent_at
+        if self._waiting and idle >= KEEP_ALIVE_S / 2:
+            self._send_demand()
+
+    def _send_demand(self) -> None:
+        if self._scheduler is None:
+            return
+        now = self._clock.monotonic()
+        size = message_size(self._outbox.events)
+        delay = self._pacing.allows(size, now)
+        if delay > 0:
+            self._schedule_flush(delay)
+            return
+        echo = self._next_echo(now)
+        if self._unanswered is None:
+            self._unanswered = (now, echo)
+        self._sent_at = now
+        self._send(self._outbox.take(echo, now))
+
+    def _next_echo(self, now: float) -> int:
+        # Echoes increase strictly, so that a registration can be told from
+        # the message before it.
+        self._last_echo = max(int(now * 1000), self._last_echo + 1)
+        return self._last_echo
+
+    def _add(self, waiting: WaitingRequest) -> None:
+        self._waiting.add(waiting)
+        self._outbox.add_entry(waiting)
+        self._schedule_flush()
--- /dev/null
+++ b/crowwinch/scheduling/_target_pool.py
@@ -0,0 +1,147 @@
+"""Targets of a domain and the slots that a scheduler may use."""
+
+from collections.abc import Callable
+
+from crowwinch.configuration import Snapshot
+from crowwinch.coordination import Clock
+from crowwinch.scheduling._records import (
+    GrantRecord,
+    GroupRecord,
+    TargetRecord,
+)
+from crowwinch.scheduling._target_limits import TargetLimit, TargetReport
+
+
+class TargetPool:
+    """Groups and targets of the configuration in force."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        snapshot: Callable[[], Snapshot],
+        registered: Callable[[], int],
+        listed: Callable[[], int],
+        region: str | None,
+    ) -> None:
+        """Creates an empty pool.
+
+        Args:
+            clock: Monotonic time.
+            snapshot: Returns the configuration in force.
+            registered: Returns the number of registered routers.
+            listed: Returns the number of listed routers.
+            region: Region whose groups count, None for all.
+        """
+        self._clock = clock
+        self._snapshot = snapshot
+        self._registered = registered
+        self._listed = listed
+        self._region = region
+        self._seen: Snapshot | None = None
+        self._targets: dict[int, TargetRecord] = {}
+        self.groups: dict[int, GroupRecord] = {}
+
+    def read_configuration(self) -> None:
+        """Takes over groups and targets when the configuration changed.
+
+        A removed target keeps its grants until they end but gets no new ones.
+        """
+        snapshot = self._snapshot()
+        if snapshot is self._seen:
+            return
+        self._seen = snapshot
+        by_name = {item.name: key for key, item in snapshot.targets.items()}
+        for number, item in snapshot.groups.items():
+            if self._region is not None and item.region != self._region:
+                continue
+            group = self.groups.setdefault(number, GroupRecord(number))
+            group.targets = [
+                self._target(by_name[each.name], each.slots, each.max_slots)
+                for each in item.targets
+            ]
+        for number, group in self.groups.items():
+            if number not in snapshot.groups:
+                group.targets = []
+        self.update_allowed()
+
+    def target(self, number: int) -> TargetRecord | None:
+        """Returns a target, or None if it was never configured."""
+        return self._targets.get(number)
+
+    def report(self, report: TargetReport) -> None:
+        """Applies a target's report; unknown targets are ignored."""
+        target = self._targets.get(report.target)
+        if target is not None:
+            target.limit.report(report, self._clock.monotonic())
+            self.update_allowed()
+
+    def update_allowed(self) -> None:
+        """Computes each target's allowance again."""
+        registered, listed = self._registered(), self._listed()
+        for target in self._targets.values():
+            target.allowed = target.limit.allowed(registered, listed)
+
+    def begin(self, target: TargetRecord) -> None:
+        """Takes a slot."""
+        target.limit.begin(self._clock.monotonic())
+
+    def release(self, grant: GrantRecord, abandoned: bool = False) -> None:
+        """Gives a grant's slot back.
+
+        Args:
+            grant: The grant that ended.
+            abandoned: Whether its request may still run, unseen.
+        """
+        target = grant.target
+        if target is None:
+            return
+        if abandoned:
+            target.limit.abandon(self._clock.monotonic())
+        else:
+            target.limit.end(self._clock.monotonic())
+        if target.reserved is grant:
+            target.reserved = None
+
+    def find(
+        self, group: GroupRecord, grant: GrantRecord
+    ) -> TargetRecord | None:
+        """Returns the target for a grant, or None if it has to wait.
+
+        An exclusive entry reserves a target, which then drains. Only one
+        target of a group is reserved at a time, so that a burst of exclusive
+        entries cannot stop the whole group.
+        """
+        if not grant.entry.exclusive:
+            return group.best_target(grant.entry.avoided)
+        if any(
+            each.reserved is not None and each.reserved is not grant
+            for each in group.targets
+        ):
+            return None
+        usable = [
+            each
+            for each in group.targets
+            if each.allowed > 0 and each.number not in grant.entry.avoided
+        ]
+        if not usable:
+            return None
+        target = min(
+            usable, key=lambda each: (each.reserved is None, each.limit.load)
+        )
+        target.reserved = grant
+        return target if target.is_idle else None
+
+    def cancel_reservation(self, grant: GrantRecord) -> None:
+        """Ends the draining of a target for a withdrawn grant."""
+        for target in self._targets.values():
+            if target.reserved is grant:
+                target.reserved = None
+
+    def _target(self, number: int, slots: int, max_slots: int) -> TargetRecord:
+        target = self._targets.get(number)
+        if target is None:
+            limit = TargetLimit(slots, max_slots)
+            target = self._targets[number] = TargetRecord(number, limit)
+        else:
+            target.limit.configure(slots, max_slots)
+        return target
--- /dev/null
+++ b/crowwinch/scheduling/tests/fleet.py
@@ -0,0 +1,174 @@
+"""A small fleet on a fake clock and network, for tests."""
+
+from collections import Counter
+
+from crowwinch.configuration import Snapshot
+from crowwinch.coordination import ManualClock, TimerService, identifier
+from crowwinch.generated.documents import Group, Target, Workspace
+from crowwinch.generated.peer_messages import Grants, Registration
+from crowwinch.scheduling import (
+    DomainScheduler,
+    RouterDispatcher,
+    SlotOutcome,
+    SlotRequest,
+)
+
+GROUP = identifier("model")
+
+
+def make_snapshot(workspaces, targets=1, slots=4, **limits):
+    """Builds a configuration from weights by workspace name."""
+    return Snapshot.build(
+        1,
+        "",
+        [
+            Workspace(name=name, weight=weight, key_hashes=[], **limits)
+            for name, weight in workspaces.items()
+        ],
+        [
+            Group(
+                name="model",
+                kind="engine",
+                region="here",
+                targets=[
+                    Target(name=f"t{i}", url="http://t", slots=slots)
+                    for i in range(targets)
+                ],
+            )
+        ],
+    )
+
+
+class Fleet:
+    """Routers with dispatchers, and schedulers, joined by delayed links."""
+
+    def __init__(self, snapshot, routers=2, delay=0.001, reuse=True, listed=0):
+        self.clock = ManualClock()
+        self.timers = TimerService(self.clock)
+        self.snapshot = snapshot
+        self.delay = delay
+        self.listed = listed or routers
+        self.schedulers = {}
+        self.paused = set()
+        self.held = []
+        self.links = {}
+        self.served = Counter()
+        self.starts = []
+        self.refusals = []
+        self.running = Counter()
+        self.most_running = Counter()
+        self.slots = {}
+        self.dispatchers = {}
+        self.attached = {}
+        for number in range(routers):
+            name = f"r{number}"
+            self.dispatchers[name] = RouterDispatcher(
+                self.clock,
+                self.timers,
+                lambda: self.snapshot,
+                lambda message, name=name: self.to_scheduler(name, message),
+                reuse_slots=reuse,
+            )
+        self.add_scheduler("s")
+        for name in self.dispatchers:
+            self.connect(name, "s")
+
+    def add_scheduler(self, name, lease=1):
+        self.schedulers[name] = DomainScheduler(
+            self.clock,
+            self.timers,
+            lambda: self.snapshot,
+            lambda router, message: self.to_router(name, router, message),
+            lease=lease,
+            listed=lambda: self.listed,
+        )
+        return self.schedulers[name]
+
+    def connect(self, router, scheduler):
+        self.attached[router] = scheduler
+        message = self.dispatchers[router].connect(scheduler)
+        self.to_scheduler(router, message)
+
+    def to_scheduler(self, router, message):
+        name = self.attached[router]
+
+        def deliver():
+            scheduler = self.schedulers.get(name)
+            if scheduler is None:
+                return
+            if isinstance(message, Registration):
+                scheduler.register(router, message)
+            else:
+                scheduler.receive_demand(router, message)
+
+        self.timers.call_later(self.delay, deliver)
+
+    def to_router(self, scheduler, router, message):
+        def deliver():
+            if self.attached[router] != scheduler:
+                return
+            if router in self.paused:
+                self.held.append(deliver)
+            elif isinstance(message, Grants):
+                self.dispatchers[router].receive_grants(message)
+            else:
+                self.connect(router, scheduler)
+
+        self.timers.call_later(self.delay, deliver)
+
+    def ask(self, router, workspace, cost, duration=None, **options):
+        """Starts a request of a known cost; it takes 1 ms for each unit."""
+        options.setdefault("estimate", cost)
+        request = SlotRequest(identifier(workspace), GROUP, **options)
+        duration = cost / 1000 if duration is None else duration
+
+        def start(slot):
+            if not slot.is_valid():
+                slot.finish(0, SlotOutcome.UNUSED)
+                return
+            target = slot.target
+            self.running[target] += 1
+            self.most_running[target] = max(
+                self.most_running[target], self.running[target]
+            )
+            self.starts.append((self.clock.monotonic(), workspace, cost))
+            steps = 8
+
+            def progress(step=1):
+                slot.report_served(cost * step // steps)
+                if step < steps:
+                    self.timers.call_later(
+                        duration / steps, lambda: progress(step + 1)
+                    )
+                    return
+                self.running[target] -= 1
+                self.served[workspace] += cost
+                slot.finish(cost, SlotOutcome.SERVED)
+
+            self.timers.call_later(duration / steps, progress)
+
+        return self.dispatchers[router].ask(
+            request,
+            start,
+            lambda error: self.refusals.append((workspace, error)),
+        )
+
+    def run(self, seconds):
+        """Lets time pass."""
+        end = self.clock.monotonic() + seconds
+        while True:
+            due = self.timers.next_due()
+            if due is None or due > end:
+                break
+            self.clock.move_to(max(due, self.clock.monotonic()))
+            self.timers.run_due()
+        self.clock.move_to(end)
+
+    def charged(self, scheduler="s"):
+        """Returns the charged service of each workspace."""
+        queue = self.schedulers[scheduler].queue
+        return {
+            name: queue.account(number).virtual * item.weight
+            for number, item in self.snapshot.workspaces.items()
+            for name in [item.name]
+        }
