--- a/crowwinch/scheduling/_admission.py
+++ b/crowwinch/scheduling/_admission.py
@@ -34,6 +34,7 @@
         snapshot: Callable[[], Snapshot],
         waiting: Mapping[int, int],
         forecast: Callable[[int], float],
+        is_full: Callable[[], bool] = lambda: False,
     ) -> None:
         """Stores what decisions are made from.
 
@@ -42,9 +43,11 @@
             snapshot: Returns the configuration in force.
             waiting: Number of waiting requests by workspace.
             forecast: Returns the wait in a group in seconds, 0 if unknown.
+            is_full: Returns whether the router holds too many requests.
         """
         self._clock = clock
         self._snapshot = snapshot
+        self._is_full = is_full
         self._waiting = waiting
         self._forecast = forecast
         self._full_until: dict[int, float] = {}
@@ -72,7 +75,11 @@
             del self._full_until[workspace]
             full_until = None
         most = max_waiting(snapshot, workspace)
-        if self._waiting.get(workspace, 0) >= most or full_until is not None:
+        if (
+            self._waiting.get(workspace, 0) >= most
+            or full_until is not None
+            or self._is_full()
+        ):
             return RefusalError(
                 RefusalReason.QUEUE_FULL,
                 "the workspace has too many waiting requests",
--- a/crowwinch/scheduling/_dispatcher.py
+++ b/crowwinch/scheduling/_dispatcher.py
@@ -17,19 +17,22 @@
     ReusedSlot,
 )
 from crowwinch.scheduling._admission import LocalAdmission
+from crowwinch.scheduling._echoes import EchoTracker, expiry
 from crowwinch.scheduling._estimates import CostEstimator
 from crowwinch.scheduling._interfaces import Slot, SlotOutcome, SlotRequest
 from crowwinch.scheduling._outbox import DemandOutbox
 from crowwinch.scheduling._pacing import Pacing, UnlimitedPacing, message_size
 from crowwinch.scheduling._reuse import ServiceView
 from crowwinch.scheduling._slots import (
-    GRANT_LIFETIME_S,
     GrantedSlot,
     PendingSlot,
     WaitingRequest,
     WaitingTable,
 )
 
+# An idle router sends one message this often, so that a scheduler that
+# restarted learns of it.
+IDLE_KEEP_ALIVE_S = 5.0
 # A grant carries the time stamp of the last message, so a router with waiting
 # requests sends one at least this often; 0.5 s leaves 1.5 s of a grant's
 # lifetime.
@@ -47,6 +50,7 @@
         send: Callable[[Demand], None],
         pacing: Pacing | None = None,
         reuse_slots: bool = True,
+        max_waiting: int = 10_000,
         on_retry: Callable[[RetryReason], None] = lambda reason: None,
     ) -> None:
         """Creates a dispatcher without a scheduler.
@@ -58,6 +62,7 @@
             send: Sends a message to the connected scheduler.
             pacing: Budget of control bytes, None for no limit.
             reuse_slots: Whether slots may pass to waiting requests unasked.
+            max_waiting: Most waiting requests of all workspaces.
             on_retry: Is told the reason of each repeated ask.
         """
         self._clock = clock
@@ -73,17 +78,16 @@
         self._numbers = itertools.count(1)
         self._waiting = WaitingTable()
         self._admission = LocalAdmission(
-            clock, snapshot, self._waiting.by_workspace, self._view.forecast
+            clock,
+            snapshot,
+            self._waiting.by_workspace,
+            self._view.forecast,
+            lambda: len(self._waiting) >= max_waiting,
         )
         self._slots: dict[int, GrantedSlot] = {}
         self._scheduler: tuple[str, int] | None = None
         self._flush: Subscription | None = None
-        self._last_echo = 0
-        self._registered_echo = 0
-        self._heard_echo = 0
-        self._heard_at = 0.0
-        self._sent_at = 0.0
-        self._unanswered: tuple[float, int] | None = None
+        self._echoes = EchoTracker(clock)
         self._keep_alive = timers.call_every(KEEP_ALIVE_S, self._on_keep_alive)
 
     @property
@@ -174,13 +178,9 @@
             self._view.forget()
         self._scheduler = (scheduler, lease)
         now = self._clock.monotonic()
-        echo = self._next_echo(now)
-        self._registered_echo = echo
-        self._unanswered = (now, echo)
-        self._heard_at = self._sent_at = now
         self._schedule_flush()
         return Registration(
-            echo,
+            self._echoes.register(),
             [each.to_entry(now) for each in self._waiting],
             [slot.to_in_flight() for slot in self._slots.values()],
             lags,
@@ -189,34 +189,26 @@
     def disconnect(self) -> None:
         """Turns away from the scheduler; requests wait for the next one."""
         self._scheduler = None
-        self._unanswered = None
+        self._echoes.disconnect()
 
     def silent_for(self) -> float:
         """Returns how long the scheduler has owed an answer, in seconds."""
-        if self._unanswered is None:
-            return 0.0
-        since = max(self._unanswered[0], self._heard_at)
-        return self._clock.monotonic() - since
+        return self._echoes.silent_for()
+
+    def excuse_silence(self) -> None:
+        """Starts the time of silence anew, after this process was paused."""
+        self._echoes.excuse_silence()
 
     def receive_grants(self, message: Grants) -> None:
         """Hands granted slots to requests and passes refusals on."""
-        now = self._clock.monotonic()
-        self._heard_at = now
-        if message.echo_ms < self._registered_echo:
+        if not self._echoes.hear(message.echo_ms):
             # The scheduler replaced this router's state by the registration.
             for grant in message.grants:
                 self._return(grant.grant)
             return
-        self._heard_echo = max(self._heard_echo, message.echo_ms)
-        if self._unanswered is not None:
-            answered = message.echo_ms >= self._unanswered[1]
-            if message.echo_ms >= self._last_echo:
-                self._unanswered = None
-            elif answered:
-                self._unanswered = (now, self._last_echo)
         self._view.update_groups(message.groups)
         for grant in message.grants:
-            self._accept(grant, message.echo_ms / 1000 + GRANT_LIFETIME_S)
+            self._accept(grant, expiry(message.echo_ms))
         for refused in message.refused:
             self._pass_refusal(refused)
 
@@ -258,23 +250,25 @@
         )
         self._view.charge(successor.request.workspace, request.group, charged)
         self._schedule_flush()
-        expires_at = self._heard_echo / 1000 + GRANT_LIFETIME_S
-        self._hand_out(successor, slot.grant, slot.target, charged, expires_at)
+        self._hand_out(
+            successor,
+            slot.grant,
+            slot.target,
+            charged,
+            self._echoes.fresh_until,
+        )
 
     def _successor(
         self, slot: GrantedSlot, outcome: SlotOutcome
     ) -> WaitingRequest | None:
-        fresh = self._heard_echo / 1000 + GRANT_LIFETIME_S
         if (
             not self._reuse_slots
             or outcome != SlotOutcome.SERVED
             or self._scheduler is None
-            or self._heard_echo < self._registered_echo
-            or self._clock.monotonic() >= fresh
+            or self._clock.monotonic() >= self._echoes.fresh_until
         ):
             return None
-        candidates = self._waiting.group(slot.request.group)
-        return self._view.choose(slot, candidates, self._estimate)
+        return self._view.choose(slot, self._waiting, self._estimate)
 
     def _estimate(self, request: SlotRequest) -> int:
         return self._estimator.estimate(
@@ -362,8 +356,8 @@
             self._send_demand()
 
     def _on_keep_alive(self) -> None:
-        idle = self._clock.monotonic() - self._sent_at
-        if self._waiting and idle >= KEEP_ALIVE_S / 2:
+        idle = self._echoes.idle_for()
+        if idle >= (KEEP_ALIVE_S / 2 if self._waiting else IDLE_KEEP_ALIVE_S):
             self._send_demand()
 
     def _send_demand(self) -> None:
@@ -375,17 +369,7 @@
         if delay > 0:
             self._schedule_flush(delay)
             return
-        echo = self._next_echo(now)
-        if self._unanswered is None:
-            self._unanswered = (now, echo)
-        self._sent_at = now
-        self._send(self._outbox.take(echo, now))
-
-    def _next_echo(self, now: float) -> int:
-        # Echoes increase strictly, so that a registration can be told from
-        # the message before it.
-        self._last_echo = max(int(now * 1000), self._last_echo + 1)
-        return self._last_echo
+        self._send(self._outbox.take(self._echoes.send(), now))
 
     def _add(self, waiting: WaitingRequest) -> None:
         self._waiting.add(waiting)
--- a/crowwinch/scheduling/_domain_scheduler.py
+++ b/crowwinch/scheduling/_domain_scheduler.py
@@ -59,7 +59,7 @@
         send: Callable[[str, RouterMessage], None],
         lease: int = 0,
         listed: Callable[[], int] = lambda: 1,
-        pacing: Callable[[], Pacing] = UnlimitedPacing,
+        pacing: Callable[[str], Pacing] = lambda router: UnlimitedPacing(),
         region: str | None = None,
     ) -> None:
         """Creates a scheduler without routers.
@@ -72,7 +72,7 @@
             lease: Number of this incarnation of the scheduler.
             listed: Returns the number of routers in the VM list that have not
                 left.
-            pacing: Creates the budget of control bytes for one router.
+            pacing: Creates the budget of control bytes for a router by name.
             region: Region whose groups are served, None for all groups.
         """
         self._clock = clock
@@ -124,7 +124,7 @@
         """Takes over the full state of a router, in place of earlier state."""
         self._pool.read_configuration()
         old = self._routers.get(name)
-        router = RouterRecord(name, old.pacing if old else self._pacing())
+        router = RouterRecord(name, old.pacing if old else self._pacing(name))
         if old is not None:
             router.stale = {**old.stale, **old.grants}
             self._drop(old, abandoned=False)
--- a/crowwinch/scheduling/_reuse.py
+++ b/crowwinch/scheduling/_reuse.py
@@ -11,7 +11,11 @@
 )
 from crowwinch.scheduling._answers import REUSE_FORBIDDEN, VIRTUAL_SCALE
 from crowwinch.scheduling._interfaces import SlotRequest
-from crowwinch.scheduling._slots import GrantedSlot, WaitingRequest
+from crowwinch.scheduling._slots import (
+    GrantedSlot,
+    WaitingRequest,
+    WaitingTable,
+)
 
 # Lags of workspaces without a grant for this long are left out of
 # registrations, to bound their size.
@@ -89,7 +93,7 @@
     def choose(
         self,
         slot: GrantedSlot,
-        candidates: Iterable[WaitingRequest],
+        table: WaitingTable,
         estimate: Callable[[SlotRequest], int],
     ) -> WaitingRequest | None:
         """Returns the request that may take over a slot, or None.
@@ -103,32 +107,32 @@
             return None
         if slot.target not in self._snapshot().targets:
             return None
-        best: tuple[tuple[float, int, float, int], WaitingRequest] | None = None
-        for waiting in candidates:
-            request = waiting.request
-            known = self._known.get((request.workspace, group))
-            if (
-                known is None
-                or request.exclusive
-                or slot.target in request.excluded_targets
-            ):
-                continue
-            limits = self.limits(request.workspace)
-            follows = request.workspace == slot.request.workspace
+        known = sorted(
+            (self._known[workspace, group][0], workspace)
+            for workspace in table.workspaces(group)
+            if (workspace, group) in self._known
+        )
+        for value, workspace in known:
+            limits = self.limits(workspace)
+            follows = workspace == slot.request.workspace
             if limits.max_service_per_second or (
                 limits.max_in_flight and not follows
             ):
                 continue
-            slack = estimate(request) / limits.weight
-            if known[0] > self._floors[group] + slack:
+            waiting = _first_usable(table.in_order(group, workspace), slot)
+            if waiting is None:
                 continue
-            deadline = request.deadline
-            key = (
-                known[0],
-                int(request.request_class),
-                float("inf") if deadline is None else deadline,
-                waiting.number,
-            )
-            if best is None or key < best[0]:
-                best = (key, waiting)
-        return best[1] if best is not None else None
+            slack = estimate(waiting.request) / limits.weight
+            if value <= self._floors[group] + slack:
+                return waiting
+        return None
+
+
+def _first_usable(
+    order: Iterable[WaitingRequest], slot: GrantedSlot
+) -> WaitingRequest | None:
+    for waiting in order:
+        request = waiting.request
+        if not (request.exclusive or slot.target in request.excluded_targets):
+            return waiting
+    return None
--- a/crowwinch/scheduling/_slots.py
+++ b/crowwinch/scheduling/_slots.py
@@ -1,8 +1,10 @@
 """Slots that a dispatcher hands out and requests that wait for one."""
 
 import asyncio
+import bisect
+import math
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -52,13 +54,16 @@
         )
 
 
+_Order = list[tuple[int, float, int, WaitingRequest]]
+
+
 class WaitingTable:
-    """Requests without a slot, by number and by group."""
+    """Requests without a slot, by number and in order of service."""
 
     def __init__(self) -> None:
         """Creates an empty table."""
         self._by_number: dict[int, WaitingRequest] = {}
-        self._by_group: dict[int, dict[int, WaitingRequest]] = {}
+        self._by_group: dict[int, dict[int, _Order]] = {}
         self.by_workspace: Counter[int] = Counter()
 
     def __len__(self) -> int:
@@ -73,16 +78,22 @@
         """Returns a waiting request, or None."""
         return self._by_number.get(number)
 
-    def group(self, group: int) -> Iterable[WaitingRequest]:
-        """Returns the waiting requests of a group."""
-        return self._by_group.get(group, {}).values()
+    def workspaces(self, group: int) -> Collection[int]:
+        """Returns the workspaces that wait in a group."""
+        return self._by_group.get(group, {}).keys()
+
+    def in_order(self, group: int, workspace: int) -> Iterator[WaitingRequest]:
+        """Iterates over a workspace's requests, first to be served first."""
+        for item in reversed(self._by_group[group][workspace]):
+            yield item[3]
 
     def add(self, waiting: WaitingRequest) -> None:
         """Adds a request."""
         request = waiting.request
         self._by_number[waiting.number] = waiting
         group = self._by_group.setdefault(request.group, {})
-        group[waiting.number] = waiting
+        order = group.setdefault(request.workspace, [])
+        bisect.insort(order, (*_sort_key(waiting), waiting))
         self.by_workspace[request.workspace] += 1
 
     def remove(self, waiting: WaitingRequest) -> bool:
@@ -93,15 +104,25 @@
         """
         if self._by_number.get(waiting.number) is not waiting:
             return False
-        request = waiting.request
+        workspace = waiting.request.workspace
         del self._by_number[waiting.number]
-        del self._by_group[request.group][waiting.number]
-        self.by_workspace[request.workspace] -= 1
-        if not self.by_workspace[request.workspace]:
-            del self.by_workspace[request.workspace]
+        group = self._by_group[waiting.request.group]
+        order = group[workspace]
+        del order[bisect.bisect_left(order, _sort_key(waiting))]
+        if not order:
+            del group[workspace]
+        self.by_workspace[workspace] -= 1
+        if not self.by_workspace[workspace]:
+            del self.by_workspace[workspace]
         return True
 
 
+def _sort_key(waiting: WaitingRequest) -> tuple[int, float, int]:
+    request = waiting.request
+    deadline = math.inf if request.deadline is None else request.deadline
+    return (-int(request.request_class), -deadline, -waiting.number)
+
+
 class SlotOwner(Protocol):
     """What a slot tells its dispatcher."""
 
