Serve callers through the scheduling service

Cause: requests took slots in arrival order. Change: the application uses SchedulingService without peers in place of FirstFreeDispatcher, which is removed. A scheduler drops a Demand whose echo is not newer than the last, so duplicates change nothing. Conclusion: a router alone shares by weight; peers need a transport.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -22,7 +22,7 @@
 from crowwinch.observability import Metrics
 from crowwinch.platform import PlatformClient
 from crowwinch.routing import RequestHandler
-from crowwinch.scheduling import FirstFreeDispatcher
+from crowwinch.scheduling import SchedulingMessage, SchedulingService
 from crowwinch.targets import TargetClient
 
 _LOGGER = logging.getLogger(__name__)
@@ -57,14 +57,28 @@
             settings.configuration_url, settings.vm_list_url
         )
         self._client = TargetClient(_target_ssl(settings))
-        self._dispatcher = FirstFreeDispatcher(lambda: self._snapshot)
+        self._scheduling = SchedulingService(
+            self._clock,
+            self._timers,
+            lambda: self._snapshot,
+            settings.name,
+            int(self._clock.time() * 1000),
+            settings.region,
+            self._send_to_peer,
+            alive=lambda: {settings.name},
+            listed=lambda: {settings.name},
+            max_waiting=settings.max_waiting,
+            on_retry=lambda reason: self._metrics.count_reason(
+                "retries", reason
+            ),
+        )
         self._callers = CallerApi(
             self._clock,
             lambda: self._snapshot,
             RequestHandler(
                 self._clock,
                 lambda: self._snapshot,
-                self._dispatcher,
+                self._scheduling.dispatcher,
                 self._client,
             ),
             self._metrics,
@@ -108,6 +122,7 @@
         """Starts all parts in order."""
         for component in self._components:
             await component.start()
+        self._scheduling.start()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.begin_shutdown)
@@ -119,6 +134,7 @@
         del exception
         for task in self._background:
             task.cancel()
+        self._scheduling.stop()
         for component in reversed(self._components):
             await component.stop()
 
@@ -154,6 +170,13 @@
                 _LOGGER.warning("configuration not loaded: %s", error)
             await asyncio.sleep(_CONFIGURATION_POLL_S)
 
+    def _send_to_peer(self, peer: str, message: SchedulingMessage) -> None:
+        """Drops a message to another router; there is no transport yet."""
+        _LOGGER.warning(
+            "no transport to a peer",
+            extra={"peer": peer, "kind": type(message).__name__},
+        )
+
     def _state(self) -> dict[str, object]:
         return {
             "router": self._settings.name,
--- a/crowwinch/scheduling/__init__.py
+++ b/crowwinch/scheduling/__init__.py
@@ -4,7 +4,6 @@
 from crowwinch.scheduling._domain_scheduler import DomainScheduler
 from crowwinch.scheduling._estimates import CostEstimator
 from crowwinch.scheduling._fair_queue import Entry, FairQueue
-from crowwinch.scheduling._first_free import FirstFreeDispatcher
 from crowwinch.scheduling._interfaces import (
     Dispatcher,
     RequestClass,
@@ -25,7 +24,6 @@
     "DomainScheduler",
     "Entry",
     "FairQueue",
-    "FirstFreeDispatcher",
     "Pacing",
     "RequestClass",
     "RetryBudget",
--- a/crowwinch/scheduling/_domain_scheduler.py
+++ b/crowwinch/scheduling/_domain_scheduler.py
@@ -147,8 +147,11 @@
         if router is None:
             self._send(name, RegistrationRequest(self._lease))
             return
+        if message.echo_ms <= router.echo_ms:
+            # A duplicate, or older than the router's registration.
+            return
         self._pool.read_configuration()
-        router.echo_ms = max(router.echo_ms, message.echo_ms)
+        router.echo_ms = message.echo_ms
         returned = {
             completion.grant
             for completion in message.completions
--- a/crowwinch/scheduling/tests/fleet.py
+++ b/crowwinch/scheduling/tests/fleet.py
@@ -53,6 +53,8 @@
         self.held = []
         self.links = {}
         self.served = Counter()
+        self.differences = {}
+        self.duplicate = False
         self.starts = []
         self.refusals = []
         self.running = Counter()
@@ -102,6 +104,8 @@
                 scheduler.receive_demand(router, message)
 
         self.timers.call_later(self.delay, deliver)
+        if self.duplicate:
+            self.timers.call_later(self.delay * 3, deliver)
 
     def to_router(self, scheduler, router, message):
         def deliver():
@@ -115,6 +119,8 @@
                 self.connect(router, scheduler)
 
         self.timers.call_later(self.delay, deliver)
+        if self.duplicate:
+            self.timers.call_later(self.delay * 3, deliver)
 
     def ask(self, router, workspace, cost, duration=None, **options):
         """Starts a request of a known cost; it takes 1 ms for each unit."""
@@ -135,14 +141,15 @@
             steps = 8
 
             def progress(step=1):
-                slot.report_served(cost * step // steps)
+                part = cost * step // steps
+                slot.report_served(part)
+                self.count(workspace, part - cost * (step - 1) // steps)
                 if step < steps:
                     self.timers.call_later(
                         duration / steps, lambda: progress(step + 1)
                     )
                     return
                 self.running[target] -= 1
-                self.served[workspace] += cost
                 slot.finish(cost, SlotOutcome.SERVED)
 
             self.timers.call_later(duration / steps, progress)
@@ -153,6 +160,32 @@
             lambda error: self.refusals.append((workspace, error)),
         )
 
+    def count(self, workspace, units):
+        """Counts served units and the extremes of weighted differences."""
+        self.served[workspace] += units
+        weights = {
+            item.name: item.weight for item in self.snapshot.workspaces.values()
+        }
+        for other in weights:
+            pair = tuple(sorted((workspace, other)))
+            first, second = pair
+            value = (
+                self.served[first] / weights[first]
+                - self.served[second] / weights[second]
+            )
+            low, high = self.differences.get(pair, (0.0, 0.0))
+            self.differences[pair] = (min(low, value), max(high, value))
+
+    def gap(self, first, second):
+        """Returns the largest gap over any interval so far."""
+        low, high = self.differences.get(tuple(sorted((first, second))), (0, 0))
+        return high - low
+
+    def reset_gap(self):
+        """Starts the observed interval anew."""
+        self.served.clear()
+        self.differences.clear()
+
     def run(self, seconds):
         """Lets time pass."""
         end = self.clock.monotonic() + seconds
