Add a reliable link between peers

Cause: demand and grants must arrive once and in order, but frames between routers are lost, doubled, reordered and late, and routers restart. Change: ReliableLink without sockets: epochs of both ends, sequence numbers, cumulative acknowledgements that ride on payloads, retransmission with backoff, bounded buffers, report of a silent peer. Payloads go only to a known epoch; an empty frame asks for it first. Conclusion: the link is usable by the scheduler and the dispatcher.

--- a/crowwinch/coordination/__init__.py
+++ b/crowwinch/coordination/__init__.py
@@ -3,6 +3,12 @@
 The package imports nothing from the rest of the project.
 """
 
+from crowwinch.coordination._link import (
+    Frame,
+    LinkFullError,
+    LinkOptions,
+    ReliableLink,
+)
 from crowwinch.coordination._placement import identifier, owner, rank
 from crowwinch.coordination._timers import (
     Clock,
@@ -14,7 +20,11 @@
 
 __all__ = [
     "Clock",
+    "Frame",
+    "LinkFullError",
+    "LinkOptions",
     "ManualClock",
+    "ReliableLink",
     "Subscription",
     "SystemClock",
     "TimerService",
