Add the transport and encoding between routers

Cause: membership and scheduling need messages between routers, and other hosts must not be able to forge them. Change: codec with version and type bytes, ROUTER/DEALER transport on the event loop through the sockets' descriptors, CURVE with a handler that admits only the fleet's key, refusal of peers outside the VM list, bounded queues that drop and count, TCP give-up after 3 s so that a healed partition reconnects, dispatch by message type, token bucket. PeerMessageError carries a reason with a counter.

--- a/crowwinch/errors.py
+++ b/crowwinch/errors.py
@@ -148,8 +148,29 @@
     """A configuration document is malformed or incomplete."""
 
 
+class PeerRejection(enum.IntEnum):
+    """Why a message from another router was not accepted."""
+
+    UNKNOWN_VERSION = 1
+    UNKNOWN_TYPE = 2
+    MALFORMED = 3
+    OVERSIZED = 4
+    UNKNOWN_PEER = 5
+    NO_HANDLER = 6
+    HANDLER_FAILED = 7
+
+
 class PeerMessageError(CrowwinchError):
-    """A message from another router cannot be accepted."""
+    """A message from another router cannot be accepted.
+
+    Attributes:
+        reason: Why it was rejected.
+    """
+
+    def __init__(self, reason: PeerRejection, message: str) -> None:
+        """Stores the reason and a description."""
+        super().__init__(message)
+        self.reason = reason
 
 
 class PlatformError(CrowwinchError):
--- /dev/null
+++ b/crowwinch/peers/__init__.py
@@ -0,0 +1,31 @@
+"""Transport, encoding and dispatch of messages between routers."""
+
+from crowwinch.peers._codec import (
+    MAX_MESSAGE_BYTES,
+    MESSAGE_TYPES,
+    PROTOCOL_VERSION,
+    decode,
+    encode,
+)
+from crowwinch.peers._dispatch import MessageDispatcher
+from crowwinch.peers._identity import PeerIdentity
+from crowwinch.peers._pacing import TokenBucket
+from crowwinch.peers._transport import (
+    FRAMING_BYTES,
+    CurveKeys,
+    PeerTransport,
+)
+
+__all__ = [
+    "FRAMING_BYTES",
+    "MAX_MESSAGE_BYTES",
+    "MESSAGE_TYPES",
+    "PROTOCOL_VERSION",
+    "CurveKeys",
+    "MessageDispatcher",
+    "PeerIdentity",
+    "PeerTransport",
+    "TokenBucket",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/crowwinch/peers/_codec.py
@@ -0,0 +1,92 @@
+"""Encoding of messages between routers.
+
+A message is a version byte, a type byte and the fields as a msgpack array.
+"""
+
+import msgspec
+
+from crowwinch.errors import PeerMessageError, PeerRejection
+from crowwinch.generated import peer_messages as messages
+from crowwinch.generated.bases import MessageStruct
+
+PROTOCOL_VERSION = 1
+# A configuration part is at most 1 MB; the rest leaves room for its fields.
+MAX_MESSAGE_BYTES = 1_004_096
+
+# The numbers are part of the wire format and are never used again for another
+# message.
+MESSAGE_TYPES: dict[int, type[MessageStruct]] = {
+    1: messages.Ping,
+    2: messages.Ack,
+    3: messages.PingRequest,
+    4: messages.Leaving,
+    5: messages.LinkFrame,
+    6: messages.Demand,
+    7: messages.Grants,
+    8: messages.Registration,
+    9: messages.RegistrationRequest,
+    10: messages.ConfigurationAnnounce,
+    11: messages.ConfigurationPull,
+    12: messages.ConfigurationPart,
+    13: messages.Claim,
+    14: messages.ClaimAnswer,
+    15: messages.Confirm,
+    16: messages.ConfirmAnswer,
+    17: messages.Close,
+    18: messages.CloseAnswer,
+    19: messages.Outcome,
+    20: messages.CrashReport,
+}
+_NUMBERS = {kind: number for number, kind in MESSAGE_TYPES.items()}
+_DECODERS = {
+    number: msgspec.msgpack.Decoder(kind)
+    for number, kind in MESSAGE_TYPES.items()
+}
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode(message: MessageStruct) -> bytes:
+    """Encodes a message with its envelope.
+
+    Raises:
+        PeerMessageError: If the message has no type number or is too large.
+    """
+    number = _NUMBERS.get(type(message))
+    if number is None:
+        raise PeerMessageError(
+            PeerRejection.UNKNOWN_TYPE,
+            f"{type(message).__name__} has no type number",
+        )
+    raw = bytes((PROTOCOL_VERSION, number)) + _ENCODER.encode(message)
+    if len(raw) > MAX_MESSAGE_BYTES:
+        raise PeerMessageError(
+            PeerRejection.OVERSIZED,
+            f"{type(message).__name__} takes {len(raw)} bytes, "
+            f"at most {MAX_MESSAGE_BYTES} are allowed",
+        )
+    return raw
+
+
+def decode(raw: bytes) -> MessageStruct:
+    """Decodes a message with its envelope.
+
+    Raises:
+        PeerMessageError: If the message is not acceptable, with the reason.
+    """
+    if len(raw) > MAX_MESSAGE_BYTES:
+        raise PeerMessageError(
+            PeerRejection.OVERSIZED, f"message of {len(raw)} bytes"
+        )
+    if len(raw) < 2:
+        raise PeerMessageError(PeerRejection.MALFORMED, "no envelope")
+    if raw[0] != PROTOCOL_VERSION:
+        raise PeerMessageError(
+            PeerRejection.UNKNOWN_VERSION, f"version {raw[0]}"
+        )
+    decoder = _DECODERS.get(raw[1])
+    if decoder is None:
+        raise PeerMessageError(PeerRejection.UNKNOWN_TYPE, f"type {raw[1]}")
+    try:
+        return decoder.decode(memoryview(raw)[2:])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise PeerMessageError(PeerRejection.MALFORMED, str(error)) from error
