Join routers into a fleet

Cause: routers ran side by side without knowing each other. Change: PeerService reads the VM list every 2 s and keeps the last one while the platform is down, probes members, hands messages to registered handlers, shows members in /v1/state and sends Leaving when a graceful stop begins. Lists without routers or of a lower version are ignored and counted.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -10,11 +10,13 @@
 
 from crowwinch.api import CallerApi, OperatorApi
 from crowwinch.app._http_server import HttpServer
+from crowwinch.app._peer_service import PeerService
 from crowwinch.app._timer_driver import TimerDriver
 from crowwinch.configuration import Snapshot, load_snapshot, parse_manifest
 from crowwinch.coordination import SystemClock, TimerService
 from crowwinch.errors import (
     CrowwinchError,
+    PeerRejection,
     RefusalReason,
     RetryReason,
 )
@@ -52,10 +54,18 @@
         self._metrics = Metrics()
         self._metrics.declare_reasons("refusals", RefusalReason)
         self._metrics.declare_reasons("retries", RetryReason)
+        self._metrics.declare_reasons("peer_rejections", PeerRejection)
         self._snapshot = Snapshot()
         self._platform = PlatformClient(
             settings.configuration_url, settings.vm_list_url
         )
+        self._peers = PeerService(
+            settings,
+            self._timers,
+            self._platform,
+            self._metrics,
+            lambda: (self._snapshot.revision, self._snapshot.digest),
+        )
         self._client = TargetClient(_target_ssl(settings))
         self._dispatcher = FirstFreeDispatcher(lambda: self._snapshot)
         self._callers = CallerApi(
@@ -90,6 +100,7 @@
         return [
             TimerDriver(self._timers),
             self._platform,
+            self._peers,
             self._client,
             HttpServer(
                 self._callers.application(),
@@ -133,6 +144,7 @@
         self._stopping = True
         _LOGGER.info("shutdown started", extra={"active": self._callers.active})
         self._callers.drain()
+        self._peers.leave()
         self._spawn(self._drain())
 
     async def _drain(self) -> None:
@@ -163,6 +175,7 @@
             "revision": self._snapshot.revision,
             "digest": self._snapshot.digest,
             "active_requests": self._callers.active,
+            **self._peers.state(),
         }
 
     def _spawn(self, coroutine: object) -> None:
--- a/crowwinch/coordination/_membership.py
+++ b/crowwinch/coordination/_membership.py
@@ -75,6 +75,11 @@
         """Own incarnation: life and refutations."""
         return self._incarnation
 
+    @property
+    def has_left(self) -> bool:
+        """Whether `leave` was called."""
+        return self._left
+
     @property
     def refused(self) -> int:
         """Messages of members that are not in the VM list."""
