Build documents from the operators' table

Cause: documents were written by hand, and wrong values were found only by a router.

`crowwinch config` has the actions template, check, build, diff and show.

--- a/crowwinch/cli/_main.py
+++ b/crowwinch/cli/_main.py
@@ -6,6 +6,7 @@
 
 from crowwinch import __version__
 from crowwinch.cli._commands import Command
+from crowwinch.cli._config import ConfigCommand
 from crowwinch.cli._router import RouterCommand
 from crowwinch.errors import FindingsError
 
@@ -17,9 +18,13 @@
 
 examples:
   crowwinch router --name router-1 --availability-zone az-1 --region midlands
+  crowwinch config check table
   crowwinch router --help
 """
-_COMMANDS: tuple[type[Command], ...] = (RouterCommand,)
+_COMMANDS: tuple[type[Command], ...] = (
+    RouterCommand,
+    ConfigCommand,
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
