Tell attempts that did not start from attempts that may have run

Cause: the HTTP client repeated PUT and DELETE by itself after a lost connection, kept cookies of one workspace for the next, added its own Accept-Encoding and reported a deadline before the first byte as a lost connection. A second answer in an idle connection was read as the answer to the next call.

Change: the client notes when headers are written, disables the hidden repeat, keeps no cookies, sends paths unchanged, and checks the attempt that an engine echoes. Plain services get a connection of their own for each call. The stand-ins echo the attempt, report an incarnation, say not_run when they refuse, and keep a broken stream for 2 s.

Conclusion: a plain service costs one connection set-up a call, which buys that answers cannot be mixed up.

--- a/crowwinch/app/_http_server.py
+++ b/crowwinch/app/_http_server.py
@@ -24,6 +24,8 @@
             access_log=None,
             handle_signals=False,
             handler_cancellation=True,
+            # Compressed bodies are passed on with their Content-Encoding.
+            auto_decompress=False,
             max_line_size=_MAX_HEADER_BYTES,
             max_field_size=_MAX_HEADER_BYTES,
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
--- a/crowwinch/targets/__init__.py
+++ b/crowwinch/targets/__init__.py
@@ -1,24 +1,41 @@
 """Adapters for engines and plain services."""
 
 from crowwinch.targets._client import (
+    AnswerTimeoutError,
     ConnectionLostError,
     IncompleteAnswerError,
+    MismatchedAnswerError,
     NotSentError,
     TargetAnswer,
     TargetCall,
     TargetClient,
     TargetError,
 )
-from crowwinch.targets._sse import TERMINAL_EVENT, EventSplitter
+from crowwinch.targets._incarnations import IncarnationTable
+from crowwinch.targets._load import TargetLoad, fetch_load
+from crowwinch.targets._monitor import TargetMonitor, TargetReport
+from crowwinch.targets._sse import (
+    TERMINAL_EVENT,
+    EventSplitter,
+    is_token_event,
+)
 
 __all__ = [
     "TERMINAL_EVENT",
+    "AnswerTimeoutError",
     "ConnectionLostError",
     "EventSplitter",
+    "IncarnationTable",
     "IncompleteAnswerError",
+    "MismatchedAnswerError",
     "NotSentError",
     "TargetAnswer",
     "TargetCall",
     "TargetClient",
     "TargetError",
+    "TargetLoad",
+    "TargetMonitor",
+    "TargetReport",
+    "fetch_load",
+    "is_token_event",
 ]
--- a/crowwinch/targets/_client.py
+++ b/crowwinch/targets/_client.py
@@ -1,15 +1,27 @@
 """HTTP client for targets."""
 
+import asyncio
+import re
 import ssl
-from collections.abc import AsyncIterator, Mapping
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
 
 import aiohttp
+import yarl
 
 from crowwinch.errors import CrowwinchError
 
 _CONNECT_TIMEOUT_S = 1.0
+_CANCEL_TIMEOUT_S = 2.0
 _READ_CHUNK_BYTES = 65536
+# Far more than a completion of 100,000 tokens; bounds the memory that a
+# faulty target can take.
+_MAX_WHOLE_BYTES = 16_777_216
+# A caller that sends no Accept-Encoding must not get a compressed answer, so
+# the client adds no header of its own.
+_AUTOMATIC_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+_ATTEMPT_HEADER = "X-Request-Id"
+_ATTEMPT_PATTERN = re.compile(r"[0-9a-f]{32}-[0-9]+")
 
 
 class TargetError(CrowwinchError):
@@ -17,7 +29,16 @@
 
 
 class NotSentError(TargetError):
-    """The attempt failed before any byte of it was written."""
+    """The attempt failed before any byte of it was written.
+
+    Attributes:
+        refused: Whether the target refused the connection.
+    """
+
+    def __init__(self, message: str, refused: bool = False) -> None:
+        """Stores how the connection failed."""
+        super().__init__(message)
+        self.refused = refused
 
 
 class ConnectionLostError(TargetError):
@@ -28,6 +49,14 @@
     """The answer is shorter than it declares."""
 
 
+class MismatchedAnswerError(ConnectionLostError):
+    """The answer belongs to another attempt."""
+
+
+class AnswerTimeoutError(ConnectionLostError):
+    """The answer did not arrive completely in time."""
+
+
 @dataclass(frozen=True, slots=True)
 class TargetCall:
     """One attempt of a request.
@@ -37,6 +66,10 @@
         base_url: URL of the target.
         path: Path and query below the base URL.
         timeout_s: Longest duration in seconds.
+        echoed: Whether the target must echo the attempt.
+        reuse: Whether an open connection may be used again. An answer that a
+            faulty target sends twice stays in an idle connection and would
+            be read as the answer to the next call.
     """
 
     attempt: str
@@ -46,6 +79,13 @@
     headers: Mapping[str, str]
     body: bytes
     timeout_s: float
+    echoed: bool = False
+    reuse: bool = False
+
+
+@dataclass(slots=True)
+class _Progress:
+    written: bool = field(default=False)
 
 
 class TargetAnswer:
@@ -65,28 +105,42 @@
         """Headers of the answer."""
         return self._response.headers
 
-    async def read(self) -> bytes:
+    @property
+    def length(self) -> int | None:
+        """Declared length of the body in bytes, or None."""
+        return self._response.content_length
+
+    async def read(self, limit: int = _MAX_WHOLE_BYTES) -> bytes:
         """Returns the whole body.
 
         Raises:
-            IncompleteAnswerError: If the connection ended too early.
+            IncompleteAnswerError: If the connection ended too early or the
+                body is longer than the limit in bytes.
+            AnswerTimeoutError: If the time of the attempt is over.
         """
-        try:
-            return await self._response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise IncompleteAnswerError(str(error)) from error
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > limit:
+                raise IncompleteAnswerError("the answer is too long")
+        return bytes(body)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives.
 
         Raises:
             IncompleteAnswerError: If the connection ended too early.
+            AnswerTimeoutError: If the time of the attempt is over.
         """
         try:
             async for chunk in self._response.content.iter_any():
                 yield chunk
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise IncompleteAnswerError(str(error)) from error
+        except TimeoutError as error:
+            raise AnswerTimeoutError("the answer is late") from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise IncompleteAnswerError(
+                f"the connection broke: {error}"
+            ) from error
 
     def close(self) -> None:
         """Drops the connection, which cancels an unfinished attempt."""
@@ -99,50 +153,136 @@
     def __init__(self, ssl_context: ssl.SSLContext | None = None) -> None:
         """Creates a client; call `start` inside the event loop."""
         self._ssl = ssl_context
-        self._session: aiohttp.ClientSession | None = None
+        self._pooled: aiohttp.ClientSession | None = None
+        self._single: aiohttp.ClientSession | None = None
+        self._cancellations: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Opens the connection pool."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, ssl=self._ssl if self._ssl else True
-            ),
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=_CONNECT_TIMEOUT_S
-            ),
-            auto_decompress=False,
-            read_bufsize=_READ_CHUNK_BYTES,
-        )
+        self._pooled = self._session(force_close=False)
+        self._single = self._session(force_close=True)
 
     async def stop(self) -> None:
         """Closes all connections."""
-        if self._session is not None:
-            await self._session.close()
+        if self._cancellations:
+            await asyncio.wait(self._cancellations, timeout=_CANCEL_TIMEOUT_S)
+        for session in (self._pooled, self._single):
+            if session is not None:
+                await session.close()
 
     async def open(self, call: TargetCall) -> TargetAnswer:
         """Sends an attempt and waits for the headers of its answer.
 
         Raises:
-            NotSentError: If no connection was made.
+            NotSentError: If no byte of the attempt was written.
             ConnectionLostError: If the outcome of the attempt is unknown.
         """
-        assert self._session is not None, "the client was not started"
+        session = self._pooled if call.reuse else self._single
+        assert session is not None, "the client was not started"
+        if session.closed:
+            raise NotSentError("the client was stopped")
+        progress = _Progress()
         try:
-            response = await self._session.request(
+            response = await session.request(
                 call.method,
-                call.base_url.rstrip("/") + call.path,
-                data=call.body,
+                yarl.URL(call.base_url.rstrip("/") + call.path, encoded=True),
+                data=call.body or None,
                 headers=call.headers,
                 timeout=aiohttp.ClientTimeout(
                     total=call.timeout_s, sock_connect=_CONNECT_TIMEOUT_S
                 ),
                 allow_redirects=False,
+                trace_request_ctx=progress,
             )
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
-            raise NotSentError(str(error)) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise ConnectionLostError(str(error)) from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise _failure(error, progress) from error
+        _check_attempt(call, response)
         return TargetAnswer(response)
+
+    def cancel(self, base_url: str, attempt: str) -> None:
+        """Asks an engine to end an attempt, without waiting for it.
+
+        Closing the connection is not enough: an engine keeps a stream for a
+        while so that it can be resumed.
+        """
+        task = asyncio.ensure_future(self._cancel(base_url, attempt))
+        self._cancellations.add(task)
+        task.add_done_callback(self._cancellations.discard)
+
+    async def _cancel(self, base_url: str, attempt: str) -> None:
+        path = f"/v1/streams/{attempt}"
+        call = TargetCall(
+            attempt, base_url, "DELETE", path, {}, b"", _CANCEL_TIMEOUT_S
+        )
+        try:
+            (await self.open(call)).close()
+        except TargetError:
+            return
+
+    def _session(self, force_close: bool) -> aiohttp.ClientSession:
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(_note_written)
+        return aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                ssl=self._ssl if self._ssl else True,
+                force_close=force_close,
+            ),
+            # A shared jar would send one workspace's cookies for another.
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            read_bufsize=_READ_CHUNK_BYTES,
+            skip_auto_headers=_AUTOMATIC_HEADERS,
+            middlewares=(_no_hidden_repeat,),
+            trace_configs=[trace],
+        )
+
+
+async def _note_written(
+    session: aiohttp.ClientSession,
+    context: object,
+    params: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    del session, params
+    context.trace_request_ctx.written = True
+
+
+async def _no_hidden_repeat(
+    request: aiohttp.ClientRequest,
+    handler: Callable[
+        [aiohttp.ClientRequest], Awaitable[aiohttp.ClientResponse]
+    ],
+) -> aiohttp.ClientResponse:
+    """Keeps the session from sending PUT or DELETE again by itself.
+
+    The session repeats methods that HTTP calls idempotent after a lost
+    connection, although the first copy may have run.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientPayloadError(str(error)) from error
+
+
+def _failure(error: Exception, progress: _Progress) -> TargetError:
+    message = str(error) or type(error).__name__
+    if not progress.written:
+        refused = isinstance(
+            getattr(error, "os_error", None), ConnectionRefusedError
+        )
+        return NotSentError(message, refused)
+    if isinstance(error, TimeoutError):
+        return AnswerTimeoutError("no answer in time")
+    return ConnectionLostError(message)
+
+
+def _check_attempt(call: TargetCall, response: aiohttp.ClientResponse) -> None:
+    echo = response.headers.get(_ATTEMPT_HEADER, "")
+    if echo == call.attempt or not (
+        call.echoed or _ATTEMPT_PATTERN.fullmatch(echo)
+    ):
+        return
+    response.close()
+    raise MismatchedAnswerError("the answer belongs to another attempt")
--- /dev/null
+++ b/crowwinch/targets/_load.py
@@ -0,0 +1,54 @@
+"""Load reports of targets."""
+
+from typing import Annotated
+
+import msgspec
+
+from crowwinch.targets._client import (
+    IncompleteAnswerError,
+    TargetCall,
+    TargetClient,
+)
+
+_LOAD_TIMEOUT_S = 1.0
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class TargetLoad(msgspec.Struct, frozen=True):
+    """What a target says about itself.
+
+    Attributes:
+        incarnation: Changes when the target restarts; 0 when not reported.
+        running: Requests that are executed now.
+        waiting: Requests that wait inside the target.
+        leaving: Whether the target is about to stop.
+        time_to_first_token_s: Recent time to the first token in seconds.
+    """
+
+    running: _Count
+    waiting: _Count
+    incarnation: int = 0
+    leaving: bool = False
+    time_to_first_token_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
+_DECODER = msgspec.json.Decoder(TargetLoad)
+
+
+async def fetch_load(client: TargetClient, base_url: str) -> TargetLoad:
+    """Asks a target for its load.
+
+    Raises:
+        TargetError: If the target does not answer or the answer is malformed.
+    """
+    answer = await client.open(
+        TargetCall("load", base_url, "GET", "/load", {}, b"", _LOAD_TIMEOUT_S)
+    )
+    try:
+        if answer.status != 200:
+            raise IncompleteAnswerError(f"/load has status {answer.status}")
+        return _DECODER.decode(await answer.read())
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise IncompleteAnswerError(f"/load is malformed: {error}") from error
+    finally:
+        answer.close()
--- /dev/null
+++ b/crowwinch/targets/_monitor.py
@@ -0,0 +1,151 @@
+"""Polls the load of targets."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+
+from crowwinch.coordination import Subscription, TimerService
+from crowwinch.targets._client import TargetError
+from crowwinch.targets._load import TargetLoad
+
+_POLL_PERIOD_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """The state of one target as last polled.
+
+    Attributes:
+        target: Identifier of the target.
+        incarnation: Changes when the target restarts; 0 when not known.
+        age: Seconds since the target answered.
+        is_reachable: Whether the target answered the last poll.
+    """
+
+    target: int
+    incarnation: int
+    running: int
+    waiting: int
+    leaving: bool
+    time_to_first_token_s: float
+    age: float
+    is_reachable: bool = True
+
+
+Listener = Callable[[TargetReport], None]
+
+
+@dataclass(slots=True)
+class _Watched:
+    base_url: str
+    timer: Subscription
+    load: TargetLoad
+    answered_at: float
+    poll: asyncio.Task[None] | None = None
+    is_reachable: bool = True
+
+
+class TargetMonitor:
+    """Polls `GET /load` of the targets that its owner asks for."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        fetch: Callable[[str], Awaitable[TargetLoad]],
+        period_s: float = _POLL_PERIOD_S,
+    ) -> None:
+        """Watches nothing yet.
+
+        Args:
+            timers: Calls back for each poll.
+            fetch: Asks the target at a URL for its load.
+            period_s: Seconds between two polls of one target.
+        """
+        self._timers = timers
+        self._fetch = fetch
+        self._period_s = period_s
+        self._watched: dict[int, _Watched] = {}
+        self._listeners: list[Listener] = []
+        self._unavailable: frozenset[int] = frozenset()
+
+    @property
+    def unavailable(self) -> frozenset[int]:
+        """Watched targets that are unreachable or leaving."""
+        return self._unavailable
+
+    def subscribe(self, listener: Listener) -> None:
+        """Calls back with the report of each poll."""
+        self._listeners.append(listener)
+
+    def watch(self, targets: Mapping[int, str]) -> None:
+        """Polls exactly these targets from now on.
+
+        The polls of a period are spread over it, so that many targets cause
+        no burst of control traffic.
+
+        Args:
+            targets: Base URLs by identifier of the target.
+        """
+        for target, watched in list(self._watched.items()):
+            if targets.get(target) != watched.base_url:
+                self._drop(target)
+        new = [target for target in targets if target not in self._watched]
+        for index, target in enumerate(new):
+            delay = self._period_s * index / len(new)
+            self._add(target, targets[target], delay)
+
+    def stop(self) -> None:
+        """Ends all polls."""
+        for target in list(self._watched):
+            self._drop(target)
+
+    def _add(self, target: int, base_url: str, delay: float) -> None:
+        def begin() -> None:
+            watched.timer = self._timers.call_every(
+                self._period_s, lambda: self._start_poll(target, watched)
+            )
+            self._start_poll(target, watched)
+
+        watched = _Watched(
+            base_url,
+            self._timers.call_later(delay, begin),
+            TargetLoad(running=0, waiting=0),
+            self._timers.clock.monotonic(),
+        )
+        self._watched[target] = watched
+
+    def _drop(self, target: int) -> None:
+        watched = self._watched.pop(target)
+        self._unavailable -= {target}
+        watched.timer.cancel()
+        if watched.poll is not None:
+            watched.poll.cancel()
+
+    def _start_poll(self, target: int, watched: _Watched) -> None:
+        if watched.poll is None or watched.poll.done():
+            watched.poll = asyncio.ensure_future(self._poll(target, watched))
+
+    async def _poll(self, target: int, watched: _Watched) -> None:
+        try:
+            watched.load = await self._fetch(watched.base_url)
+            watched.answered_at = self._timers.clock.monotonic()
+            watched.is_reachable = True
+        except TargetError:
+            watched.is_reachable = False
+        load = watched.load
+        if load.leaving or not watched.is_reachable:
+            self._unavailable |= {target}
+        elif target in self._unavailable:
+            self._unavailable -= {target}
+        report = TargetReport(
+            target=target,
+            incarnation=load.incarnation,
+            running=load.running,
+            waiting=load.waiting,
+            leaving=load.leaving,
+            time_to_first_token_s=load.time_to_first_token_s,
+            age=self._timers.clock.monotonic() - watched.answered_at,
+            is_reachable=watched.is_reachable,
+        )
+        for listener in self._listeners:
+            listener(report)
--- a/standins/_server.py
+++ b/standins/_server.py
@@ -9,6 +9,12 @@
 from aiohttp import web
 
 
+def refusal() -> web.Response:
+    """Returns the answer of a target that did not start a request."""
+    error = {"message": "not accepted", "run_state": "not_run"}
+    return web.json_response({"error": error}, status=503)
+
+
 def run_standin(
     description: str,
     build: Callable[[argparse.Namespace], web.Application],
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,9 +15,11 @@
 
 from aiohttp import web
 
-from standins._server import run_standin
+from standins._server import refusal, run_standin
 
 _FINISHED_STREAM_LIFE_S = 60.0
+# Time in which a stream whose connection broke can be resumed.
+_RESUME_GRACE_S = 2.0
 
 
 def expected_tokens(prompt: str, count: int) -> list[str]:
@@ -33,6 +35,17 @@
     return str(body.get("prompt", ""))
 
 
+def _attempt_of(request: web.Request) -> str:
+    return request.headers.get("X-Request-Id", "")
+
+
+async def _echo_attempt(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    if _attempt_of(request):
+        response.headers["X-Request-Id"] = _attempt_of(request)
+
+
 @dataclass
 class Generation:
     """One request's tokens so far."""
@@ -42,6 +55,7 @@
     produced: int = 0
     cancelled: bool = False
     finished_at: float | None = None
+    readers: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -69,6 +83,7 @@
     def application(self) -> web.Application:
         """Returns the routes."""
         application = web.Application(client_max_size=16_000_000)
+        application.on_response_prepare.append(_echo_attempt)
         router = application.router
         router.add_post("/v1/chat/completions", self._complete)
         router.add_post("/v1/completions", self._complete)
@@ -83,10 +98,10 @@
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         if self._faults.get("refuse"):
-            return web.json_response({"error": "not accepted"}, status=503)
+            return refusal()
         body = await request.json()
         prompt = prompt_of(body)
-        attempt = request.headers.get("X-Request-Id", f"local-{self._started}")
+        attempt = _attempt_of(request) or f"local-{self._started}"
         marker = self._faults.get("crash_on")
         if marker and str(marker) in prompt:
             os._exit(1)
@@ -105,12 +120,23 @@
             await producer
         except (asyncio.CancelledError, ConnectionError):
             if not self._faults.get("keep_on_disconnect"):
-                generation.cancelled = True
+                self._cancel_later(generation, bool(body.get("stream")))
             raise
         if self._faults.get("truncate"):
             return await self._truncated(request)
         return web.json_response(self._document(generation))
 
+    def _cancel_later(self, generation: Generation, stream: bool) -> None:
+        """Cancels a generation unless its stream is resumed in time."""
+        readers = generation.readers
+
+        def cancel() -> None:
+            if generation.readers == readers:
+                generation.cancelled = True
+
+        grace = _RESUME_GRACE_S if stream else 0.0
+        asyncio.get_running_loop().call_later(grace, cancel)
+
     async def _truncated(self, request: web.Request) -> web.StreamResponse:
         response = web.StreamResponse(headers={"Content-Length": "1000"})
         await response.prepare(request)
@@ -141,6 +167,7 @@
     async def _stream(
         self, request: web.Request, generation: Generation, offset: int
     ) -> web.StreamResponse:
+        generation.readers += 1
         response = web.StreamResponse(
             headers={"Content-Type": "text/event-stream"}
         )
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -8,10 +8,11 @@
 import asyncio
 import hashlib
 import os
+import time
 
 from aiohttp import web
 
-from standins._server import run_standin
+from standins._server import refusal, run_standin
 
 
 class PlainService:
@@ -22,6 +23,7 @@
         self._seconds = seconds
         self._runs: dict[str, int] = {}
         self._running = 0
+        self._incarnation = int(time.time() * 1000)
         self._faults: dict[str, object] = {}
 
     def application(self) -> web.Application:
@@ -36,7 +38,7 @@
 
     async def _call(self, request: web.Request) -> web.StreamResponse:
         if self._faults.get("refuse"):
-            return web.json_response({"error": "not accepted"}, status=503)
+            return refusal()
         body = await request.read()
         marker = str(self._faults.get("crash_on") or "")
         if marker and marker.encode() in body:
@@ -63,6 +65,7 @@
         del request
         return web.json_response(
             {
+                "incarnation": self._incarnation,
                 "running": self._running,
                 "waiting": 0,
                 "leaving": bool(self._faults.get("leaving")),
