Pass large bodies on as they arrive and refuse malformed input

Cause: deeply nested JSON and a deadline of 5,000 digits ended in status 500, a compressed body was unpacked but kept its Content-Encoding, HEAD answers lost their length, repeated headers were merged, and each service answer was held in memory.

Conclusion: errors below HTTP (bad request line, huge headers) keep the server's plain 400 without an error body.

--- a/crowwinch/api/_callers.py
+++ b/crowwinch/api/_callers.py
@@ -13,7 +13,9 @@
     engine_request,
     forwarded_headers,
     new_request_id,
+    offset_of,
     read_body,
+    resume_request,
     service_request,
 )
 from crowwinch.configuration import Snapshot
@@ -21,6 +23,8 @@
 from crowwinch.errors import RefusalError, RefusalReason
 from crowwinch.observability import Metrics
 from crowwinch.routing import (
+    Answer,
+    BodyAnswer,
     CallerRequest,
     RequestHandler,
     StreamAnswer,
@@ -69,6 +73,9 @@
         """Returns the routes."""
         application = web.Application(client_max_size=self._max_body_bytes)
         application.router.add_get("/v1/models", self._models)
+        application.router.add_get(
+            "/v1/streams/{stream}", self._resume, allow_head=False
+        )
         for path in ("/v1/chat/completions", "/v1/completions"):
             application.router.add_post(path, self._engine)
         for path in ("/services/{service}", "/services/{service}/{rest:.*}"):
@@ -82,6 +89,9 @@
     async def _service(self, request: web.Request) -> web.StreamResponse:
         return await self._serve(request, service_request)
 
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        return await self._serve(request, resume_request)
+
     async def _models(self, request: web.Request) -> web.StreamResponse:
         return await self._guard(request, self._list_models(request))
 
@@ -125,17 +135,7 @@
     async def _answer(
         self, request: web.Request, parse: Parse
     ) -> web.StreamResponse:
-        snapshot = self._snapshot()
-        if self._draining:
-            raise RefusalError(
-                RefusalReason.SHUTTING_DOWN,
-                "the router is stopping",
-                retry_after_s=1,
-            )
-        if snapshot.revision == 0:
-            raise RefusalError(
-                RefusalReason.NOT_READY, "no configuration", retry_after_s=1
-            )
+        snapshot = self._admit()
         now = self._clock.monotonic()
         workspace = authenticate(request, snapshot)
         deadline = deadline_of(request, now, self._request_timeout_s)
@@ -144,48 +144,91 @@
             request, body, workspace, snapshot, self._region, deadline
         )
         try:
-            answer = await self._handler.handle(parsed)
+            answer = await self._handle(request, parsed)
         except RefusalError as refusal:
             return self._refuse(refusal, parsed.request_id, request)
         except asyncio.CancelledError:
             self._metrics.count_reason("refusals", RefusalReason.CALLER_GONE)
             raise
         if isinstance(answer, WholeAnswer):
-            response = self._whole(answer, parsed)
+            response = self._whole(request, answer, parsed)
         else:
-            response = await self._stream(request, answer, parsed)
+            response = await self._pass_on(request, answer, parsed)
         self._metrics.observe("request", self._clock.monotonic() - now)
         return response
 
+    def _admit(self) -> Snapshot:
+        snapshot = self._snapshot()
+        if self._draining:
+            raise RefusalError(
+                RefusalReason.SHUTTING_DOWN,
+                "the router is stopping",
+                retry_after_s=1,
+            )
+        if snapshot.revision == 0:
+            raise RefusalError(
+                RefusalReason.NOT_READY, "no configuration", retry_after_s=1
+            )
+        return snapshot
+
+    async def _handle(
+        self, request: web.Request, parsed: CallerRequest
+    ) -> Answer:
+        stream_id = request.match_info.get("stream")
+        if stream_id is None:
+            return await self._handler.handle(parsed)
+        return await self._handler.resume(parsed, stream_id, offset_of(request))
+
     def _whole(
-        self, answer: WholeAnswer, parsed: CallerRequest
+        self, request: web.Request, answer: WholeAnswer, parsed: CallerRequest
     ) -> web.StreamResponse:
         headers = forwarded_headers(answer.headers)
         headers["X-Request-Id"] = parsed.request_id
         self._metrics.count("answers", "kind", "whole")
+        if request.method == "HEAD" and "Content-Length" in answer.headers:
+            headers["Content-Length"] = answer.headers["Content-Length"]
+            return web.StreamResponse(status=answer.status, headers=headers)
         return web.Response(
             status=answer.status, headers=headers, body=answer.body
         )
 
-    async def _stream(
-        self, request: web.Request, answer: StreamAnswer, parsed: CallerRequest
+    async def _pass_on(
+        self,
+        request: web.Request,
+        answer: StreamAnswer | BodyAnswer,
+        parsed: CallerRequest,
     ) -> web.StreamResponse:
+        """Passes an answer on as it arrives.
+
+        Writing waits while the caller reads slowly, which in turn stops the
+        reading from the target.
+        """
+        is_stream = isinstance(answer, StreamAnswer)
+        parts = answer.events if is_stream else answer.chunks
         headers = forwarded_headers(answer.headers)
         headers["X-Request-Id"] = parsed.request_id
+        if is_stream:
+            headers["X-Stream-Id"] = answer.stream_id
+        elif answer.length is not None:
+            headers["Content-Length"] = str(answer.length)
         response = web.StreamResponse(status=answer.status, headers=headers)
-        await response.prepare(request)
         try:
-            async for event in answer.events:
-                await response.write(event)
-            self._metrics.count("answers", "kind", "stream")
+            await response.prepare(request)
+            async for part in parts:
+                await response.write(part)
+            self._metrics.count(
+                "answers", "kind", "stream" if is_stream else "body"
+            )
         except RefusalError as refusal:
             self._count_refusal(refusal, parsed.request_id)
+            if not is_stream:
+                return _cut(request, response)
             await response.write(error_event(refusal, parsed.request_id))
         except (asyncio.CancelledError, ConnectionError):
             self._metrics.count_reason("refusals", RefusalReason.CALLER_GONE)
             raise
         finally:
-            await answer.events.aclose()
+            await parts.aclose()
         await response.write_eof()
         return response
 
@@ -209,3 +252,12 @@
                 "run_state": refusal.run_state.name.lower(),
             },
         )
+
+
+def _cut(
+    request: web.Request, response: web.StreamResponse
+) -> web.StreamResponse:
+    """Closes the connection, so that no caller takes the body as complete."""
+    if request.transport is not None:
+        request.transport.abort()
+    return response
--- a/crowwinch/api/_parsing.py
+++ b/crowwinch/api/_parsing.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from aiohttp import web
+from multidict import CIMultiDict
 
 from crowwinch.configuration import Snapshot
 from crowwinch.errors import RefusalError, RefusalReason
@@ -31,7 +32,9 @@
 )
 _DEADLINE_HEADER = "X-Deadline-Ms"
 _CLASS_HEADER = "X-Request-Class"
+_CLASS_NAMES = ("interactive", "bulk")
 _SERVICE_ESTIMATE_UNITS = 100
+_MAX_COUNT_DIGITS = 15
 
 
 class _EngineBody(msgspec.Struct):
@@ -66,31 +69,44 @@
     return workspace
 
 
-def forwarded_headers(headers: Mapping[str, str]) -> dict[str, str]:
-    """Returns headers without those that concern one connection only."""
+def forwarded_headers(headers: Mapping[str, str]) -> CIMultiDict[str]:
+    """Returns headers without those that concern one connection only.
+
+    Headers that occur several times are kept, for instance `Set-Cookie`.
+    """
     named = {
         name.strip().lower()
-        for name in headers.get("Connection", "").split(",")
+        for key, value in headers.items()
+        if key.lower() == "connection"
+        for name in value.split(",")
     }
     dropped = _HOP_BY_HOP | named
-    return {
-        name: value
+    return CIMultiDict(
+        (name, value)
         for name, value in headers.items()
         if name.lower() not in dropped
-    }
+    )
 
 
 async def read_body(request: web.Request) -> bytes:
     """Returns the body.
 
     Raises:
-        RefusalError: If the body is larger than the limit.
+        RefusalError: If the body is malformed or larger than the limit. A
+            body that declares its length is refused before it is read.
     """
+    too_large = RefusalError(
+        RefusalReason.BODY_TOO_LARGE, "the body is too large"
+    )
+    if (request.content_length or 0) > request.client_max_size:
+        raise too_large
     try:
         return await request.read()
     except web.HTTPRequestEntityTooLarge as error:
+        raise too_large from error
+    except web.RequestPayloadError as error:
         raise RefusalError(
-            RefusalReason.BODY_TOO_LARGE, "the body is too large"
+            RefusalReason.MALFORMED_BODY, "the body is malformed"
         ) from error
 
 
@@ -107,9 +123,13 @@
     Raises:
         RefusalError: If the body is malformed or the model unknown.
     """
+    if request.headers.get("Content-Encoding", "identity") != "identity":
+        raise RefusalError(
+            RefusalReason.MALFORMED_BODY, "the body must not be compressed"
+        )
     try:
         parsed = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise RefusalError(RefusalReason.MALFORMED_BODY, str(error)) from error
     groups = snapshot.groups_of_model(parsed.model, region)
     if not groups:
@@ -155,13 +175,13 @@
             RefusalReason.UNKNOWN_SERVICE,
             f"the service {name!r} does not exist",
         )
-    path = request.raw_path.removeprefix(f"/services/{name}") or "/"
+    path = _service_path(request)
     return CallerRequest(
         request_id=new_request_id(),
         workspace=workspace,
         groups=tuple(groups),
         method=request.method,
-        path=path if path.startswith("/") else f"/{path}",
+        path=path,
         headers=forwarded_headers(request.headers),
         body=body,
         stream=False,
@@ -172,6 +192,31 @@
     )
 
 
+def resume_request(
+    request: web.Request,
+    body: bytes,
+    workspace: int,
+    snapshot: Snapshot,
+    region: str,
+    deadline: float,
+) -> CallerRequest:
+    """Returns the request to resume a stream; it has no body and no group."""
+    del body, region
+    return CallerRequest(
+        request_id=new_request_id(),
+        workspace=workspace,
+        groups=(),
+        method="GET",
+        path="",
+        headers={},
+        body=b"",
+        stream=True,
+        request_class=_request_class(request, workspace, snapshot),
+        estimate=1,
+        deadline=deadline,
+    )
+
+
 def deadline_of(request: web.Request, now: float, timeout_s: float) -> float:
     """Returns the monotonic deadline in seconds of a request.
 
@@ -181,7 +226,7 @@
     text = request.headers.get(_DEADLINE_HEADER)
     if text is None:
         return now + timeout_s
-    if not text.isdecimal():
+    if not _is_count(text):
         raise RefusalError(
             RefusalReason.MALFORMED_BODY,
             f"{_DEADLINE_HEADER} is not a number of milliseconds",
@@ -189,10 +234,44 @@
     return now + min(int(text) / 1000, timeout_s)
 
 
+def offset_of(request: web.Request) -> int:
+    """Returns the number of token events that the caller already has.
+
+    Raises:
+        RefusalError: If the offset is malformed.
+    """
+    text = request.query.get("offset", "0")
+    if not _is_count(text):
+        raise RefusalError(
+            RefusalReason.MALFORMED_BODY, "offset is not a number of events"
+        )
+    return int(text)
+
+
+def _is_count(text: str) -> bool:
+    # Longer numbers are no sensible count, and int() rejects very long ones.
+    return text.isdecimal() and len(text) <= _MAX_COUNT_DIGITS
+
+
+def _service_path(request: web.Request) -> str:
+    """Returns path and query at the service, with its encoding unchanged."""
+    raw = request.raw_path
+    if not raw.startswith("/"):
+        raw = request.rel_url.raw_path_qs
+    path, question, query = raw.partition("?")
+    rest = path.split("/", 3)[3:]
+    return "/" + "".join(rest) + question + query
+
+
 def _request_class(
     request: web.Request, workspace: int, snapshot: Snapshot
 ) -> RequestClass:
     name = request.headers.get(
         _CLASS_HEADER, snapshot.workspaces[workspace].request_class
     )
+    if name not in _CLASS_NAMES:
+        raise RefusalError(
+            RefusalReason.MALFORMED_BODY,
+            f"{_CLASS_HEADER} is neither interactive nor bulk",
+        )
     return RequestClass.BULK if name == "bulk" else RequestClass.INTERACTIVE
