Connect routers into one fleet and run keyed calls at most once

Cause: each router scheduled alone; the scheduler, membership, crash reports and idempotency keys were not connected. Change: reliable links over the peer transport, placement of the scheduler among live routers, polling of targets only by the scheduler, broadcast of crash reports, POST and GET /v1/idempotency-keys; a keyed call is claimed before the wait for a slot, since a claim costs two round trips, and goes on when its caller goes away.

--- a/crowwinch/api/_callers.py
+++ b/crowwinch/api/_callers.py
@@ -26,6 +26,7 @@
     Answer,
     BodyAnswer,
     CallerRequest,
+    KeyedRequestHandler,
     RequestHandler,
     StreamAnswer,
     WholeAnswer,
@@ -44,6 +45,7 @@
         clock: Clock,
         snapshot: Callable[[], Snapshot],
         handler: RequestHandler,
+        keyed: KeyedRequestHandler,
         metrics: Metrics,
         region: str,
         max_body_bytes: int,
@@ -53,6 +55,7 @@
         self._clock = clock
         self._snapshot = snapshot
         self._handler = handler
+        self._keyed = keyed
         self._metrics = metrics
         self._region = region
         self._max_body_bytes = max_body_bytes
@@ -63,7 +66,7 @@
     @property
     def active(self) -> int:
         """Requests that have not been answered completely."""
-        return self._active
+        return self._active + self._keyed.running
 
     def drain(self) -> None:
         """Refuses new requests from now on."""
@@ -76,6 +79,10 @@
         application.router.add_get(
             "/v1/streams/{stream}", self._resume, allow_head=False
         )
+        application.router.add_post("/v1/idempotency-keys", self._issue_key)
+        application.router.add_get(
+            "/v1/idempotency-keys/{key}", self._fetch_answer
+        )
         for path in ("/v1/chat/completions", "/v1/completions"):
             application.router.add_post(path, self._engine)
         for path in ("/services/{service}", "/services/{service}/{rest:.*}"):
@@ -92,6 +99,31 @@
     async def _resume(self, request: web.Request) -> web.StreamResponse:
         return await self._serve(request, resume_request)
 
+    async def _issue_key(self, request: web.Request) -> web.StreamResponse:
+        return await self._guard(request, self._issue(request))
+
+    async def _fetch_answer(self, request: web.Request) -> web.StreamResponse:
+        return await self._guard(request, self._fetch(request))
+
+    async def _issue(self, request: web.Request) -> web.Response:
+        authenticate(request, self._admit())
+        key = await self._keyed.issue()
+        return web.json_response({"idempotency_key": str(key)}, status=201)
+
+    async def _fetch(self, request: web.Request) -> web.Response:
+        workspace = authenticate(request, self._admit())
+        now = self._clock.monotonic()
+        answer = await self._keyed.fetch(
+            workspace,
+            request.match_info["key"],
+            deadline_of(request, now, self._request_timeout_s),
+        )
+        return web.Response(
+            status=answer.status,
+            headers=forwarded_headers(answer.headers),
+            body=answer.body,
+        )
+
     async def _models(self, request: web.Request) -> web.StreamResponse:
         return await self._guard(request, self._list_models(request))
 
@@ -176,7 +208,7 @@
     ) -> Answer:
         stream_id = request.match_info.get("stream")
         if stream_id is None:
-            return await self._handler.handle(parsed)
+            return await self._keyed.handle(parsed)
         return await self._handler.resume(parsed, stream_id, offset_of(request))
 
     def _whole(
--- a/crowwinch/api/_parsing.py
+++ b/crowwinch/api/_parsing.py
@@ -10,6 +10,7 @@
 
 from crowwinch.configuration import Snapshot
 from crowwinch.errors import RefusalError, RefusalReason
+from crowwinch.idempotency import parse_key
 from crowwinch.routing import CallerRequest, estimate_engine_cost
 from crowwinch.scheduling import RequestClass
 
@@ -152,6 +153,7 @@
             snapshot.groups[groups[0]], len(body), max_tokens
         ),
         deadline=deadline,
+        idempotency_key=_fleet_key(request),
     )
 
 
@@ -275,3 +277,12 @@
             f"{_CLASS_HEADER} is neither interactive nor bulk",
         )
     return RequestClass.BULK if name == "bulk" else RequestClass.INTERACTIVE
+
+
+def _fleet_key(request: web.Request) -> str:
+    """Returns the key of an engine request if the fleet issued it.
+
+    Client libraries send keys of their own, which have no meaning here.
+    """
+    text = request.headers.get("Idempotency-Key", "")
+    return text if parse_key(text) is not None else ""
--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -10,7 +10,10 @@
 import aiomisc
 
 from crowwinch.api import CallerApi, OperatorApi
+from crowwinch.app._fleet_idempotency import FleetIdempotency
+from crowwinch.app._fleet_scheduling import FleetScheduling
 from crowwinch.app._http_server import HttpServer
+from crowwinch.app._links import LinkTable
 from crowwinch.app._peer_service import PeerService
 from crowwinch.app._timer_driver import TimerDriver
 from crowwinch.configuration import Snapshot, load_snapshot, parse_manifest
@@ -21,11 +24,16 @@
     RefusalReason,
     RetryReason,
 )
+from crowwinch.generated.peer_messages import CrashReport
 from crowwinch.generated.settings import RouterSettings
 from crowwinch.observability import Metrics
 from crowwinch.platform import PlatformClient
-from crowwinch.routing import CrashRegistry, RequestHandler, StreamIds
-from crowwinch.scheduling import SchedulingMessage, SchedulingService
+from crowwinch.routing import (
+    CrashRegistry,
+    KeyedRequestHandler,
+    RequestHandler,
+    StreamIds,
+)
 from crowwinch.targets import (
     IncarnationTable,
     TargetClient,
@@ -75,25 +83,34 @@
             lambda: (self._snapshot.revision, self._snapshot.digest),
         )
         self._client = TargetClient(_target_ssl(settings))
-        self._scheduling = SchedulingService(
-            self._clock,
+        self._incarnations = IncarnationTable(self._fetch_load)
+        self._monitor = TargetMonitor(self._timers, self._fetch_load)
+        self._monitor.subscribe(self._observe_target)
+        self._links = LinkTable(self._timers, self._peers, self._metrics)
+        self._scheduling = FleetScheduling(
+            settings,
             self._timers,
             lambda: self._snapshot,
-            settings.name,
-            int(self._clock.time() * 1000),
-            settings.region,
-            self._send_to_peer,
-            alive=lambda: {settings.name},
-            listed=lambda: {settings.name},
-            max_waiting=settings.max_waiting,
-            on_retry=lambda reason: self._metrics.count_reason(
-                "retries", reason
-            ),
+            self._peers,
+            self._links,
+            self._monitor,
+            self._count_retry,
+        )
+        self._idempotency = FleetIdempotency(
+            settings, self._timers, self._peers, self._links
+        )
+        handler = self._build_handler()
+        self._keyed = KeyedRequestHandler(
+            self._clock,
+            lambda: self._snapshot,
+            handler,
+            self._idempotency.service,
         )
         self._callers = CallerApi(
             self._clock,
             lambda: self._snapshot,
-            self._build_handler(),
+            handler,
+            self._keyed,
             self._metrics,
             settings.region,
             settings.max_body_bytes,
@@ -110,29 +127,20 @@
         return self._snapshot.revision > 0 and not self._stopping
 
     def _build_handler(self) -> RequestHandler:
-        def fetch(base_url: str) -> Awaitable[TargetLoad]:
-            return fetch_load(self._client, base_url)
-
-        incarnations = IncarnationTable(fetch)
-
-        def observe(report: TargetReport) -> None:
-            if report.is_reachable:
-                incarnations.observe(report.target, report.incarnation)
-
-        self._monitor = TargetMonitor(self._timers, fetch)
-        self._monitor.subscribe(observe)
-        self._crashes = CrashRegistry(self._clock)
+        self._crashes = CrashRegistry(self._clock, self._broadcast_crash)
+        self._peers.dispatcher.register(
+            CrashReport,
+            lambda sender, report: self._crashes.on_report(report),
+        )
         return RequestHandler(
             self._clock,
             lambda: self._snapshot,
-            self._scheduling.dispatcher,
+            self._scheduling.service.dispatcher,
             self._client,
-            incarnations,
+            self._incarnations,
             self._crashes,
             StreamIds(self._settings.peer_secret_key, lambda: self._snapshot),
-            count_retry=lambda reason: self._metrics.count_reason(
-                "retries", reason
-            ),
+            count_retry=self._count_retry,
             unavailable=lambda: self._monitor.unavailable,
         )
 
@@ -146,6 +154,7 @@
             self._platform,
             self._peers,
             self._client,
+            self._scheduling,
             HttpServer(
                 self._callers.application(),
                 settings.caller_host,
@@ -163,7 +172,6 @@
         """Starts all parts in order."""
         for component in self._components:
             await component.start()
-        self._scheduling.start()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.begin_shutdown)
@@ -175,8 +183,7 @@
         del exception
         for task in self._background:
             task.cancel()
-        self._scheduling.stop()
-        self._monitor.stop()
+        self._links.stop()
         for component in reversed(self._components):
             await component.stop()
 
@@ -191,6 +198,7 @@
         self._stopping = True
         _LOGGER.info("shutdown started", extra={"active": self._callers.active})
         self._callers.drain()
+        self._scheduling.service.leave()
         self._peers.leave()
         self._spawn(self._drain())
 
@@ -209,22 +217,24 @@
                     for reference in parse_manifest(manifest).parts
                 }
                 self._snapshot = load_snapshot(manifest, parts)
-                self._monitor.watch(
-                    {
-                        number: target.url
-                        for number, target in self._snapshot.targets.items()
-                    }
-                )
             except CrowwinchError as error:
                 _LOGGER.warning("configuration not loaded: %s", error)
             await asyncio.sleep(_CONFIGURATION_POLL_S)
 
-    def _send_to_peer(self, peer: str, message: SchedulingMessage) -> None:
-        """Drops a message to another router; there is no transport yet."""
-        _LOGGER.warning(
-            "no transport to a peer",
-            extra={"peer": peer, "kind": type(message).__name__},
-        )
+    def _fetch_load(self, base_url: str) -> Awaitable[TargetLoad]:
+        return fetch_load(self._client, base_url)
+
+    def _observe_target(self, report: TargetReport) -> None:
+        if report.is_reachable:
+            self._incarnations.observe(report.target, report.incarnation)
+
+    def _count_retry(self, reason: RetryReason) -> None:
+        self._metrics.count_reason("retries", reason)
+
+    def _broadcast_crash(self, report: CrashReport) -> None:
+        for member in self._peers.membership.alive():
+            if member != self._settings.name:
+                self._links.send(member, report)
 
     def _state(self) -> dict[str, object]:
         return {
@@ -235,6 +245,7 @@
             "revision": self._snapshot.revision,
             "digest": self._snapshot.digest,
             "active_requests": self._callers.active,
+            "scheduler": self._scheduling.service.scheduler_name,
             **self._peers.state(),
         }
 
--- /dev/null
+++ b/crowwinch/app/_fleet_scheduling.py
@@ -0,0 +1,168 @@
+"""Connects the scheduling service to the fleet."""
+
+from collections.abc import Callable
+
+from crowwinch.app._links import LinkTable
+from crowwinch.app._peer_service import PeerService
+from crowwinch.configuration import Snapshot
+from crowwinch.coordination import MemberState, TimerService
+from crowwinch.errors import RetryReason
+from crowwinch.generated.peer_messages import (
+    Demand,
+    Grants,
+    Registration,
+    RegistrationRequest,
+)
+from crowwinch.generated.settings import RouterSettings
+from crowwinch.peers import PeerIdentity, TokenBucket
+from crowwinch.scheduling import SchedulingMessage, SchedulingService
+from crowwinch.scheduling import TargetReport as SchedulingReport
+from crowwinch.targets import TargetMonitor, TargetReport
+
+# Two seconds of the budget may be sent at once, so that a burst of requests
+# after a quiet time waits for nothing.
+_BURST_S = 2.0
+_WATCH_PERIOD_S = 0.25
+
+
+class ControlBudget:
+    """Token bucket of control bytes as the scheduling classes use it."""
+
+    def __init__(self, bucket: TokenBucket) -> None:
+        """Wraps a bucket."""
+        self._bucket = bucket
+
+    def allows(self, size: int, now: float) -> float:
+        """Takes the bytes if there is credit.
+
+        Returns:
+            0, or the seconds until there is credit.
+        """
+        del now
+        delay = self._bucket.delay_s()
+        if delay == 0.0:
+            self._bucket.spend(size)
+        return delay
+
+
+class FleetScheduling:
+    """Places the scheduler of the region among the live routers."""
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        timers: TimerService,
+        snapshot: Callable[[], Snapshot],
+        peers: PeerService,
+        links: LinkTable,
+        monitor: TargetMonitor,
+        on_retry: Callable[[RetryReason], None],
+    ) -> None:
+        """Builds the service; nothing runs until `start`."""
+        self._settings = settings
+        self._timers = timers
+        self._snapshot = snapshot
+        self._peers = peers
+        self._monitor = monitor
+        self._watching: tuple[bool, str] = (False, "")
+        self._service = SchedulingService(
+            timers.clock,
+            timers,
+            snapshot,
+            settings.name,
+            peers.life,
+            settings.region,
+            links.send,
+            alive=self._alive,
+            listed=self._listed,
+            suspect=peers.membership.mark_suspect,
+            pacing=self._new_budget,
+            max_waiting=settings.max_waiting,
+            on_retry=on_retry,
+        )
+        for kind in (Demand, Grants, Registration, RegistrationRequest):
+            peers.dispatcher.register(kind, self._receive)
+        links.subscribe_restarts(self._service.peer_restarted)
+        monitor.subscribe(self._report)
+
+    @property
+    def service(self) -> SchedulingService:
+        """The scheduling service of this router."""
+        return self._service
+
+    async def start(self) -> None:
+        """Connects to the scheduler of the region."""
+        self._service.start()
+        self._peers.membership.subscribe(
+            lambda *_: self._service.membership_changed()
+        )
+        self._peers.subscribe_vm_list(
+            lambda _: self._service.membership_changed()
+        )
+        self._timers.call_every(_WATCH_PERIOD_S, self._watch_targets)
+
+    async def stop(self) -> None:
+        """Stops scheduling."""
+        self._service.stop()
+        self._monitor.stop()
+
+    def _new_budget(self) -> ControlBudget:
+        rate = self._settings.control_bytes_per_second
+        return ControlBudget(
+            TokenBucket(self._timers.clock.monotonic, rate, rate * _BURST_S)
+        )
+
+    def _region_routers(self) -> set[str]:
+        vm_list = self._peers.vm_list
+        if vm_list is None:
+            return set()
+        return {
+            machine.name
+            for machine in vm_list.machines
+            if machine.role == "router"
+            and machine.region in ("", self._settings.region)
+        }
+
+    def _alive(self) -> set[str]:
+        return self._region_routers() & set(self._peers.membership.alive())
+
+    def _listed(self) -> set[str]:
+        left = {
+            name
+            for name, entry in self._peers.membership.members().items()
+            if entry.state is MemberState.LEFT
+        }
+        return self._region_routers() - left
+
+    def _receive(
+        self, sender: PeerIdentity, message: SchedulingMessage
+    ) -> None:
+        self._service.receive(message, sender.name)
+
+    def _watch_targets(self) -> None:
+        """Polls targets only while the scheduler runs here."""
+        snapshot = self._snapshot()
+        watching = (self._service.scheduler is not None, snapshot.digest)
+        if watching == self._watching:
+            return
+        self._watching = watching
+        targets = {}
+        if watching[0]:
+            targets = {
+                number: target.url
+                for number, target in snapshot.targets.items()
+            }
+        self._monitor.watch(targets)
+
+    def _report(self, report: TargetReport) -> None:
+        self._service.report_target(
+            SchedulingReport(
+                report.target,
+                report.incarnation,
+                report.running,
+                report.waiting,
+                report.leaving or not report.is_reachable,
+                report.time_to_first_token_s,
+                report.age,
+            )
+        )
--- a/crowwinch/errors.py
+++ b/crowwinch/errors.py
@@ -39,6 +39,8 @@
     IDEMPOTENCY_KEY_CLOSED = 21
     OUTCOME_UNKNOWN = 22
     CALLER_GONE = 23
+    IDEMPOTENCY_KEY_UNUSED = 24
+    ANSWER_NOT_KEPT = 25
 
 
 class RetryReason(enum.IntEnum):
@@ -72,6 +74,8 @@
     RefusalReason.IDEMPOTENCY_KEY_MALFORMED: 400,
     RefusalReason.IDEMPOTENCY_KEY_MISMATCH: 422,
     RefusalReason.IDEMPOTENCY_KEY_CLOSED: 409,
+    RefusalReason.IDEMPOTENCY_KEY_UNUSED: 409,
+    RefusalReason.ANSWER_NOT_KEPT: 410,
     RefusalReason.OUTCOME_UNKNOWN: 502,
     RefusalReason.CALLER_GONE: 499,
 }
--- a/crowwinch/peers/_codec.py
+++ b/crowwinch/peers/_codec.py
@@ -36,6 +36,8 @@
     18: messages.CloseAnswer,
     19: messages.Outcome,
     20: messages.CrashReport,
+    21: messages.Reserve,
+    22: messages.ReserveAnswer,
 }
 _NUMBERS = {kind: number for number, kind in MESSAGE_TYPES.items()}
 _DECODERS = {
--- a/crowwinch/routing/__init__.py
+++ b/crowwinch/routing/__init__.py
@@ -9,6 +9,7 @@
 )
 from crowwinch.routing._crashes import CrashRegistry, CrashVerdict
 from crowwinch.routing._handler import RequestHandler
+from crowwinch.routing._keyed import KeyedRequestHandler
 from crowwinch.routing._requests import (
     Answer,
     BodyAnswer,
@@ -25,6 +26,7 @@
     "CrashRegistry",
     "CrashVerdict",
     "EngineMeter",
+    "KeyedRequestHandler",
     "RequestHandler",
     "RetryBudget",
     "StreamAnswer",
--- a/crowwinch/routing/_attempts.py
+++ b/crowwinch/routing/_attempts.py
@@ -34,10 +34,12 @@
     @property
     def is_idempotent(self) -> bool:
         """Whether the request may run more than once."""
+        if self.request.idempotency_key:
+            return False
         return (
             self.group.kind == "engine"
             or self.request.method in _SAFE_METHODS
-            or (self.group.idempotent and not self.request.idempotency_key)
+            or self.group.idempotent
         )
 
     @property
--- a/crowwinch/scheduling/_service.py
+++ b/crowwinch/scheduling/_service.py
@@ -157,6 +157,17 @@
         self._place(alive)
         self._close_unused()
 
+    def peer_restarted(self, peer: str) -> None:
+        """Forgets the earlier life of a router; the link to it is new.
+
+        Messages that it had not acknowledged are lost, so a scheduler on that
+        router needs a new registration.
+        """
+        if self._scheduler is not None:
+            self._scheduler.remove_router(peer)
+        if peer == self._current:
+            self._register(peer, 0)
+
     def report_target(self, report: TargetReport) -> None:
         """Passes a target's report to the scheduler if it runs here."""
         if self._scheduler is not None:
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -47,7 +47,8 @@
         self._runs[name] = self._runs.get(name, 0) + 1
         self._running += 1
         try:
-            await asyncio.sleep(self._seconds)
+            seconds = self._faults.get("seconds", self._seconds)
+            await asyncio.sleep(float(str(seconds)))
         finally:
             self._running -= 1
         if self._faults.get("break_after_run") and request.transport:
