Propagate configurations between routers

Cause: each router polled the configuration service twice a second, put in force whatever it served, and so followed a stale service back to an old revision. With 340 routers the reads would grow with the fleet.

Change: ConfigurationStore keeps the highest (revision, digest) that is complete and valid. ConfigurationSpread selects two watchers in each availability zone, pulls missing parts from peers, and asks peers before the service. Watches last 3 s instead of 20 s, so that a service that hangs delays a change by at most 5 s. A part of more than 48 KB is divided in two by a bit of the hash: a fixed number of 64 parts took an isolated router 10 s to read for 20 workspaces. EventClock tells listeners when events start and end, also after a freeze or a step of the wall clock.

The transport between routers is not connected yet; the application sends no messages and is its own only member.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -11,13 +11,13 @@
 from crowwinch.api import CallerApi, OperatorApi
 from crowwinch.app._http_server import HttpServer
 from crowwinch.app._timer_driver import TimerDriver
-from crowwinch.configuration import Snapshot, load_snapshot, parse_manifest
-from crowwinch.coordination import SystemClock, TimerService
-from crowwinch.errors import (
-    CrowwinchError,
-    RefusalReason,
-    RetryReason,
+from crowwinch.configuration import (
+    ConfigurationSpread,
+    ConfigurationStore,
+    EventClock,
 )
+from crowwinch.coordination import SystemClock, TimerService
+from crowwinch.errors import RefusalReason, RetryReason
 from crowwinch.generated.settings import RouterSettings
 from crowwinch.observability import Metrics
 from crowwinch.platform import PlatformClient
@@ -27,7 +27,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 _DRAIN_POLL_S = 0.05
-_CONFIGURATION_POLL_S = 0.5
 
 
 class Component(Protocol):
@@ -52,18 +51,30 @@
         self._metrics = Metrics()
         self._metrics.declare_reasons("refusals", RefusalReason)
         self._metrics.declare_reasons("retries", RetryReason)
-        self._snapshot = Snapshot()
+        self._store = ConfigurationStore(self._metrics.count)
         self._platform = PlatformClient(
             settings.configuration_url, settings.vm_list_url
         )
+        self._spread = ConfigurationSpread(
+            settings.name,
+            settings.availability_zone,
+            self._timers,
+            self._store,
+            self._platform,
+            self._send_to_peer,
+            self._alive,
+            self._metrics.count,
+        )
+        self._events = EventClock(self._timers, lambda: self._store.snapshot)
+        self._store.subscribe(lambda snapshot: self._events.refresh())
         self._client = TargetClient(_target_ssl(settings))
-        self._dispatcher = FirstFreeDispatcher(lambda: self._snapshot)
+        self._dispatcher = FirstFreeDispatcher(lambda: self._store.snapshot)
         self._callers = CallerApi(
             self._clock,
-            lambda: self._snapshot,
+            lambda: self._store.snapshot,
             RequestHandler(
                 self._clock,
-                lambda: self._snapshot,
+                lambda: self._store.snapshot,
                 self._dispatcher,
                 self._client,
             ),
@@ -80,12 +91,15 @@
     @property
     def is_ready(self) -> bool:
         """Whether the router takes requests."""
-        return self._snapshot.revision > 0 and not self._stopping
+        return self._store.snapshot.revision > 0 and not self._stopping
 
     def _build_components(self) -> list[Component]:
         settings = self._settings
         operators = OperatorApi(
-            self._metrics, lambda: self.is_ready, self._state
+            self._metrics,
+            lambda: self.is_ready,
+            self._state,
+            self._store.documents,
         )
         return [
             TimerDriver(self._timers),
@@ -111,12 +125,15 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.begin_shutdown)
-        self._spawn(self._load_configuration())
+        self._events.start()
+        self._spread.start()
         _LOGGER.info("router started", extra={"router": self._settings.name})
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stops all parts in reverse order."""
         del exception
+        self._spread.stop()
+        self._events.stop()
         for task in self._background:
             task.cancel()
         for component in reversed(self._components):
@@ -141,18 +158,13 @@
         _LOGGER.info("shutdown finished")
         self._stopped.set()
 
-    async def _load_configuration(self) -> None:
-        while True:
-            try:
-                manifest = await self._platform.read("manifest")
-                parts = {
-                    reference.name: await self._platform.read(reference.name)
-                    for reference in parse_manifest(manifest).parts
-                }
-                self._snapshot = load_snapshot(manifest, parts)
-            except CrowwinchError as error:
-                _LOGGER.warning("configuration not loaded: %s", error)
-            await asyncio.sleep(_CONFIGURATION_POLL_S)
+    def _send_to_peer(self, peer: str, message: object) -> None:
+        """Drops the message: this router has no transport to its peers."""
+
+    def _alive(self) -> dict[str, str]:
+        """Returns the zone of each live member by name."""
+        settings = self._settings
+        return {settings.name: settings.availability_zone}
 
     def _state(self) -> dict[str, object]:
         return {
@@ -160,9 +172,10 @@
             "availability_zone": self._settings.availability_zone,
             "region": self._settings.region,
             "ready": self.is_ready,
-            "revision": self._snapshot.revision,
-            "digest": self._snapshot.digest,
+            "revision": self._store.snapshot.revision,
+            "digest": self._store.snapshot.digest,
             "active_requests": self._callers.active,
+            "refused_documents": self._store.refused,
         }
 
     def _spawn(self, coroutine: object) -> None:
--- a/crowwinch/configuration/__init__.py
+++ b/crowwinch/configuration/__init__.py
@@ -9,6 +9,11 @@
 )
 from crowwinch.configuration._check import CheckedTable, check_table
 from crowwinch.configuration._diff import describe_changes
+from crowwinch.configuration._events import (
+    CLOCK_SKEW_ALLOWANCE_S,
+    EventChange,
+    EventClock,
+)
 from crowwinch.configuration._loader import (
     digest_of,
     load_snapshot,
@@ -24,13 +29,22 @@
     Snapshot,
     key_hash,
 )
+from crowwinch.configuration._spread import ConfigurationSpread
+from crowwinch.configuration._store import ConfigurationStore
 from crowwinch.configuration._table import Table, read_table, write_table
 from crowwinch.configuration._template import example_table
+from crowwinch.configuration._watcher import ConfigurationReader
 
 __all__ = [
+    "CLOCK_SKEW_ALLOWANCE_S",
     "CheckedTable",
+    "ConfigurationReader",
+    "ConfigurationSpread",
+    "ConfigurationStore",
     "Documents",
     "EffectiveLimits",
+    "EventChange",
+    "EventClock",
     "Snapshot",
     "Table",
     "WantedModel",
--- a/crowwinch/configuration/_build.py
+++ b/crowwinch/configuration/_build.py
@@ -1,8 +1,7 @@
 """Builds documents from a checked table and reads and writes their folder."""
 
 import pathlib
-from collections import defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -26,10 +25,14 @@
 )
 
 MAX_DOCUMENT_BYTES = 1_000_000
-# Fixed, because another number would move every row to another part. With 64
-# parts, 10,000 workspaces give parts of about 40 KB, and an edit moves 0.6% of
-# the documents to each router.
-_BUCKETS = {"workspaces": 64, "events": 64, "groups": 16}
+_KINDS = ("workspaces", "events", "groups")
+# A part over this size is divided in two by the next bit of the hash, so the
+# division depends only on the contents and an edit touches no other part. A
+# router reads two parts a second, so a small table needs few parts; each edit
+# moves one part to each router, so a large table needs small parts.
+_SPLIT_BYTES = 48_000
+# Deeper parts would need a fourth digit in their names.
+_MAX_DEPTH = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +106,7 @@
     for name, part in documents.parts.items():
         (folder / f"{name}.json").write_bytes(part)
     (folder / "manifest.json").write_bytes(documents.manifest)
-    for kind in _BUCKETS:
+    for kind in _KINDS:
         for file in folder.glob(f"{kind}-[0-9][0-9][0-9].json"):
             if file.stem not in documents.parts:
                 file.unlink()
@@ -143,20 +146,38 @@
 def _parts(
     kind: str, items: Sequence[Any], part_type: type[msgspec.Struct]
 ) -> dict[str, bytes]:
-    buckets: dict[int, list[Any]] = defaultdict(list)
-    for item in items:
-        key = getattr(item, "workspace", item.name)
-        buckets[xxhash.xxh32_intdigest(key.encode()) % _BUCKETS[kind]].append(
-            item
+    sized = [
+        (
+            xxhash.xxh32_intdigest(
+                getattr(item, "workspace", item.name).encode()
+            ),
+            len(msgspec.json.encode(item)),
+            item,
         )
-    for bucket in buckets.values():
-        bucket.sort(
-            key=lambda item: (getattr(item, "workspace", ""), item.name)
+        for item in items
+    ]
+    parts = {}
+    for number, leaf in _divide(sized, 1, 0):
+        members = sorted(
+            (item for _, _, item in leaf),
+            key=lambda item: (getattr(item, "workspace", ""), item.name),
         )
-    return {
-        f"{kind}-{number:03}": _encode(part_type(buckets[number]))
-        for number in sorted(buckets)
-    }
+        parts[f"{kind}-{number:03}"] = _encode(part_type(members))
+    return parts
+
+
+def _divide(
+    items: Sequence[tuple[int, int, Any]], number: int, depth: int
+) -> Iterator[tuple[int, Sequence[tuple[int, int, Any]]]]:
+    """Yields leaves of a binary tree; node n has the children 2n and 2n + 1."""
+    size = sum(length for _, length, _ in items)
+    if size <= _SPLIT_BYTES or depth == _MAX_DEPTH:
+        if items:
+            yield number, items
+        return
+    for bit in (0, 1):
+        half = [each for each in items if each[0] >> depth & 1 == bit]
+        yield from _divide(half, 2 * number + bit, depth + 1)
 
 
 def _encode(document: msgspec.Struct) -> bytes:
--- a/crowwinch/platform/_services.py
+++ b/crowwinch/platform/_services.py
@@ -7,7 +7,9 @@
 from crowwinch.generated.documents import VirtualMachineList
 
 _CALL_TIMEOUT_S = 2.0
-_WATCH_TIMEOUT_S = 20.0
+# A service that stops without closing connections leaves a watch pending for
+# this time plus _CALL_TIMEOUT_S; a change must be in force within 7 s.
+_WATCH_TIMEOUT_S = 3.0
 _MAX_VALUE_BYTES = 1_000_000
 
 
