--- a/crowwinch/cli/_main.py
+++ b/crowwinch/cli/_main.py
@@ -8,6 +8,7 @@
 from crowwinch.cli._commands import Command
 from crowwinch.cli._config import ConfigCommand
 from crowwinch.cli._router import RouterCommand
+from crowwinch.cli._status import StatusCommand
 from crowwinch.errors import FindingsError
 
 _EPILOG = """\
@@ -19,11 +20,13 @@
 examples:
   crowwinch router --name router-1 --availability-zone az-1 --region midlands
   crowwinch config check table
+  crowwinch status http://127.0.0.1:8081
   crowwinch router --help
 """
 _COMMANDS: tuple[type[Command], ...] = (
     RouterCommand,
     ConfigCommand,
+    StatusCommand,
 )
 
 
