--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -10,20 +10,16 @@
 import aiomisc
 
 from crowwinch.api import CallerApi, OperatorApi
+from crowwinch.app._fleet_configuration import FleetConfiguration
 from crowwinch.app._fleet_idempotency import FleetIdempotency
 from crowwinch.app._fleet_scheduling import FleetScheduling
 from crowwinch.app._http_server import HttpServer
 from crowwinch.app._links import LinkTable
 from crowwinch.app._peer_service import PeerService
 from crowwinch.app._timer_driver import TimerDriver
-from crowwinch.configuration import Snapshot, load_snapshot, parse_manifest
+from crowwinch.configuration import ConfigurationStore, Snapshot
 from crowwinch.coordination import SystemClock, TimerService
-from crowwinch.errors import (
-    CrowwinchError,
-    PeerRejection,
-    RefusalReason,
-    RetryReason,
-)
+from crowwinch.errors import PeerRejection, RefusalReason, RetryReason
 from crowwinch.generated.peer_messages import CrashReport
 from crowwinch.generated.settings import RouterSettings
 from crowwinch.observability import Metrics
@@ -45,7 +41,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 _DRAIN_POLL_S = 0.05
-_CONFIGURATION_POLL_S = 0.5
 
 
 class Component(Protocol):
@@ -71,7 +66,7 @@
         self._metrics.declare_reasons("refusals", RefusalReason)
         self._metrics.declare_reasons("retries", RetryReason)
         self._metrics.declare_reasons("peer_rejections", PeerRejection)
-        self._snapshot = Snapshot()
+        self._store = ConfigurationStore(self._metrics.count)
         self._platform = PlatformClient(
             settings.configuration_url, settings.vm_list_url
         )
@@ -80,7 +75,18 @@
             self._timers,
             self._platform,
             self._metrics,
-            lambda: (self._snapshot.revision, self._snapshot.digest),
+            lambda: (
+                self._store.snapshot.revision,
+                self._store.snapshot.digest,
+            ),
+        )
+        self._configuration = FleetConfiguration(
+            settings,
+            self._timers,
+            self._store,
+            self._platform,
+            self._peers,
+            self._metrics,
         )
         self._client = TargetClient(_target_ssl(settings))
         self._incarnations = IncarnationTable(self._fetch_load)
@@ -90,7 +96,7 @@
         self._scheduling = FleetScheduling(
             settings,
             self._timers,
-            lambda: self._snapshot,
+            self._snapshot,
             self._peers,
             self._links,
             self._monitor,
@@ -100,17 +106,16 @@
             settings, self._timers, self._peers, self._links
         )
         handler = self._build_handler()
-        self._keyed = KeyedRequestHandler(
-            self._clock,
-            lambda: self._snapshot,
-            handler,
-            self._idempotency.service,
-        )
         self._callers = CallerApi(
             self._clock,
-            lambda: self._snapshot,
+            self._snapshot,
             handler,
-            self._keyed,
+            KeyedRequestHandler(
+                self._clock,
+                self._snapshot,
+                handler,
+                self._idempotency.service,
+            ),
             self._metrics,
             settings.region,
             settings.max_body_bytes,
@@ -124,7 +129,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the router takes requests."""
-        return self._snapshot.revision > 0 and not self._stopping
+        return self._store.snapshot.revision > 0 and not self._stopping
 
     def _build_handler(self) -> RequestHandler:
         self._crashes = CrashRegistry(self._clock, self._broadcast_crash)
@@ -134,12 +139,12 @@
         )
         return RequestHandler(
             self._clock,
-            lambda: self._snapshot,
+            self._snapshot,
             self._scheduling.service.dispatcher,
             self._client,
             self._incarnations,
             self._crashes,
-            StreamIds(self._settings.peer_secret_key, lambda: self._snapshot),
+            StreamIds(self._settings.peer_secret_key, self._snapshot),
             count_retry=self._count_retry,
             unavailable=lambda: self._monitor.unavailable,
         )
@@ -147,12 +152,16 @@
     def _build_components(self) -> list[Component]:
         settings = self._settings
         operators = OperatorApi(
-            self._metrics, lambda: self.is_ready, self._state
+            self._metrics,
+            lambda: self.is_ready,
+            self._state,
+            self._store.documents,
         )
         return [
             TimerDriver(self._timers),
             self._platform,
             self._peers,
+            self._configuration,
             self._client,
             self._scheduling,
             HttpServer(
@@ -175,7 +184,6 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.begin_shutdown)
-        self._spawn(self._load_configuration())
         _LOGGER.info("router started", extra={"router": self._settings.name})
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -208,18 +216,8 @@
         _LOGGER.info("shutdown finished")
         self._stopped.set()
 
-    async def _load_configuration(self) -> None:
-        while True:
-            try:
-                manifest = await self._platform.read("manifest")
-                parts = {
-                    reference.name: await self._platform.read(reference.name)
-                    for reference in parse_manifest(manifest).parts
-                }
-                self._snapshot = load_snapshot(manifest, parts)
-            except CrowwinchError as error:
-                _LOGGER.warning("configuration not loaded: %s", error)
-            await asyncio.sleep(_CONFIGURATION_POLL_S)
+    def _snapshot(self) -> Snapshot:
+        return self._store.snapshot
 
     def _fetch_load(self, base_url: str) -> Awaitable[TargetLoad]:
         return fetch_load(self._client, base_url)
@@ -242,9 +240,10 @@
             "availability_zone": self._settings.availability_zone,
             "region": self._settings.region,
             "ready": self.is_ready,
-            "revision": self._snapshot.revision,
-            "digest": self._snapshot.digest,
+            "revision": self._store.snapshot.revision,
+            "digest": self._store.snapshot.digest,
             "active_requests": self._callers.active,
+            "refused_documents": self._store.refused,
             "scheduler": self._scheduling.service.scheduler_name,
             **self._peers.state(),
         }
--- a/crowwinch/app/_fleet_idempotency.py
+++ b/crowwinch/app/_fleet_idempotency.py
@@ -48,19 +48,10 @@
         return self._service
 
     def _candidates(self) -> list[WitnessCandidate]:
-        vm_list = self._peers.vm_list
-        if vm_list is None:
-            return []
-        zones = {
-            machine.name: machine.availability_zone
-            for machine in vm_list.machines
-        }
         membership = self._peers.membership
         return [
-            WitnessCandidate(
-                member, membership.life(member), zones.get(member, "")
-            )
-            for member in membership.alive()
+            WitnessCandidate(member, membership.life(member), zone)
+            for member, zone in self._peers.alive_zones().items()
             if member != self._name
         ]
 
--- a/crowwinch/app/_peer_service.py
+++ b/crowwinch/app/_peer_service.py
@@ -111,6 +111,17 @@
         """The VM list in force, None before the first read."""
         return self._vm_list
 
+    def alive_zones(self) -> dict[str, str]:
+        """Returns the availability zone of each live member by name."""
+        if self._vm_list is None:
+            return {}
+        alive = set(self._membership.alive())
+        return {
+            machine.name: machine.availability_zone
+            for machine in self._vm_list.machines
+            if machine.name in alive
+        }
+
     def subscribe_vm_list(
         self, listener: Callable[[VirtualMachineList], None]
     ) -> None:
