--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -35,18 +35,23 @@
     """Starts the platform, two engines, a plain service and three routers."""
     fleet = Fleet(log_path=tempfile.gettempdir() + "/crowwinch-run.log")
     try:
-        fleet.start_platform()
-        for name in ("engine-0", "engine-1"):
-            fleet.start_target(name, "engine")
-        fleet.start_target("roster-0", "plain_service")
-        fleet.publish(1, _workspaces(), _groups(fleet))
-        fleet.start_routers(3, ("az-1", "az-2", "az-3"))
+        start_all(fleet)
     except BaseException:
         fleet.stop()
         raise
     return fleet
 
 
+def start_all(fleet: Fleet, routers: int = 3) -> None:
+    """Starts every process of a small fleet and waits until it is ready."""
+    fleet.start_platform()
+    for name in ("engine-0", "engine-1"):
+        fleet.start_target(name, "engine")
+    fleet.start_target("roster-0", "plain_service")
+    fleet.publish(1, _workspaces(), _groups(fleet))
+    fleet.start_routers(routers, ("az-1", "az-2", "az-3"))
+
+
 def _workspaces() -> list[dict[str, object]]:
     return [workspace(name, weight) for name, weight in _WORKSPACES]
 
