Harden membership and shorten probes

Cause: a probe carried the 64 characters of the manifest's digest; an incarnation near 2^64 could not be refuted on the wire; a member that was listed again appeared twice in the probe cycle; a frame without a sender epoch was answered.

--- a/crowwinch/app/_peer_service.py
+++ b/crowwinch/app/_peer_service.py
@@ -35,6 +35,9 @@
 # 340 routers read the list 170 times a second, and a VM that starts to leave
 # is known well within the 3 s after which it may receive no new work.
 _VM_LIST_PERIOD_S = 2.0
+# 64 bits of the digest tell two documents of one revision apart, and the full
+# digest would be a third of the probe traffic.
+_PROBE_DIGEST_CHARACTERS = 16
 # Time for the sockets to send what was queued; they close without linger.
 _FLUSH_S = 0.1
 
@@ -120,7 +123,11 @@
     def subscribe_versions(
         self, listener: Callable[[str, int, str], None]
     ) -> None:
-        """Calls a listener with member, revision and digest in each probe."""
+        """Calls a listener with what probes and answers carry.
+
+        The listener gets the member, its revision and the first 16 characters
+        of its digest, which order like the whole digests.
+        """
         self._version_listeners.append(listener)
 
     async def start(self) -> None:
@@ -192,10 +199,13 @@
         gauge("peer_sent_bytes", lambda: transport.sent_bytes)
         gauge("peer_received_bytes", lambda: transport.received_bytes)
         gauge("peer_dropped_messages", lambda: transport.dropped)
+        gauge("peer_refused_connections", lambda: transport.refused_connections)
         gauge("members_alive", lambda: len(self._membership.alive()))
 
     def _send_membership(self, peer: str, message: MembershipMessage) -> None:
-        self.send(peer, to_wire(message, *self._version()))
+        revision, digest = self._version()
+        digest = digest[:_PROBE_DIGEST_CHARACTERS]
+        self.send(peer, to_wire(message, revision, digest))
 
     def _on_ping(self, sender: PeerIdentity, ping: messages.Ping) -> None:
         updates = from_wire_updates(ping.updates)
--- a/crowwinch/coordination/_link.py
+++ b/crowwinch/coordination/_link.py
@@ -152,7 +152,7 @@
 
     def receive(self, frame: Frame) -> None:
         """Processes a frame of the peer."""
-        if self._closed or frame.sender_epoch < self._peer_epoch:
+        if self._closed or frame.sender_epoch < max(self._peer_epoch, 1):
             return
         first = self._adopt(frame.sender_epoch)
         self._waiting_since = self._timers.clock.monotonic()
--- a/crowwinch/coordination/_members.py
+++ b/crowwinch/coordination/_members.py
@@ -10,6 +10,8 @@
 # Low bits of an incarnation count refutations; the high bits are the life of
 # the process, its start time in milliseconds.
 _REFUTATION_BITS = 16
+# Higher ones are ignored: refuting them would leave the 64 bits of the wire.
+MAX_INCARNATION = 1 << 62
 # Factor of the logarithm in the number of times an update is passed on. SWIM
 # reports that 3 reaches every member with a probability above 0.99.
 _SPREAD_FACTOR = 3
--- a/crowwinch/coordination/_membership.py
+++ b/crowwinch/coordination/_membership.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from crowwinch.coordination._members import (
+    MAX_INCARNATION,
     Ack,
     MemberChange,
     MemberRecord,
@@ -134,14 +135,17 @@
         listed = set(names) - {self._name}
         for name in sorted(set(self._members) - listed):
             record = self._members.pop(name)
+            self._order.remove(name)
             self._cancel_suspicion(record)
             self._queue.discard(name)
-            self._notify(name, record.incarnation, None, record.state)
+            self._notify(
+                MemberChange(name, record.incarnation, None, record.state)
+            )
         for name in sorted(listed - set(self._members)):
             self._members[name] = MemberRecord()
             position = self._rng.randrange(len(self._order) + 1)
             self._order.insert(position, name)
-            self._notify(name, 0, MemberState.ALIVE, None)
+            self._notify(MemberChange(name, 0, MemberState.ALIVE, None))
 
     def mark_suspect(self, member: str) -> None:
         """Suspects a member that left a caller without an answer."""
@@ -215,6 +219,8 @@
         return True
 
     def _merge(self, update: MemberUpdate) -> None:
+        if not 0 <= update.incarnation < MAX_INCARNATION:
+            return
         if update.member == self._name:
             self._refute(update)
             return
@@ -238,7 +244,11 @@
         self._queue.add(update, urgent=not (alive_before and alive_now))
         if update.state is MemberState.SUSPECT:
             self._arm_suspicion(update.member, record)
-        self._notify(update.member, update.incarnation, update.state, previous)
+        self._notify(
+            MemberChange(
+                update.member, update.incarnation, update.state, previous
+            )
+        )
 
     def _refute(self, update: MemberUpdate) -> None:
         if update.incarnation < self._incarnation or self._left:
@@ -315,11 +325,8 @@
         """
         for _ in range(len(self._order)):
             name = self._order.pop(0)
-            record = self._members.get(name)
-            if record is None:
-                continue
             self._order.append(name)
-            if record.state <= MemberState.SUSPECT:
+            if self._members[name].state <= MemberState.SUSPECT:
                 return name
         return None
 
@@ -387,13 +394,6 @@
         for update in self._rng.sample(missing, room):
             updates[update.member] = update
 
-    def _notify(
-        self,
-        member: str,
-        incarnation: int,
-        state: MemberState | None,
-        previous: MemberState | None,
-    ) -> None:
-        change = MemberChange(member, incarnation, state, previous)
+    def _notify(self, change: MemberChange) -> None:
         for listener in list(self._listeners):
             listener(change)
--- a/crowwinch/coordination/tests/test_link.py
+++ b/crowwinch/coordination/tests/test_link.py
@@ -140,6 +140,11 @@
         self.pair.ends["b"].receive(Frame(1, 1, 1, 0, b"stale"))
         self.assertEqual(self.pair.got["b"], [])
 
+    def test_frame_without_an_epoch_changes_nothing(self):
+        pair = LossyPair()
+        pair.ends["b"].receive(Frame(0, 1, 1, 0, b"forged"))
+        self.assertEqual((pair.got["b"], pair.frames), ([], []))
+
     def test_full_buffer_is_an_error(self):
         self.pair.loss = 1
         for _ in range(64):
--- a/crowwinch/coordination/tests/test_membership.py
+++ b/crowwinch/coordination/tests/test_membership.py
@@ -11,8 +11,10 @@
     ManualClock,
     Membership,
     MemberState,
+    MemberUpdate,
     Ping,
     TimerService,
+    incarnation_of,
 )
 
 _HEADER_BYTES = 83
@@ -64,13 +66,13 @@
 class Network:
     """Carries messages within one step of 50 ms."""
 
-    def __init__(self, count, step=0.05):
+    def __init__(self, count, step=0.05, life=1000):
         self.now, self.step = 100.0, step
         self.names = [f"router-{index}" for index in range(count)]
         self.cut = set()
         self.nodes = {}
         for name in self.names:
-            self.nodes[name] = Node(self, name, 1000)
+            self.nodes[name] = Node(self, name, life)
 
     def carry(self, sender, to, message):
         node = self.nodes.get(to)
@@ -124,7 +126,8 @@
         # suspicion. Of 8: 7 periods instead of 2.
         for count, bound in ((3, 6), (8, 10)):
             for seed in range(10):
-                network = Network(count)
+                # The order of probes follows from name and life.
+                network = Network(count, life=1000 + seed)
                 network.run(3 + seed * 0.13)
                 del network.nodes["router-1"]
                 network.run(bound)
@@ -206,6 +209,27 @@
         self.assertNotIn("router-7", view.members())
         self.assertIsNone(self.nodes["router-0"].changes[-1].state)
 
+    def test_member_listed_again_is_probed_once_a_cycle(self):
+        node = self.nodes["router-0"]
+        for _ in range(3):
+            node.view.set_listed(self.network.names[:7])
+            node.view.set_listed(self.network.names)
+        self.network.run(5)
+        self.assertEqual(self.network.states("router-7"), _ALIVE)
+        del self.nodes["router-7"]
+        self.network.run(10)
+        self.assertEqual(self.network.states("router-7"), _DEAD)
+
+    def test_incarnation_that_cannot_be_refuted_is_ignored(self):
+        view = self.nodes["router-0"].view
+        before = view.incarnation
+        for incarnation in (-1, 2**62, 2**64 - 1):
+            update = MemberUpdate("router-0", incarnation, MemberState.SUSPECT)
+            view.handle_ping(
+                "router-1", Ping(1, incarnation_of(1000), (update,))
+            )
+        self.assertEqual(view.incarnation, before)
+
     def test_left_member_is_not_suspected(self):
         self.nodes["router-3"].view.leave()
         self.network.run(4)
--- a/crowwinch/peers/_transport.py
+++ b/crowwinch/peers/_transport.py
@@ -100,6 +100,11 @@
         """Messages that were not sent."""
         return self._dropped
 
+    @property
+    def refused_connections(self) -> int:
+        """Connections refused for their key."""
+        return self._authenticator.refused if self._authenticator else 0
+
     async def start(self) -> None:
         """Binds the port and starts to receive."""
         self._context = zmq.Context()
--- a/crowwinch/peers/tests/test_transport.py
+++ b/crowwinch/peers/tests/test_transport.py
@@ -126,6 +126,7 @@
             socket.close()
             context.term()
             self.assertEqual(b.got, [])
+            self.assertGreater(b.transport.refused_connections, 0)
 
         self.run_pair(scenario, keys, keys)
 
