--- a/crowwinch/scheduling/_dispatcher.py
+++ b/crowwinch/scheduling/_dispatcher.py
@@ -149,7 +149,7 @@
         if request.deadline is not None:
             waiting.timeout = self._timers.call_later(
                 request.deadline - self._clock.monotonic(),
-                lambda: None,
+                lambda: self._exceed_deadline(waiting),
             )
         self._add(waiting)
         return waiting
