--- a/crowwinch/scheduling/_target_limits.py
+++ b/crowwinch/scheduling/_target_limits.py
@@ -10,6 +10,9 @@
 # A grant shows in a target's running count only after it has reached the
 # router and the target.
 _START_DELAY_S = 0.25
+# A slot that is granted again at once shows as a dip of the own count. Counted
+# as load of others, such dips kept one slot of a busy target idle.
+_DIP_S = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +51,7 @@
         self._limit = float(slots)
         self._maximum = max(slots, max_slots)
         self._own = 0
-        self._history: deque[tuple[float, int]] = deque([(-math.inf, 0)])
+        self._history = deque([(-math.inf, 0)], maxlen=1024)
         self._others = 0
         self._spare = 0
         self.leaving = False
@@ -120,11 +123,12 @@
         return max(math.ceil(self.limit * part), self._spare)
 
     def _remember(self, now: float) -> None:
+        if now - self._history[-1][0] < _DIP_S:
+            now = self._history.pop()[0]
         self._history.append((now, self._own))
-        while len(self._history) > 1024:
-            self._history.popleft()
 
     def _own_since(self, start: float) -> int:
+        # Values before the last one at the start do not matter any more.
         while len(self._history) > 1 and self._history[1][0] <= start:
             self._history.popleft()
         return min(count for _, count in self._history)
