Test estimates, limits, retry budgets and parts of the dispatcher

Change: tables for estimates, target limits, budgets and reuse; tests of the outbox, answers older than a registration, waiting limits over all routers, pacing, and of acquire when it is cancelled or the process stops.

--- a/crowwinch/scheduling/_pacing.py
+++ b/crowwinch/scheduling/_pacing.py
@@ -14,6 +14,9 @@
     def allows(self, size: int, now: float) -> float:
         """Takes bytes from the budget if it has credit.
 
+        The credit may become negative, so that a message larger than the
+        whole budget passes when some credit is left.
+
         Args:
             size: Bytes to send.
             now: Monotonic time in seconds.
--- a/crowwinch/scheduling/tests/fleet.py
+++ b/crowwinch/scheduling/tests/fleet.py
@@ -42,7 +42,15 @@
 class Fleet:
     """Routers with dispatchers, and schedulers, joined by delayed links."""
 
-    def __init__(self, snapshot, routers=2, delay=0.001, reuse=True, listed=0):
+    def __init__(
+        self,
+        snapshot,
+        routers=2,
+        delay=0.001,
+        reuse=True,
+        listed=0,
+        pacing=None,
+    ):
         self.clock = ManualClock()
         self.timers = TimerService(self.clock)
         self.snapshot = snapshot
@@ -55,6 +63,7 @@
         self.served = Counter()
         self.differences = {}
         self.duplicate = False
+        self.messages = 0
         self.starts = []
         self.refusals = []
         self.running = Counter()
@@ -69,6 +78,7 @@
                 self.timers,
                 lambda: self.snapshot,
                 lambda message, name=name: self.to_scheduler(name, message),
+                pacing,
                 reuse_slots=reuse,
             )
         self.add_scheduler("s")
@@ -93,6 +103,7 @@
 
     def to_scheduler(self, router, message):
         name = self.attached[router]
+        self.messages += 1
 
         def deliver():
             scheduler = self.schedulers.get(name)
--- /dev/null
+++ b/crowwinch/scheduling/tests/test_parts.py
@@ -0,0 +1,290 @@
+"""Tests of estimates, limits, budgets and the parts of the dispatcher."""
+
+import asyncio
+import unittest
+
+from crowwinch.coordination import ManualClock, identifier
+from crowwinch.errors import RefusalError, RefusalReason
+from crowwinch.generated.peer_messages import (
+    Grant,
+    GroupStatus,
+    ReusedSlot,
+)
+from crowwinch.scheduling import (
+    CostEstimator,
+    RetryBudget,
+    SlotOutcome,
+    TargetLimit,
+    TargetReport,
+)
+from crowwinch.scheduling._echoes import EchoTracker
+from crowwinch.scheduling._outbox import DemandOutbox
+from crowwinch.scheduling._reuse import ServiceView
+from crowwinch.scheduling._slots import (
+    GrantedSlot,
+    WaitingRequest,
+    WaitingTable,
+)
+from crowwinch.scheduling.tests.fleet import GROUP, Fleet, make_snapshot
+
+
+class CostEstimatorTest(unittest.TestCase):
+    """Guards against estimates that follow rough hints or old costs."""
+
+    def test_estimates(self):
+        cases = (
+            ("no cost seen", [], 70, 70),
+            ("no hint and no cost seen", [], 0, 1),
+            ("average below the hint", [(100, 20)] * 5, 100, 20),
+            ("hint caps the average", [(100, 80)] * 5, 30, 30),
+            ("hints that are too low do not cap", [(10, 80)] * 5, 10, 80),
+            ("no hint", [(0, 40)] * 5, 0, 40),
+            ("follows a change", [(0, 10)] * 20 + [(0, 90)] * 30, 0, 90),
+        )
+        for name, seen, hint, expected in cases:
+            with self.subTest(name):
+                estimator = CostEstimator()
+                for each, cost in seen:
+                    estimator.observe(1, 1, each, cost)
+                self.assertEqual(estimator.estimate(1, 1, hint), expected)
+
+    def test_unknown_workspace_gets_the_mean_of_the_group(self):
+        estimator = CostEstimator()
+        estimator.observe(1, 1, 0, 50)
+        self.assertEqual(estimator.estimate(2, 1, 500), 50)
+        self.assertEqual(estimator.estimate(2, 2, 500), 500)
+
+
+class TargetLimitTest(unittest.TestCase):
+    """Guards against a limit that overloads or starves a target."""
+
+    def test_limit_follows_reports(self):
+        cases = (
+            ("queued requests lower it", 10, 1, 0.1, 9),
+            ("full and fast raises it", 10, 0, 0.1, 11),
+            ("full and slow keeps it", 10, 0, 0.6, 10),
+            ("not full keeps it", 9, 0, 0.1, 10),
+        )
+        for name, running, waiting, first_token, expected in cases:
+            with self.subTest(name):
+                limit = TargetLimit(10, 12)
+                report = TargetReport(
+                    1, 1, running, waiting, time_to_first_token_s=first_token
+                )
+                limit.report(report, 1.0)
+                self.assertEqual(limit.limit, expected)
+
+    def test_limit_keeps_between_one_and_the_maximum(self):
+        limit = TargetLimit(10, 12)
+        for waiting, expected in ((0, 12), (1, 1)):
+            for step in range(50):
+                report = TargetReport(1, 1, limit.limit, waiting)
+                limit.report(report, float(step))
+            self.assertEqual(limit.limit, expected)
+
+    def test_part_of_a_scheduler(self):
+        cases = ((4, 4, 10), (2, 4, 5), (1, 4, 3), (0, 4, 0), (5, 4, 10))
+        for registered, listed, expected in cases:
+            with self.subTest(registered=registered):
+                allowed = TargetLimit(10).allowed(registered, listed)
+                self.assertEqual(allowed, expected)
+
+    def test_grants_of_a_lost_router_count_as_load_of_others(self):
+        limit = TargetLimit(10)
+        for _ in range(4):
+            limit.begin(0.0)
+        for step in range(12):
+            limit.report(TargetReport(1, 1, 4, 0), 1.0 + step)
+        self.assertEqual(limit.allowed(1, 10), 10)
+        for _ in range(4):
+            limit.abandon(14.0)
+        self.assertEqual(limit.allowed(1, 10), 6)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Guards against retries that multiply the load."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.budget = RetryBudget(self.clock, lambda: 1.0)
+
+    def _retries(self, workspace, target):
+        count = 0
+        while count < 100 and self.budget.allow(workspace, target):
+            count += 1
+        return count
+
+    def test_both_budgets_limit(self):
+        self.assertEqual(self._retries(1, 1), 10)
+        # A refused retry takes nothing from the other budget.
+        self.assertEqual(self._retries(2, 1), 0)
+        self.assertEqual(self._retries(1, 2), 0)
+        self.assertEqual(self._retries(2, 2), 10)
+
+    def test_budget_returns_with_time(self):
+        self._retries(1, 1)
+        self.clock.move_to(6)
+        self.assertEqual(self._retries(1, 1), 3)
+
+    def test_delay_doubles_up_to_a_limit(self):
+        delays = [self.budget.delay(attempt) for attempt in (1, 2, 3, 99)]
+        self.assertEqual(delays, [0.1, 0.2, 0.4, 2.0])
+        none = RetryBudget(self.clock, lambda: 0.0)
+        self.assertEqual(none.delay(5), 0.0)
+
+
+class DispatcherPartsTest(unittest.TestCase):
+    """Guards against messages that contradict what the router did."""
+
+    def test_overrun_of_an_unsent_reuse_is_part_of_it(self):
+        outbox = DemandOutbox()
+        outbox.reuse(ReusedSlot(1, 10, 5, 10))
+        outbox.reuse(ReusedSlot(1, 10, 6, 20))
+        outbox.overrun(1)
+        outbox.overrun(2)
+        message = outbox.take(1, 0.0)
+        self.assertEqual([each.charged for each in message.reused], [10, 40])
+        self.assertEqual(message.overruns, [2])
+        self.assertEqual(outbox.events, 0)
+
+    def test_answers_older_than_the_registration_do_not_count(self):
+        clock = ManualClock(5.0)
+        echoes = EchoTracker(clock)
+        earlier, registered = echoes.send(), echoes.register()
+        self.assertLess(earlier, registered)
+        self.assertFalse(echoes.hear(earlier))
+        self.assertEqual(echoes.fresh_until, 0.0)
+        clock.move_to(6.0)
+        self.assertEqual(echoes.silent_for(), 1.0)
+        self.assertTrue(echoes.hear(registered))
+        clock.move_to(9.0)
+        self.assertEqual(echoes.silent_for(), 0.0)
+
+    def test_slot_is_reused_only_on_fresh_and_fair_terms(self):
+        snapshot = make_snapshot({"a": 1, "b": 1})
+        a, target = identifier("a"), identifier("t0")
+        cases = (
+            ("at the floor", 0.1, 0, 100, {}, True),
+            ("too old", 0.3, 0, 100, {}, False),
+            ("one estimate above", 0.1, 10, 100, {}, True),
+            ("more than one estimate above", 0.1, 11, 100, {}, False),
+            ("forbidden", 0.1, 0, -1, {}, False),
+            ("exclusive", 0.1, 0, 100, {"exclusive": True}, False),
+            (
+                "excluded",
+                0.1,
+                0,
+                100,
+                {"excluded_targets": frozenset([target])},
+                False,
+            ),
+        )
+        for name, age, lag, floor, options, expected in cases:
+            with self.subTest(name):
+                clock = ManualClock()
+                view = ServiceView(clock, lambda: snapshot)
+                view.update_groups([GroupStatus(GROUP, floor, 0)])
+                grant = Grant(1, 1, target, 10, lag * 1000)
+                view.update_workspace(a, GROUP, grant)
+                clock.move_to(age)
+                table = WaitingTable()
+                plain = Fleet.request(None, "a", 10)
+                request = Fleet.request(None, "a", 10, **options)
+                waiting = WaitingRequest(2, request, print, print)
+                table.add(waiting)
+                slot = GrantedSlot(
+                    None,
+                    clock,
+                    WaitingRequest(1, plain, print, print),
+                    1,
+                    target,
+                    10,
+                    9.0,
+                )
+                chosen = view.choose(slot, table, lambda each: 10)
+                self.assertEqual(chosen is waiting, expected)
+
+    def test_limit_of_waiting_entries_holds_over_all_routers(self):
+        fleet = Fleet(make_snapshot({"a": 1}, 1, 1, max_waiting=5))
+        fleet.ask("r0", "a", 500)
+        fleet.run(0.1)
+        for router in ("r0", "r1"):
+            for _ in range(4):
+                fleet.ask(router, "a", 10)
+        fleet.run(0.1)
+        reasons = [error.reason for _, error in fleet.refusals]
+        self.assertEqual(reasons, [RefusalReason.QUEUE_FULL] * 3)
+
+    def test_paced_messages_are_coalesced(self):
+        class Pacing:
+            ready = 0.0
+
+            def allows(self, size, now):
+                if now < self.ready - 1e-9:
+                    return self.ready - now
+                self.ready = now + 0.2
+                return 0.0
+
+        fleet = Fleet(make_snapshot({"a": 1}, 1, 4), 1, pacing=Pacing())
+        for _ in range(200):
+            fleet.ask("r0", "a", 5)
+            fleet.run(0.01)
+        # One message each 0.2 s, the first at once, and the registration.
+        self.assertLessEqual(fleet.messages, 2 / 0.2 + 2)
+        fleet.run(8)
+        self.assertEqual(fleet.served["a"], 1000)
+        self.assertAlmostEqual(fleet.charged()["a"], 1000)
+
+    def test_charges_survive_a_new_registration(self):
+        fleet = Fleet(make_snapshot({"a": 1}, 1, 2), 1)
+        for _ in range(20):
+            fleet.ask("r0", "a", 50)
+        # The second registration crosses the first grants.
+        fleet.run(0.0015)
+        fleet.connect("r0", "s")
+        fleet.run(5)
+        self.assertEqual(fleet.served["a"], 1000)
+        self.assertAlmostEqual(fleet.charged()["a"], 1000)
+
+
+class AcquireTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against slots that leak when a wait ends in another way."""
+
+    async def test_outcomes(self):
+        fleet = Fleet(make_snapshot({"a": 1}, 1, 1), 1)
+        dispatcher = fleet.dispatchers["r0"]
+        request = fleet.request("a", 10)
+
+        async def start():
+            task = asyncio.ensure_future(dispatcher.acquire(request))
+            await asyncio.sleep(0)
+            fleet.run(0.1)
+            return task
+
+        slot = await (await start())
+        self.assertTrue(slot.is_valid())
+        waiting = await start()
+        waiting.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await waiting
+        self.assertEqual(dispatcher.waiting, 0)
+        slot.finish(10, SlotOutcome.SERVED)
+        fleet.run(0.1)
+        granted = await start()
+        granted.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await granted
+        self.assertEqual(dispatcher.in_flight, 0)
+        fleet.run(0.1)
+        # The process stops between the grant and the next step of the task.
+        late = await start()
+        fleet.clock.move_to(fleet.clock.monotonic() + 3)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertFalse(late.done())
+        fleet.run(0.1)
+        self.assertTrue((await late).is_valid())
+        with self.assertRaises(RefusalError):
+            unknown = fleet.request("a", 1)
+            fleet.snapshot.groups.clear()
+            await dispatcher.acquire(unknown)
