Add scenarios, gap computation and baselines

Cause: fairness and utilisation need figures on fixed arrivals before the scheduler can be judged.

Change: `python -m measurements.main` runs eight scenarios on seeds 1 to 3 with fake targets on a manual clock and prints one JSON object a line. The gap is exact: service is linear between events, so a pair's difference is extreme at an event of one of the two, and its range over their common backlog is the largest gap. Policies: oracle, local_fair and fifo. Tokens and slot-seconds are separate quantities, so each kind has its own gap and bound. `--scale` is accepted and has no effect yet.

--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Fairness, utilisation and control traffic of the decision classes."""
--- /dev/null
+++ b/measurements/_results.py
@@ -0,0 +1,97 @@
+"""Figures of one run and the comparison with the oracle."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from measurements._scenarios import Scenario
+from measurements._world import World
+
+# SWIM is not driven here; 4 messages of 95 bytes a second (section 4), rounded
+# up.
+MEMBERSHIP_BYTES_PER_ROUTER_S = 400
+_LARGEST_GAP_RATIO = 1.25
+_LEAST_UTILISATION_RATIO = 0.98
+_LEAST_UTILISATION_RATIO_FAULT = 0.95
+_LARGEST_CONTROL_BYTES = 3000
+
+
+def result_line(
+    world: World, seed: int, control: Iterable[int]
+) -> dict[str, Any]:
+    """Returns the figures of a run.
+
+    Args:
+        world: The run.
+        seed: Seed of the arrivals.
+        control: Control bytes of each router.
+    """
+    scenario = world.scenario
+    rates = [count / world.now for count in control] or [0.0]
+    mean = sum(rates) / scenario.routers
+    line: dict[str, Any] = {
+        "scenario": scenario.name,
+        "routers": scenario.routers,
+        "seed": seed,
+        "policy": world.policy.name,
+    }
+    for index, pool in enumerate(scenario.pools):
+        # Slot-seconds are printed for services, which count slot-milliseconds.
+        unit = 1.0 if pool.kind == "engine" else 1000.0
+        suffix = "" if index == 0 else "_services"
+        worst = world.worst_gap(pool)
+        line["fairness_gap" + suffix] = round(worst.gap / unit, 2)
+        line["gap_bound" + suffix] = round(scenario.gap_bound(pool) / unit, 2)
+    line |= {
+        "utilisation": round(world.utilisation.utilisation, 4),
+        "control_bytes_per_router_s": round(mean),
+        "control_bytes_largest_router_s": round(max(rates)),
+        "membership_bytes_per_router_s": MEMBERSHIP_BYTES_PER_ROUTER_S,
+        "starvation_window_s": round(scenario.starvation_window, 1),
+        "starved_workspaces": len(world.starvation.starved),
+        "lost": world.lost,
+        "doubled": world.doubled,
+    }
+    return line
+
+
+def summary_line(
+    scenario: Scenario, lines: Mapping[str, Mapping[str, Any]]
+) -> dict[str, Any]:
+    """Compares the lines of one scenario and seed, given by policy."""
+    own, oracle = lines["crowwinch"], lines["oracle"]
+    suffixes = ["", "_services"][: len(scenario.pools)]
+    ratios = [
+        own["fairness_gap" + suffix] / oracle["fairness_gap" + suffix]
+        for suffix in suffixes
+    ]
+    utilisation = own["utilisation"] / oracle["utilisation"]
+    faulty = bool(scenario.faults)
+    checks = {
+        "gap": all(
+            own["fairness_gap" + suffix] <= own["gap_bound" + suffix]
+            for suffix in suffixes
+        )
+        if faulty
+        else max(ratios) <= _LARGEST_GAP_RATIO,
+        "utilisation": utilisation
+        >= (
+            _LEAST_UTILISATION_RATIO_FAULT
+            if faulty
+            else _LEAST_UTILISATION_RATIO
+        ),
+        "control": own["control_bytes_per_router_s"]
+        + MEMBERSHIP_BYTES_PER_ROUTER_S
+        <= _LARGEST_CONTROL_BYTES,
+        "starved": own["starved_workspaces"] == 0,
+        "lost": own["lost"] == 0,
+        "doubled": own["doubled"] == 0,
+    }
+    return {
+        "summary": scenario.name,
+        "seed": own["seed"],
+        "gap_ratio_to_oracle": round(max(ratios), 3),
+        "gap_ratios": [round(ratio, 3) for ratio in ratios],
+        "utilisation_ratio_to_oracle": round(utilisation, 4),
+        "meets_targets": all(checks.values()),
+        "missed": [name for name, met in checks.items() if not met],
+    }
--- /dev/null
+++ b/measurements/_scenarios.py
@@ -0,0 +1,307 @@
+"""Scenarios: sizes, workspaces, faults and arrivals with fixed seeds."""
+
+import math
+import random
+from dataclasses import dataclass
+
+from crowwinch.configuration import Snapshot
+from crowwinch.coordination import identifier
+from crowwinch.generated.documents import Group, Target, Workspace
+
+REGION = "region-1"
+# One-way latency between availability zones in seconds (section 1.5).
+LATENCY = 0.0005
+# Five messages a second in each direction (section 4).
+PACING_PERIOD = 0.2
+# Section 4.4.
+SCHEDULER_TIMEOUT = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault of one kind between two times in seconds.
+
+    Attributes:
+        kind: partition, router (restart), scheduler (killed) or target.
+        number: Index of the router or target, where it applies.
+    """
+
+    kind: str
+    start: float
+    end: float
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """A group of equal targets.
+
+    Attributes:
+        rate: Service units that one slot produces per second.
+        median, sigma, largest: Costs in service units (log-normal, capped).
+        load: Offered load during the burst, as a multiple of the capacity.
+    """
+
+    name: str
+    kind: str
+    targets: int
+    slots: int
+    rate: float
+    median: float
+    sigma: float
+    largest: int
+    load: float
+    region: str = REGION
+
+    @property
+    def slots_total(self) -> int:
+        """Slots of all targets."""
+        return self.targets * self.slots
+
+    @property
+    def mean(self) -> float:
+        """Mean cost, without the cap."""
+        return self.median * math.exp(self.sigma**2 / 2)
+
+    @property
+    def requests_per_second(self) -> float:
+        """Requests per second that the targets complete."""
+        return self.slots_total * self.rate / self.mean
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """What is measured.
+
+    Attributes:
+        weights: Weight of each workspace by name.
+        demand: Part of the offered load of each workspace, by name.
+        hint_error: Largest factor by which a hint is off, in both directions.
+        flood: Workspace that sends 1,000 times its share for 3 s, or "".
+    """
+
+    name: str
+    routers: int
+    pools: tuple[Pool, ...]
+    weights: dict[str, float]
+    demand: dict[str, float]
+    faults: tuple[Fault, ...] = ()
+    hint_error: float = 1.3
+    flood: str = ""
+    burst_start: float = 5.0
+    burst_end: float = 35.0
+    base_load: float = 0.3
+    end: float = 80.0
+
+    @property
+    def longest_run(self) -> float:
+        """Seconds that the largest request takes."""
+        return max(pool.largest / pool.rate for pool in self.pools)
+
+    @property
+    def starvation_window(self) -> float:
+        """Seconds of waiting without service that count as starvation.
+
+        In this time the fair share of the smallest workspace amounts to twice
+        its largest request, with all workspaces backlogged.
+        """
+        part = min(self.weights.values()) / sum(self.weights.values())
+        return max(
+            2 * pool.largest / (pool.slots_total * pool.rate * part)
+            for pool in self.pools
+        )
+
+    def gap_bound(self, pool: Pool) -> float:
+        """Returns the bound of section 5 of the design page, per weight.
+
+        C is k_max x E with k_max = S, as no workspace has a limit, and E the
+        largest cost. Slack is one largest request. D is one pacing period and
+        the way to the scheduler. Without a scheduler P is the time-out.
+        """
+        smallest = sorted(self.weights.values())[:2]
+        inverse = sum(1 / weight for weight in smallest)
+        slots = pool.slots_total
+        largest = slots * pool.largest * inverse
+        slack = pool.largest / smallest[0]
+        part, length = 0, 0.0
+        for fault in self.faults:
+            if fault.kind == "partition":
+                part, length = 1, fault.end - fault.start
+            elif fault.kind == "scheduler":
+                length = SCHEDULER_TIMEOUT
+            elif fault.kind == "router":
+                length = fault.end - fault.start
+        stale = PACING_PERIOD + LATENCY + length
+        return (1 + part) * (
+            2 * largest + slack
+        ) + slots * pool.rate * stale * inverse
+
+    def snapshot(self) -> Snapshot:
+        """Returns the configuration in force."""
+        groups = [
+            Group(
+                name=pool.name,
+                kind=pool.kind,
+                region=pool.region,
+                model=f"model-{pool.name}" if pool.kind == "engine" else "",
+                targets=[
+                    Target(
+                        name=f"{pool.name}-{index}",
+                        url="http://127.0.0.1:1",
+                        slots=pool.slots,
+                        max_slots=pool.slots,
+                    )
+                    for index in range(pool.targets)
+                ],
+            )
+            for pool in self.pools
+        ]
+        workspaces = [
+            Workspace(name=name, weight=weight, key_hashes=[])
+            for name, weight in self.weights.items()
+        ]
+        return Snapshot.build(1, "0" * 64, workspaces, groups)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One arrival. Cost is known to the target only."""
+
+    number: int
+    time: float
+    router: int
+    workspace: int
+    group: int
+    cost: int
+    hint: int
+    idempotent: bool
+
+
+def arrivals(scenario: Scenario, seed: int) -> list[Request]:
+    """Returns the arrivals of a scenario, in order of time."""
+    source = random.Random(f"{scenario.name}/{scenario.routers}/{seed}")
+    homes = {
+        name: source.sample(
+            range(scenario.routers), min(scenario.routers, 1 + index % 3)
+        )
+        for index, name in enumerate(scenario.weights)
+    }
+    drafts: list[tuple[float, str, Pool]] = []
+    for index, pool in enumerate(scenario.pools):
+        total = sum(
+            share
+            for number, share in enumerate(scenario.demand.values())
+            if _uses(scenario, number, index)
+        )
+        for number, (name, share) in enumerate(scenario.demand.items()):
+            if _uses(scenario, number, index):
+                rate = pool.requests_per_second * share / total
+                drafts += _times(scenario, source, pool, name, rate)
+    drafts.sort(key=lambda draft: draft[0])
+    return [
+        _request(scenario, source, number, draft, homes)
+        for number, draft in enumerate(drafts, 1)
+    ]
+
+
+def _uses(scenario: Scenario, workspace: int, pool: int) -> bool:
+    regions = sorted({each.region for each in scenario.pools})
+    if len(regions) == 1:
+        return True
+    return workspace % len(scenario.pools) == pool
+
+
+def _times(
+    scenario: Scenario,
+    source: random.Random,
+    pool: Pool,
+    name: str,
+    rate: float,
+) -> list[tuple[float, str, Pool]]:
+    phases = [
+        (0.0, scenario.burst_start, rate * scenario.base_load),
+        (scenario.burst_start, scenario.burst_end, rate * pool.load),
+    ]
+    if name == scenario.flood and pool is scenario.pools[0]:
+        weight = scenario.weights[name] / sum(scenario.weights.values())
+        flood_rate = 1000 * weight * pool.requests_per_second
+        start = scenario.burst_start + 5.0
+        phases.append((start, start + 3.0, flood_rate))
+    drafts = []
+    for start, end, intensity in phases:
+        now = start + source.expovariate(intensity)
+        while now < end:
+            drafts.append((now, name, pool))
+            now += source.expovariate(intensity)
+    return drafts
+
+
+def _request(
+    scenario: Scenario,
+    source: random.Random,
+    number: int,
+    draft: tuple[float, str, Pool],
+    homes: dict[str, list[int]],
+) -> Request:
+    time, name, pool = draft
+    cost = round(source.lognormvariate(math.log(pool.median), pool.sigma))
+    cost = min(max(cost, 1), pool.largest)
+    error = math.log(scenario.hint_error)
+    hint = max(1, round(cost * math.exp(source.uniform(-error, error))))
+    idempotent = pool.kind == "engine" or source.random() < 0.8
+    return Request(
+        number,
+        time,
+        source.choice(homes[name]),
+        identifier(name),
+        identifier(pool.name),
+        cost,
+        hint,
+        idempotent,
+    )
+
+
+def _engines(name: str, targets: int) -> Pool:
+    return Pool(name, "engine", targets, 8, 50.0, 300.0, 0.8, 2000, 1.8)
+
+
+def _services(name: str, targets: int) -> Pool:
+    return Pool(name, "service", targets, 4, 1000.0, 1000.0, 0.6, 5000, 1.5)
+
+
+def _workspaces(prefix: str) -> tuple[dict[str, float], dict[str, float]]:
+    """Three large workspaces of 15; the large ones ask for even more."""
+    names = [f"{prefix}-{index}" for index in range(15)]
+    weights = {
+        name: 4.0 if index < 3 else 1.0 for index, name in enumerate(names)
+    }
+    demand = {
+        name: 8.0 if index < 3 else 1.0 for index, name in enumerate(names)
+    }
+    return weights, demand
+
+
+def _trentside(name: str, **changes: object) -> Scenario:
+    weights, demand = _workspaces("camp")
+    pools = (_engines("menus", 10), _services("bookings", 3))
+    return Scenario(name, 8, pools, weights, demand, **changes)  # type: ignore
+
+
+def _exchange(name: str) -> Scenario:
+    weights, demand = _workspaces("depot")
+    pools = (_engines("triage", 6), _services("lodgement", 4))
+    return Scenario(name, 8, pools, weights, demand, burst_end=40.0)
+
+
+def scenarios() -> list[Scenario]:
+    """Returns the scenarios of `make measure`."""
+    return [
+        _trentside("trentside_burst"),
+        _exchange("exchange_morning_storm"),
+        _trentside("flood", flood="camp-7"),
+        _trentside("partition", faults=(Fault("partition", 15.0, 27.0),)),
+        _trentside("scheduler_lost", faults=(Fault("scheduler", 15.0, 81.0),)),
+        _trentside("router_restart", faults=(Fault("router", 15.0, 17.0, 2),)),
+        _trentside("target_crash", faults=(Fault("target", 15.0, 25.0, 4),)),
+        _trentside("late_cost", hint_error=10.0),
+    ]
--- /dev/null
+++ b/measurements/main.py
@@ -0,0 +1,58 @@
+"""Prints the figures of every scenario, one JSON object a line."""
+
+import argparse
+import json
+import sys
+from collections.abc import Callable, Sequence
+
+from measurements._baselines import Fifo, LocalFair, Oracle
+from measurements._results import result_line, summary_line
+from measurements._scenarios import Scenario, arrivals, scenarios
+from measurements._world import Policy, World
+
+SEEDS = (1, 2, 3)
+POLICIES: tuple[Callable[[], Policy], ...] = (Oracle, LocalFair, Fifo)
+
+
+def measure(scenario: Scenario, seed: int) -> list[dict]:
+    """Runs every policy on the same arrivals.
+
+    Returns:
+        One line for each policy and a summary.
+    """
+    requests = arrivals(scenario, seed)
+    lines = []
+    for create in POLICIES:
+        policy = create()
+        world = World(scenario, requests, policy)
+        world.run()
+        control = getattr(policy, "control_bytes", [])
+        lines.append(result_line(world, seed, control))
+    by_policy = {line["policy"]: line for line in lines}
+    if "crowwinch" in by_policy:
+        lines.append(summary_line(scenario, by_policy))
+    return lines
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs the command line.
+
+    Returns:
+        The exit code, 0 also when a target is missed; the lines tell.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--scale", action="store_true")
+    parser.add_argument("--scenario", help="only this scenario")
+    parser.add_argument("--seed", type=int, help="only this seed")
+    options = parser.parse_args(arguments)
+    for scenario in scenarios():
+        if options.scenario not in (None, scenario.name):
+            continue
+        for seed in SEEDS if options.seed is None else (options.seed,):
+            for line in measure(scenario, seed):
+                print(json.dumps(line), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
