Drive the domain scheduler and the dispatchers

Cause: the figures of the baselines say nothing about the fleet's own classes.

Control bytes are counted during the burst, when they are highest.

--- a/measurements/_results.py
+++ b/measurements/_results.py
@@ -1,5 +1,6 @@
 """Figures of one run and the comparison with the oracle."""
 
+import sys
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -23,10 +24,11 @@
     Args:
         world: The run.
         seed: Seed of the arrivals.
-        control: Control bytes of each router.
+        control: Control bytes of each router during the burst.
     """
     scenario = world.scenario
-    rates = [count / world.now for count in control] or [0.0]
+    seconds = scenario.burst_end - scenario.burst_start
+    rates = [count / seconds for count in control] or [0.0]
     mean = sum(rates) / scenario.routers
     line: dict[str, Any] = {
         "scenario": scenario.name,
@@ -54,6 +56,13 @@
     return line
 
 
+def _ratio(value: float, reference: float) -> float:
+    # Without a pair of backlogged workspaces both gaps are 0.
+    if value == reference:
+        return 1.0
+    return value / reference if reference else sys.float_info.max
+
+
 def summary_line(
     scenario: Scenario, lines: Mapping[str, Mapping[str, Any]]
 ) -> dict[str, Any]:
@@ -61,7 +70,7 @@
     own, oracle = lines["crowwinch"], lines["oracle"]
     suffixes = ["", "_services"][: len(scenario.pools)]
     ratios = [
-        own["fairness_gap" + suffix] / oracle["fairness_gap" + suffix]
+        _ratio(own["fairness_gap" + suffix], oracle["fairness_gap" + suffix])
         for suffix in suffixes
     ]
     utilisation = own["utilisation"] / oracle["utilisation"]
--- a/measurements/_scenarios.py
+++ b/measurements/_scenarios.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from crowwinch.configuration import Snapshot
-from crowwinch.coordination import identifier
+from crowwinch.coordination import identifier, owner
 from crowwinch.generated.documents import Group, Target, Workspace
 
 REGION = "region-1"
@@ -17,6 +17,17 @@
 SCHEDULER_TIMEOUT = 1.0
 
 
+def router_name(index: int) -> str:
+    """Returns the name of a router."""
+    return f"router-{index}"
+
+
+def scheduler_index(routers: int) -> int:
+    """Returns the router that hosts the scheduler of a single region."""
+    names = [router_name(index) for index in range(routers)]
+    return names.index(owner(REGION, names) or names[0])
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """A fault of one kind between two times in seconds.
@@ -78,6 +89,7 @@
         demand: Part of the offered load of each workspace, by name.
         hint_error: Largest factor by which a hint is off, in both directions.
         flood: Workspace that sends 1,000 times its share for 3 s, or "".
+        one_pool_each: Whether a workspace uses one pool instead of all.
     """
 
     name: str
@@ -88,11 +100,25 @@
     faults: tuple[Fault, ...] = ()
     hint_error: float = 1.3
     flood: str = ""
+    one_pool_each: bool = False
     burst_start: float = 5.0
     burst_end: float = 35.0
     base_load: float = 0.3
     end: float = 80.0
 
+    @property
+    def regions(self) -> list[str]:
+        """The regions of the targets."""
+        return sorted({pool.region for pool in self.pools})
+
+    def region_of(self, router: int) -> str:
+        """Returns the region of a router."""
+        return self.regions[router % len(self.regions)]
+
+    def routers_of(self, region: str) -> list[int]:
+        """Returns the routers of a region."""
+        return [n for n in range(self.routers) if self.region_of(n) == region]
+
     @property
     def longest_run(self) -> float:
         """Seconds that the largest request takes."""
@@ -180,23 +206,23 @@
 def arrivals(scenario: Scenario, seed: int) -> list[Request]:
     """Returns the arrivals of a scenario, in order of time."""
     source = random.Random(f"{scenario.name}/{scenario.routers}/{seed}")
-    homes = {
-        name: source.sample(
-            range(scenario.routers), min(scenario.routers, 1 + index % 3)
-        )
-        for index, name in enumerate(scenario.weights)
-    }
     drafts: list[tuple[float, str, Pool]] = []
+    homes: dict[str, list[int]] = {}
     for index, pool in enumerate(scenario.pools):
-        total = sum(
-            share
-            for number, share in enumerate(scenario.demand.values())
-            if _uses(scenario, number, index)
-        )
-        for number, (name, share) in enumerate(scenario.demand.items()):
-            if _uses(scenario, number, index):
-                rate = pool.requests_per_second * share / total
-                drafts += _times(scenario, source, pool, name, rate)
+        users = [
+            name
+            for number, name in enumerate(scenario.weights)
+            if not scenario.one_pool_each
+            or number % len(scenario.pools) == index
+        ]
+        routers = scenario.routers_of(pool.region)
+        total = sum(scenario.demand[name] for name in users)
+        for number, name in enumerate(users):
+            if name not in homes:
+                count = min(len(routers), 1 + number % 3)
+                homes[name] = source.sample(routers, count)
+            rate = pool.requests_per_second * scenario.demand[name] / total
+            drafts += _times(scenario, source, pool, name, rate)
     drafts.sort(key=lambda draft: draft[0])
     return [
         _request(scenario, source, number, draft, homes)
@@ -204,13 +230,6 @@
     ]
 
 
-def _uses(scenario: Scenario, workspace: int, pool: int) -> bool:
-    regions = sorted({each.region for each in scenario.pools})
-    if len(regions) == 1:
-        return True
-    return workspace % len(scenario.pools) == pool
-
-
 def _times(
     scenario: Scenario,
     source: random.Random,
@@ -295,13 +314,65 @@
 
 def scenarios() -> list[Scenario]:
     """Returns the scenarios of `make measure`."""
+    scheduler = scheduler_index(8)
+    other = (scheduler + 2) % 8
     return [
         _trentside("trentside_burst"),
         _exchange("exchange_morning_storm"),
         _trentside("flood", flood="camp-7"),
         _trentside("partition", faults=(Fault("partition", 15.0, 27.0),)),
-        _trentside("scheduler_lost", faults=(Fault("scheduler", 15.0, 81.0),)),
-        _trentside("router_restart", faults=(Fault("router", 15.0, 17.0, 2),)),
+        _trentside(
+            "scheduler_lost",
+            faults=(Fault("scheduler", 15.0, 200.0, scheduler),),
+        ),
+        _trentside(
+            "router_restart", faults=(Fault("router", 15.0, 17.0, other),)
+        ),
         _trentside("target_crash", faults=(Fault("target", 15.0, 25.0, 4),)),
         _trentside("late_cost", hint_error=10.0),
     ]
+
+
+def scale(routers: int) -> Scenario:
+    """Returns a part of the two-year plan in proportion to its routers.
+
+    Regions are whole, at least one, so that the routers of a domain are as
+    many as planned. A tenth of the workspaces ask for most of the load, which
+    is 5% above the capacity, and therefore stay backlogged.
+    """
+    part = routers / 340
+    regions = max(1, round(8 * part))
+    groups = regions * 20
+    targets = max(1, round(3000 * part / groups))
+    mean = 1_100_000 / 2800
+    slot_rate = 2800 * part * mean / 1.05 / (groups * targets * 8)
+    pools = tuple(
+        Pool(
+            f"model-{index % 20}-{index // 20}",
+            "engine",
+            targets,
+            8,
+            slot_rate,
+            mean / math.exp(0.32),
+            0.8,
+            2000,
+            1.05,
+            f"region-{index // 20}",
+        )
+        for index in range(groups)
+    )
+    names = [f"workspace-{index}" for index in range(round(10_000 * part))]
+    demand = {
+        name: 15.0 if index // groups % 10 == 0 else 1.0
+        for index, name in enumerate(names)
+    }
+    return Scenario(
+        "scale",
+        routers,
+        pools,
+        dict.fromkeys(names, 1.0),
+        demand,
+        one_pool_each=True,
+        burst_end=25.0,
+        end=25.0,
+    )
--- a/measurements/_world.py
+++ b/measurements/_world.py
@@ -23,7 +23,7 @@
 from measurements._targets import Attempt, FakeTarget
 
 # A streaming target reports what it served at this interval.
-_PROGRESS_PERIOD = 0.25
+_PROGRESS_PERIOD = 0.5
 # A caller whose connection broke sends its request again after this time.
 _REPEAT_DELAY = 0.1
 
@@ -95,6 +95,14 @@
         self._not_started: dict[int, Request] = {}
         self._tasks: dict[asyncio.Task[None], tuple[Request, int]] = {}
         self.targets = self._make_targets()
+        self._targets_by_region = {
+            region: [
+                target
+                for target in self.targets.values()
+                if self.snapshot.groups[target.group].region == region
+            ]
+            for region in scenario.regions
+        }
 
     @property
     def now(self) -> float:
@@ -120,6 +128,10 @@
             for request in self._requests
         )
 
+    def targets_of(self, region: str) -> list[FakeTarget]:
+        """Returns the targets of a region."""
+        return self._targets_by_region[region]
+
     def worst_gap(self, pool: Pool) -> WorstGap:
         """Returns the largest gap in the service of a pool."""
         return self.gap.worst(identifier(pool.name))
@@ -209,7 +221,7 @@
         def change(active: bool) -> None:
             if fault.kind == "target":
                 list(self.targets.values())[fault.number].set_alive(not active)
-            elif fault.kind == "router":
+            elif fault.kind in ("router", "scheduler"):
                 if active:
                     self.stop_router(fault.number)
                 else:
--- a/measurements/main.py
+++ b/measurements/main.py
@@ -6,12 +6,18 @@
 from collections.abc import Callable, Sequence
 
 from measurements._baselines import Fifo, LocalFair, Oracle
+from measurements._fleet import Crowwinch
 from measurements._results import result_line, summary_line
 from measurements._scenarios import Scenario, arrivals, scenarios
 from measurements._world import Policy, World
 
 SEEDS = (1, 2, 3)
-POLICIES: tuple[Callable[[], Policy], ...] = (Oracle, LocalFair, Fifo)
+POLICIES: tuple[Callable[[], Policy], ...] = (
+    Crowwinch,
+    Oracle,
+    LocalFair,
+    Fifo,
+)
 
 
 def measure(scenario: Scenario, seed: int) -> list[dict]:
