--- a/crowwinch/scheduling/__init__.py
+++ b/crowwinch/scheduling/__init__.py
@@ -4,7 +4,6 @@
 from crowwinch.scheduling._domain_scheduler import DomainScheduler
 from crowwinch.scheduling._estimates import CostEstimator
 from crowwinch.scheduling._fair_queue import Entry, FairQueue
-from crowwinch.scheduling._first_free import FirstFreeDispatcher
 from crowwinch.scheduling._interfaces import (
     Dispatcher,
     RequestClass,
@@ -13,6 +12,8 @@
     SlotRequest,
 )
 from crowwinch.scheduling._pacing import Pacing, UnlimitedPacing
+from crowwinch.scheduling._retry_budget import RetryBudget
+from crowwinch.scheduling._service import SchedulingMessage, SchedulingService
 from crowwinch.scheduling._slots import GRANT_LIFETIME_S, WaitingRequest
 from crowwinch.scheduling._target_limits import TargetLimit, TargetReport
 
@@ -23,10 +24,12 @@
     "DomainScheduler",
     "Entry",
     "FairQueue",
-    "FirstFreeDispatcher",
     "Pacing",
     "RequestClass",
+    "RetryBudget",
     "RouterDispatcher",
+    "SchedulingMessage",
+    "SchedulingService",
     "Slot",
     "SlotOutcome",
     "SlotRequest",
