--- a/measurements/_meters.py
+++ b/measurements/_meters.py
@@ -51,6 +51,23 @@
         """Returns the largest gap seen in a pool so far."""
         return self._worst[pool]
 
+    def restart(self, now: float) -> dict[int, WorstGap]:
+        """Measures anew from a time on.
+
+        Returns:
+            The largest gaps up to then, by pool.
+        """
+        self.finish(now)
+        before = dict(self._worst)
+        self._worst.clear()
+        for pool, spans in self._spans.items():
+            for others in spans.values():
+                for span in others.values():
+                    span[:] = (math.inf, -math.inf)
+            for workspace in spans:
+                self._extend(now, pool, workspace)
+        return before
+
     def change_rate(
         self, now: float, pool: int, workspace: int, change: float
     ) -> None:
--- a/measurements/_results.py
+++ b/measurements/_results.py
@@ -44,6 +44,9 @@
         worst = world.worst_gap(pool)
         line["fairness_gap" + suffix] = round(worst.gap / unit, 2)
         line["gap_bound" + suffix] = round(scenario.gap_bound(pool) / unit, 2)
+        if scenario.recovery is not None:
+            after = world.gap_after_fault(pool).gap
+            line["gap_after_fault" + suffix] = round(after / unit, 2)
     line |= {
         "utilisation": round(world.utilisation.utilisation, 4),
         "control_bytes_per_router_s": round(mean),
@@ -70,10 +73,14 @@
     """Compares the lines of one scenario and seed, given by policy."""
     own, oracle = lines["crowwinch"], lines["oracle"]
     suffixes = ["", "_services"][: len(scenario.pools)]
-    ratios = [
-        _ratio(own["fairness_gap" + suffix], oracle["fairness_gap" + suffix])
-        for suffix in suffixes
-    ]
+
+    def gap_ratios(field: str) -> list[float]:
+        return [
+            round(_ratio(own[field + suffix], oracle[field + suffix]), 3)
+            for suffix in suffixes
+        ]
+
+    ratios = gap_ratios("fairness_gap")
     utilisation = own["utilisation"] / oracle["utilisation"]
     faulty = bool(scenario.faults)
     checks = {
@@ -96,11 +103,16 @@
         "lost": own["lost"] == 0,
         "doubled": own["doubled"] == 0,
     }
+    recovered = {}
+    if faulty:
+        after = gap_ratios("gap_after_fault")
+        recovered["gap_ratios_after_fault"] = after
     return {
         "summary": scenario.name,
         "seed": own["seed"],
-        "gap_ratio_to_oracle": round(max(ratios), 3),
-        "gap_ratios": [round(ratio, 3) for ratio in ratios],
+        "gap_ratio_to_oracle": max(ratios),
+        "gap_ratios": ratios,
+        **recovered,
         "utilisation_ratio_to_oracle": round(utilisation, 4),
         "meets_targets": all(checks.values()),
         "missed": [name for name, met in checks.items() if not met],
--- a/measurements/_scenarios.py
+++ b/measurements/_scenarios.py
@@ -1,11 +1,10 @@
-"""Scenarios: sizes, workspaces, faults and arrivals with fixed seeds."""
+"""Scenarios: sizes, workspaces and faults."""
 
 import math
-import random
 from dataclasses import dataclass
 
 from crowwinch.configuration import Snapshot
-from crowwinch.coordination import identifier, owner
+from crowwinch.coordination import owner
 from crowwinch.generated.documents import Group, Target, Workspace
 
 REGION = "region-1"
@@ -13,6 +12,8 @@
 LATENCY = 0.0005
 # Five messages a second in each direction (section 4).
 PACING_PERIOD = 0.2
+# Section 1.6.
+RECOVERY_SECONDS = 5.0
 # Section 4.4.
 SCHEDULER_TIMEOUT = 1.0
 
@@ -121,6 +122,21 @@
         """Returns the routers of a region."""
         return [n for n in range(self.routers) if self.region_of(n) == region]
 
+    @property
+    def recovery(self) -> float | None:
+        """Time at which the gap has to be small again, None without faults.
+
+        The fault of a lost scheduler ends with the time-out, as its router
+        does not come back.
+        """
+        ends = [
+            fault.start + SCHEDULER_TIMEOUT
+            if fault.kind == "scheduler"
+            else fault.end
+            for fault in self.faults
+        ]
+        return max(ends) + RECOVERY_SECONDS if ends else None
+
     @property
     def longest_run(self) -> float:
         """Seconds that the largest request takes."""
@@ -191,97 +207,6 @@
         return Snapshot.build(1, "0" * 64, workspaces, groups)
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
-    """One arrival. Cost is known to the target only."""
-
-    number: int
-    time: float
-    router: int
-    workspace: int
-    group: int
-    cost: int
-    hint: int
-    idempotent: bool
-
-
-def arrivals(scenario: Scenario, seed: int) -> list[Request]:
-    """Returns the arrivals of a scenario, in order of time."""
-    source = random.Random(f"{scenario.name}/{scenario.routers}/{seed}")
-    drafts: list[tuple[float, str, Pool]] = []
-    homes: dict[str, list[int]] = {}
-    for index, pool in enumerate(scenario.pools):
-        users = [
-            name
-            for number, name in enumerate(scenario.weights)
-            if not scenario.one_pool_each
-            or number % len(scenario.pools) == index
-        ]
-        routers = scenario.routers_of(pool.region)
-        total = sum(scenario.demand[name] for name in users)
-        for number, name in enumerate(users):
-            if name not in homes:
-                count = min(len(routers), 1 + number % 3)
-                homes[name] = source.sample(routers, count)
-            rate = pool.requests_per_second * scenario.demand[name] / total
-            drafts += _times(scenario, source, pool, name, rate)
-    drafts.sort(key=lambda draft: draft[0])
-    return [
-        _request(scenario, source, number, draft, homes)
-        for number, draft in enumerate(drafts, 1)
-    ]
-
-
-def _times(
-    scenario: Scenario,
-    source: random.Random,
-    pool: Pool,
-    name: str,
-    rate: float,
-) -> list[tuple[float, str, Pool]]:
-    phases = [
-        (0.0, scenario.burst_start, rate * scenario.base_load),
-        (scenario.burst_start, scenario.burst_end, rate * pool.load),
-    ]
-    if name == scenario.flood and pool is scenario.pools[0]:
-        weight = scenario.weights[name] / sum(scenario.weights.values())
-        flood_rate = 1000 * weight * pool.requests_per_second
-        start = scenario.burst_start + 5.0
-        phases.append((start, start + 3.0, flood_rate))
-    drafts = []
-    for start, end, intensity in phases:
-        now = start + source.expovariate(intensity)
-        while now < end:
-            drafts.append((now, name, pool))
-            now += source.expovariate(intensity)
-    return drafts
-
-
-def _request(
-    scenario: Scenario,
-    source: random.Random,
-    number: int,
-    draft: tuple[float, str, Pool],
-    homes: dict[str, list[int]],
-) -> Request:
-    time, name, pool = draft
-    cost = round(source.lognormvariate(math.log(pool.median), pool.sigma))
-    cost = min(max(cost, 1), pool.largest)
-    error = math.log(scenario.hint_error)
-    hint = max(1, round(cost * math.exp(source.uniform(-error, error))))
-    idempotent = pool.kind == "engine" or source.random() < 0.8
-    return Request(
-        number,
-        time,
-        source.choice(homes[name]),
-        identifier(name),
-        identifier(pool.name),
-        cost,
-        hint,
-        idempotent,
-    )
-
-
 def _engines(name: str, targets: int) -> Pool:
     return Pool(name, "engine", targets, 8, 50.0, 300.0, 0.8, 2000, 1.8)
 
--- a/measurements/_targets.py
+++ b/measurements/_targets.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from crowwinch.coordination import Subscription
-from measurements._scenarios import Request
+from measurements._arrivals import Request
 
 if TYPE_CHECKING:
     from measurements._world import World
--- a/measurements/_world.py
+++ b/measurements/_world.py
@@ -13,13 +13,14 @@
 )
 from crowwinch.errors import RefusalError
 from crowwinch.scheduling import Dispatcher, SlotOutcome, SlotRequest
+from measurements._arrivals import Request
 from measurements._meters import (
     GapMeter,
     StarvationMeter,
     UtilisationMeter,
     WorstGap,
 )
-from measurements._scenarios import Fault, Pool, Request, Scenario
+from measurements._scenarios import Fault, Pool, Scenario
 from measurements._targets import Attempt, FakeTarget
 
 # A streaming target reports what it served at this interval.
@@ -82,6 +83,7 @@
             {n: each.weight for n, each in self.snapshot.workspaces.items()}
         )
         self.utilisation = UtilisationMeter()
+        self._gaps_before_recovery: dict[int, WorstGap] = {}
         self.starvation = StarvationMeter(scenario.starvation_window)
         self.answers: Counter[int] = Counter()
         self.started: Counter[int] = Counter()
@@ -142,6 +144,12 @@
 
     def worst_gap(self, pool: Pool) -> WorstGap:
         """Returns the largest gap in the service of a pool."""
+        number = identifier(pool.name)
+        before = self._gaps_before_recovery.get(number, WorstGap())
+        return max(before, self.gap.worst(number), key=lambda gap: gap.gap)
+
+    def gap_after_fault(self, pool: Pool) -> WorstGap:
+        """Returns the largest gap since the recovery time of the scenario."""
         return self.gap.worst(identifier(pool.name))
 
     def run(self) -> None:
@@ -203,6 +211,8 @@
         self.policy.start(self)
         for fault in self.scenario.faults:
             self._plan(fault)
+        if self.scenario.recovery is not None:
+            self.timers.call_later(self.scenario.recovery, self._recover)
         for request in self._requests:
             self.timers.call_later(
                 request.time, lambda request=request: self._arrive(request)
@@ -226,6 +236,9 @@
         self.timers.call_later(seconds, lambda: future.set_result(None))
         await future
 
+    def _recover(self) -> None:
+        self._gaps_before_recovery = self.gap.restart(self.now)
+
     def _plan(self, fault: Fault) -> None:
         def change(active: bool) -> None:
             if fault.kind == "target":
--- a/measurements/main.py
+++ b/measurements/main.py
@@ -6,10 +6,11 @@
 import sys
 from collections.abc import Callable, Sequence
 
+from measurements._arrivals import arrivals
 from measurements._baselines import Fifo, LocalFair, Oracle
 from measurements._fleet import Crowwinch
 from measurements._results import result_line, scale_line, summary_line
-from measurements._scenarios import Scenario, arrivals, scale, scenarios
+from measurements._scenarios import Scenario, scale, scenarios
 from measurements._world import Policy, World
 
 SEEDS = (1, 2, 3)
--- a/measurements/tests/test_baselines.py
+++ b/measurements/tests/test_baselines.py
@@ -3,8 +3,9 @@
 import unittest
 
 from crowwinch.coordination import identifier
+from measurements._arrivals import Request
 from measurements._baselines import Fifo, LocalFair, Oracle
-from measurements._scenarios import Fault, Pool, Request, Scenario
+from measurements._scenarios import Fault, Pool, Scenario
 from measurements._world import World
 
 LARGE, SMALL = identifier("large"), identifier("small")
--- a/measurements/tests/test_main.py
+++ b/measurements/tests/test_main.py
@@ -5,7 +5,8 @@
 import unittest
 
 from measurements import main
-from measurements._scenarios import arrivals, scenarios
+from measurements._arrivals import arrivals
+from measurements._scenarios import scenarios
 
 
 def _short():
--- a/measurements/tests/test_meters.py
+++ b/measurements/tests/test_meters.py
@@ -108,6 +108,16 @@
         self.assertEqual({worst.first, worst.second}, {A, B})
         self.assertEqual(worst.time, 4)
 
+    def test_restart_measures_later_service_only(self):
+        meter = GapMeter({A: 1.0, B: 1.0})
+        meter.set_backlogged(0, POOL, A, True)
+        meter.set_backlogged(0, POOL, B, True)
+        meter.change_rate(0, POOL, A, 10.0)
+        before = meter.restart(6)
+        meter.finish(8)
+        self.assertEqual(before[POOL].gap, 60.0)
+        self.assertEqual(meter.worst(POOL).gap, 20.0)
+
     def test_pools_are_separate(self):
         meter = GapMeter({A: 1.0, B: 1.0})
         meter.set_backlogged(0, 1, A, True)
