Refuse a body that does not arrive by the deadline

Cause: the HTTP server does not report a malformed chunk to a read that is already pending, and a caller may stop in the middle of its body.

Change: reading the body ends at the deadline of the request and after 60 s at the latest, with deadline_exceeded and not_run.

Result: a bad chunk, a missing chunk and a short body each get status 504 in the contract test, which hung without the change.

Conclusion: a chunk error that arrives after the headers is still answered late, at the deadline rather than at once.

--- a/crowwinch/api/_callers.py
+++ b/crowwinch/api/_callers.py
@@ -139,7 +139,7 @@
         now = self._clock.monotonic()
         workspace = authenticate(request, snapshot)
         deadline = deadline_of(request, now, self._request_timeout_s)
-        body = await read_body(request)
+        body = await read_body(request, deadline - now)
         parsed = parse(
             request, body, workspace, snapshot, self._region, deadline
         )
--- a/crowwinch/api/_parsing.py
+++ b/crowwinch/api/_parsing.py
@@ -1,6 +1,7 @@
 """Turns HTTP requests of callers into requests of the router."""
 
-import uuid
+import asyncio
+import os
 from collections.abc import Mapping
 from typing import Annotated
 
@@ -35,6 +36,8 @@
 _CLASS_NAMES = ("interactive", "bulk")
 _SERVICE_ESTIMATE_UNITS = 100
 _MAX_COUNT_DIGITS = 15
+# 4 MiB over a link of 1 Mbit/s take 34 s.
+_BODY_TIMEOUT_S = 60.0
 
 
 class _EngineBody(msgspec.Struct):
@@ -49,7 +52,7 @@
 
 def new_request_id() -> str:
     """Returns a request identifier that is unique in the fleet."""
-    return uuid.uuid4().hex
+    return os.urandom(16).hex()
 
 
 def authenticate(request: web.Request, snapshot: Snapshot) -> int:
@@ -88,12 +91,16 @@
     )
 
 
-async def read_body(request: web.Request) -> bytes:
+async def read_body(request: web.Request, timeout_s: float) -> bytes:
     """Returns the body.
 
+    Args:
+        request: The request of a caller.
+        timeout_s: Seconds until the deadline of the request.
+
     Raises:
-        RefusalError: If the body is malformed or larger than the limit. A
-            body that declares its length is refused before it is read.
+        RefusalError: If the body is malformed, larger than the limit or late.
+            A body that declares its length is refused before it is read.
     """
     too_large = RefusalError(
         RefusalReason.BODY_TOO_LARGE, "the body is too large"
@@ -101,7 +108,14 @@
     if (request.content_length or 0) > request.client_max_size:
         raise too_large
     try:
-        return await request.read()
+        # The server does not report a malformed chunk to a pending read, so
+        # without a limit such a request would stay open.
+        async with asyncio.timeout(min(timeout_s, _BODY_TIMEOUT_S)):
+            return await request.read()
+    except TimeoutError as error:
+        raise RefusalError(
+            RefusalReason.DEADLINE_EXCEEDED, "the body is late"
+        ) from error
     except web.HTTPRequestEntityTooLarge as error:
         raise too_large from error
     except web.RequestPayloadError as error:
--- a/crowwinch/api/tests/test_contract.py
+++ b/crowwinch/api/tests/test_contract.py
@@ -50,6 +50,13 @@
                 {"Content_Encoding": "gzip"},
                 _BAD,
             ),
+            (
+                "said to be compressed",
+                _CHAT,
+                _OK,
+                {"Content_Encoding": "gzip"},
+                _BAD,
+            ),
             ("deadline", _CHAT, _OK, {"X_Deadline_Ms": "soon"}, _BAD),
             ("negative", _CHAT, _OK, {"X_Deadline_Ms": "-1"}, _BAD),
             ("long", _CHAT, _OK, {"X_Deadline_Ms": "9" * 5000}, _BAD),
@@ -125,6 +132,25 @@
                     self.assertEqual(reply.status, status)
             self.assertEqual([seen.body for seen in targets[0].seen], [b"x"])
 
+    async def test_body_that_never_ends_is_refused_at_the_deadline(self):
+        head = _HEAD + _KEY + b"X-Deadline-Ms: 300\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx"
+        late = (504, "deadline_exceeded", "not_run")
+        cases = (
+            ("bad chunk", chunked, b"\r\nzz\r\n"),
+            ("no more chunks", chunked, b""),
+            ("short", head + b"Content-Length: 9\r\n\r\nx", b""),
+        )
+        targets = await started(ScriptedTarget())
+        async with Router(targets, "service") as router:
+            for name, data, later in cases:
+                with self.subTest(name):
+                    reply = await asyncio.wait_for(
+                        router.send_raw(data, later=later), 2
+                    )
+                    self.assertEqual(reply.error, late)
+            self.assertEqual(targets[0].seen, [])
+
 
 class PassThroughTest(unittest.IsolatedAsyncioTestCase):
     """Guards against answers and requests that are changed on the way."""
--- a/crowwinch/routing/tests/support.py
+++ b/crowwinch/routing/tests/support.py
@@ -301,10 +301,15 @@
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         return await self.send_raw(head + body, method == "HEAD")
 
-    async def send_raw(self, data: bytes, is_head: bool = False) -> Reply:
+    async def send_raw(
+        self, data: bytes, is_head: bool = False, later: bytes = b""
+    ) -> Reply:
         """Sends bytes and reads one answer or up to the connection's end."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(data)
+        if later:
+            await asyncio.sleep(0.1)
+            writer.write(later)
         try:
             received = b""
             while not is_whole(received) and (part := await reader.read(65536)):
@@ -319,7 +324,7 @@
 def is_whole(received: bytes) -> bool:
     """Returns whether an error answer with a declared length is whole."""
     head, _, rest = received.partition(b"\r\n\r\n")
-    found = re.search(rb"HTTP/1.1 4.*Content-Length: (\d+)", head, re.DOTALL)
+    found = re.search(rb"HTTP/1.1 [45].*Content-Length: (\d+)", head, re.DOTALL)
     return found is not None and len(rest) >= int(found[1])
 
 
