--- a/crowwinch/routing/tests/test_streams.py
+++ b/crowwinch/routing/tests/test_streams.py
@@ -3,7 +3,9 @@
 import asyncio
 import unittest
 
+from crowwinch.configuration import Snapshot
 from crowwinch.errors import RetryReason
+from crowwinch.routing import StreamIds
 from crowwinch.routing.tests.support import (
     DONE,
     Router,
@@ -121,6 +123,14 @@
                     self.assertEqual(reply.status, status)
             self.assertEqual(len(targets[0].seen), 4)
 
+    def test_secret_of_the_fleet_binds_the_workspace(self):
+        ids = StreamIds("secret", Snapshot)
+        attempt = "0" * 32 + "-1"
+        stream_id = ids.issue(1, 2, attempt)
+        self.assertEqual(ids.parse(1, stream_id), (2, attempt))
+        self.assertIsNone(ids.parse(3, stream_id))
+        self.assertIsNone(StreamIds("other", Snapshot).parse(1, stream_id))
+
     async def test_caller_that_leaves_a_stream_cancels_it(self):
         async def endless(seen, writer):
             await stream(0, 2, b"")(seen, writer)
