--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision classes and of whole processes."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -283,10 +283,17 @@
         return web.json_response({"runs": self._runs, "started": self._started})
 
     def _forget_old(self) -> None:
+        """Drops old streams in the order of their start.
+
+        Looking at all of them would make each request slower the more
+        requests the last minute had.
+        """
         limit = time.monotonic() - _FINISHED_STREAM_LIFE_S
-        for attempt, generation in list(self._generations.items()):
-            if generation.finished_at and generation.finished_at < limit:
-                del self._generations[attempt]
+        while self._generations:
+            attempt, generation = next(iter(self._generations.items()))
+            if not generation.finished_at or generation.finished_at >= limit:
+                return
+            del self._generations[attempt]
 
 
 def main() -> None:
