Test targets that leave and slots that cannot be used any more

Cause: no test covered unavailable targets, expired grants or a target that is retired during a stream.

Change: tests of all three.

Result: they pass; without the exclusion, the refusal, either check of the slot or the return of the slot, a test fails.

Conclusion: none of these paths leaves a slot in use.

--- a/crowwinch/routing/tests/support.py
+++ b/crowwinch/routing/tests/support.py
@@ -167,6 +167,7 @@
         self.requests = []
         self.settled: list[SlotOutcome] = []
         self.withdrawn = 0
+        self.on_slot = lambda slot: None
 
     async def acquire(self, request):
         self.requests.append(request)
@@ -182,6 +183,7 @@
             finish(cost, outcome)
 
         slot.finish = counted
+        self.on_slot(slot)
         return slot
 
 
--- a/crowwinch/routing/tests/test_retries.py
+++ b/crowwinch/routing/tests/test_retries.py
@@ -184,3 +184,49 @@
                         attempts if kind == "engine" else [],
                     )
                     self.assertEqual(router.api.active, 0)
+
+
+class LeavingTargetTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against new work for targets that leave or are gone (I6)."""
+
+    async def test_unavailable_targets_get_nothing(self):
+        targets = await started(ScriptedTarget(), ScriptedTarget())
+        gone = {number_of(0)}
+        async with Router(
+            targets, "service", unavailable=lambda: frozenset(gone)
+        ) as router:
+            for _ in range(4):
+                self.assertEqual((await router.send("POST", _PATH)).status, 200)
+            self.assertEqual(len(targets[0].seen), 0)
+            gone.add(number_of(1))
+            reply = await router.send("POST", _PATH)
+            self.assertEqual(reply.error, (503, "no_target", "not_run"))
+            self.assertEqual(reply.headers["retry-after"], "1")
+
+    async def test_slot_that_became_unusable_is_given_back(self):
+        first = min((0, 1), key=number_of)
+        for expired, reason in (
+            (True, RetryReason.GRANT_EXPIRED),
+            (False, RetryReason.TARGET_LEAVING),
+        ):
+            targets = await started(ScriptedTarget(), ScriptedTarget())
+            gone = set()
+
+            def on_slot(slot, expired=expired, gone=gone):
+                if expired:
+                    slot.is_valid = lambda: len(router.dispatcher.requests) > 1
+                else:
+                    gone.add(number_of(first))
+
+            async with Router(
+                targets,
+                "service",
+                unavailable=lambda gone=gone: frozenset(gone),
+            ) as router:
+                router.dispatcher.on_slot = on_slot
+                self.assertEqual((await router.send("POST", _PATH)).status, 200)
+                self.assertEqual(router.retries(reason), 1)
+                self.assertEqual(
+                    router.dispatcher.settled,
+                    [SlotOutcome.UNUSED, SlotOutcome.SERVED],
+                )
--- a/crowwinch/routing/tests/test_streams.py
+++ b/crowwinch/routing/tests/test_streams.py
@@ -131,6 +131,16 @@
         self.assertIsNone(ids.parse(3, stream_id))
         self.assertIsNone(StreamIds("other", Snapshot).parse(1, stream_id))
 
+    async def test_stream_of_a_retired_target_finishes(self):
+        async def retire(seen, writer):
+            router.snapshot = Snapshot()
+            await stream(0, 2, b"")(seen, writer)
+
+        targets = await started(ScriptedTarget(retire, stream(2, 5)))
+        async with Router(targets) as router:
+            reply = await router.ask(stream=True)
+            self.assertEqual(reply.body, _ALL)
+
     async def test_caller_that_leaves_a_stream_cancels_it(self):
         async def endless(seen, writer):
             await stream(0, 2, b"")(seen, writer)
