Move the scripted target to the stand-ins

Cause: contract tests of several packages need a target that gives malformed answers.

Change: standins/scripted_target.py holds what was in the test support of routing.

Conclusion: other packages can use it without importing a test module.

--- a/crowwinch/api/tests/test_contract.py
+++ b/crowwinch/api/tests/test_contract.py
@@ -8,9 +8,11 @@
 from crowwinch.routing.tests.support import (
     MAX_BODY_BYTES,
     Router,
+    started,
+)
+from standins.scripted_target import (
     ScriptedTarget,
     raw,
-    started,
     whole,
 )
 
--- a/crowwinch/routing/tests/test_crashes.py
+++ b/crowwinch/routing/tests/test_crashes.py
@@ -13,6 +13,8 @@
 )
 from crowwinch.routing.tests.support import (
     Router,
+)
+from standins.scripted_target import (
     ScriptedTarget,
     whole,
 )
--- a/crowwinch/routing/tests/test_retries.py
+++ b/crowwinch/routing/tests/test_retries.py
@@ -6,15 +6,17 @@
 from crowwinch.errors import RetryReason
 from crowwinch.routing.tests.support import (
     Router,
+    number_of,
+    started,
+)
+from crowwinch.scheduling import SlotOutcome
+from standins.scripted_target import (
     ScriptedTarget,
     broken,
     hanging,
-    number_of,
     raw,
-    started,
     whole,
 )
-from crowwinch.scheduling import SlotOutcome
 
 _NOT_RUN = whole(b'{"error":{"run_state":"not_run"}}', "503 Busy")
 _BUSY = whole(b"busy", "503 Busy")
--- a/crowwinch/routing/tests/test_streams.py
+++ b/crowwinch/routing/tests/test_streams.py
@@ -7,14 +7,16 @@
 from crowwinch.errors import RetryReason
 from crowwinch.routing import StreamIds
 from crowwinch.routing.tests.support import (
-    DONE,
     Router,
+    started,
+)
+from standins.scripted_target import (
+    DONE,
     ScriptedTarget,
     broken,
     event,
     hanging,
     raw,
-    started,
     stream,
     whole,
 )
