Split the look-up of a resumed stream from its relay

Change: the checks of the identifier are a function of their own.

Conclusion: no change in behaviour.

--- a/crowwinch/routing/_handler.py
+++ b/crowwinch/routing/_handler.py
@@ -136,6 +136,26 @@
             RefusalError: If the identifier is not one of this workspace, or
                 the engine does not have the stream any more.
         """
+        run, attempt = self._running_attempt(request, stream_id)
+        relay = StreamRelay(
+            self._client,
+            self._policy,
+            run,
+            attempt,
+            self._starter.remaining,
+            offset,
+        )
+        try:
+            answer = await relay.resume()
+            events = await start_parts(relay.events(answer))
+        except TargetError as error:
+            raise run.refusal(RefusalReason.NOT_FOUND, str(error)) from error
+        return StreamAnswer(answer.status, answer.headers, events, stream_id)
+
+    def _running_attempt(
+        self, request: CallerRequest, stream_id: str
+    ) -> tuple[RequestRun, Attempt]:
+        """Returns the attempt that an identifier names."""
         snapshot = self._snapshot()
         parsed = self._stream_ids.parse(request.workspace, stream_id)
         target = snapshot.targets.get(parsed[0]) if parsed else None
@@ -160,20 +180,7 @@
             epoch=self._incarnations.epoch(parsed[0], target.url),
             started=self._clock.monotonic(),
         )
-        relay = StreamRelay(
-            self._client,
-            self._policy,
-            run,
-            attempt,
-            self._starter.remaining,
-            offset,
-        )
-        try:
-            answer = await relay.resume()
-            events = await start_parts(relay.events(answer))
-        except TargetError as error:
-            raise run.refusal(RefusalReason.NOT_FOUND, str(error)) from error
-        return StreamAnswer(answer.status, answer.headers, events, stream_id)
+        return run, attempt
 
     async def _serve(self, run: RequestRun, attempt: Attempt) -> Answer | None:
         """Makes one attempt; returns None if it is to be repeated."""
