--- a/crowwinch/routing/tests/test_streams.py
+++ b/crowwinch/routing/tests/test_streams.py
@@ -3,16 +3,20 @@
 import asyncio
 import unittest
 
+from crowwinch.configuration import Snapshot
 from crowwinch.errors import RetryReason
+from crowwinch.routing import StreamIds
 from crowwinch.routing.tests.support import (
-    DONE,
     Router,
+    started,
+)
+from standins.scripted_target import (
+    DONE,
     ScriptedTarget,
     broken,
     event,
     hanging,
     raw,
-    started,
     stream,
     whole,
 )
@@ -121,6 +125,24 @@
                     self.assertEqual(reply.status, status)
             self.assertEqual(len(targets[0].seen), 4)
 
+    def test_secret_of_the_fleet_binds_the_workspace(self):
+        ids = StreamIds("secret", Snapshot)
+        attempt = "0" * 32 + "-1"
+        stream_id = ids.issue(1, 2, attempt)
+        self.assertEqual(ids.parse(1, stream_id), (2, attempt))
+        self.assertIsNone(ids.parse(3, stream_id))
+        self.assertIsNone(StreamIds("other", Snapshot).parse(1, stream_id))
+
+    async def test_stream_of_a_retired_target_finishes(self):
+        async def retire(seen, writer):
+            router.snapshot = Snapshot()
+            await stream(0, 2, b"")(seen, writer)
+
+        targets = await started(ScriptedTarget(retire, stream(2, 5)))
+        async with Router(targets) as router:
+            reply = await router.ask(stream=True)
+            self.assertEqual(reply.body, _ALL)
+
     async def test_caller_that_leaves_a_stream_cancels_it(self):
         async def endless(seen, writer):
             await stream(0, 2, b"")(seen, writer)
--- a/measurements/__init__.py
+++ b/measurements/__init__.py
@@ -1,1 +1,1 @@
-"""Fairness, utilisation and control traffic of the decision classes."""
+"""Measurements of the decision classes and of whole processes."""
