Give engine commands from the configuration

Cause: operators can list wanted models in the table, but nothing told the engines.

Change: plan_commands computes role, load, version and unload commands for a region from the configuration, the time and the states of targets. The engine stand-in takes version and role orders and can load from a rate-limited weight store.

Until the membership view is connected each router takes itself to be in charge.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -11,6 +11,7 @@
 from crowwinch.api import CallerApi, OperatorApi
 from crowwinch.app._http_server import HttpServer
 from crowwinch.app._timer_driver import TimerDriver
+from crowwinch.commands import CommandClient, CommandExecutor, LoadPacer
 from crowwinch.configuration import (
     ConfigurationSpread,
     ConfigurationStore,
@@ -55,18 +56,11 @@
         self._platform = PlatformClient(
             settings.configuration_url, settings.vm_list_url
         )
-        self._spread = ConfigurationSpread(
-            settings.name,
-            settings.availability_zone,
-            self._timers,
-            self._store,
-            self._platform,
-            self._send_to_peer,
-            self._alive,
-            self._metrics.count,
-        )
+        self._spread = self._build_spread()
         self._events = EventClock(self._timers, lambda: self._store.snapshot)
         self._store.subscribe(lambda snapshot: self._events.refresh())
+        self._command_client = CommandClient()
+        self._commands = self._build_commands()
         self._client = TargetClient(_target_ssl(settings))
         self._dispatcher = FirstFreeDispatcher(lambda: self._store.snapshot)
         self._callers = CallerApi(
@@ -93,6 +87,30 @@
         """Whether the router takes requests."""
         return self._store.snapshot.revision > 0 and not self._stopping
 
+    def _build_spread(self) -> ConfigurationSpread:
+        return ConfigurationSpread(
+            self._settings.name,
+            self._settings.availability_zone,
+            self._timers,
+            self._store,
+            self._platform,
+            self._send_to_peer,
+            self._alive,
+            self._metrics.count,
+        )
+
+    def _build_commands(self) -> CommandExecutor:
+        return CommandExecutor(
+            self._settings.name,
+            self._settings.region,
+            self._timers,
+            lambda: self._store.snapshot,
+            self._alive,
+            self._command_client,
+            LoadPacer(self._clock, self._settings.model_loads_per_second),
+            self._metrics.count,
+        )
+
     def _build_components(self) -> list[Component]:
         settings = self._settings
         operators = OperatorApi(
@@ -105,6 +123,7 @@
             TimerDriver(self._timers),
             self._platform,
             self._client,
+            self._command_client,
             HttpServer(
                 self._callers.application(),
                 settings.caller_host,
@@ -127,11 +146,13 @@
             loop.add_signal_handler(number, self.begin_shutdown)
         self._events.start()
         self._spread.start()
+        self._commands.start()
         _LOGGER.info("router started", extra={"router": self._settings.name})
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stops all parts in reverse order."""
         del exception
+        self._commands.stop()
         self._spread.stop()
         self._events.stop()
         for task in self._background:
--- a/crowwinch/configuration/_check.py
+++ b/crowwinch/configuration/_check.py
@@ -245,8 +245,22 @@
         group = record.get("group")
         if group is not None and group not in groups:
             self._add(record, "group", f"unknown group {group!r}")
-        if record.get("models") and group is None:
+        elif record.get("models") and group is None:
             self._add(record, "group", "models need a group")
+        elif record.get("models") and group in self._unmanaged_groups():
+            self._add(
+                record,
+                "models",
+                f"group {group!r} has an empty cell for models",
+            )
+
+    def _unmanaged_groups(self) -> frozenset[str]:
+        # Without models of its own a group gets no commands.
+        return frozenset(
+            record.row.cells.get("group", "")
+            for record in self._records["groups"]
+            if "models" not in record.row.cells
+        )
 
     def _check_overlaps(
         self, spans: dict[str, list[tuple[int, int, _Record]]]
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,6 +13,7 @@
 import time
 from dataclasses import dataclass, field
 
+import aiohttp
 from aiohttp import web
 
 from standins._server import run_standin
@@ -49,9 +50,15 @@
     """A batch of generations, faults and counters."""
 
     def __init__(
-        self, batch: int, token_seconds: float, first_token_seconds: float
+        self,
+        batch: int,
+        token_seconds: float,
+        first_token_seconds: float,
+        weight_store_url: str = "",
     ) -> None:
-        """Creates an idle engine."""
+        """Creates an idle engine; loads read the weight store if it has one."""
+        self._weight_store_url = weight_store_url
+        self._role = "mixed"
         self._batch = asyncio.Semaphore(batch)
         self._token_seconds = token_seconds
         self._first_token_seconds = first_token_seconds
@@ -234,16 +241,32 @@
             return web.json_response({"error": "old fencing"}, status=409)
         self._highest_fencing = max(self._highest_fencing, fencing)
         self._orders.append(order)
-        if order["action"] == "load":
+        if order["action"] in ("load", "version"):
+            if not await self._fetch_weights(order["model"]):
+                return web.json_response({"error": "no weights"}, status=503)
             self._models[order["model"]] = order.get("version", "")
+        elif order["action"] == "role":
+            self._role = order["role"]
         elif order["action"] == "unload":
             self._models.pop(order["model"], None)
         return web.json_response({"models": self._models})
 
+    async def _fetch_weights(self, model: str) -> bool:
+        if not self._weight_store_url:
+            return True
+        url = f"{self._weight_store_url}/v1/weights/{model}"
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url) as response:
+                return response.status == 200
+
     async def _list_models(self, request: web.Request) -> web.Response:
         del request
         return web.json_response(
-            {"models": self._models, "orders": self._orders}
+            {
+                "models": self._models,
+                "role": self._role,
+                "orders": self._orders,
+            }
         )
 
     async def _set_faults(self, request: web.Request) -> web.Response:
@@ -270,12 +293,14 @@
             arguments.batch,
             arguments.token_seconds,
             arguments.first_token_seconds,
+            arguments.weight_store_url,
         ).application()
 
     def add_arguments(parser: argparse.ArgumentParser) -> None:
         parser.add_argument("--batch", type=int, default=8)
         parser.add_argument("--token-seconds", type=float, default=0.01)
         parser.add_argument("--first-token-seconds", type=float, default=0.02)
+        parser.add_argument("--weight-store-url", default="")
 
     run_standin("Stand-in for a model engine.", build, add_arguments)
 
