--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -10,6 +10,7 @@
 import aiomisc
 
 from crowwinch.api import CallerApi, OperatorApi
+from crowwinch.app._fleet_commands import FleetCommands
 from crowwinch.app._fleet_configuration import FleetConfiguration
 from crowwinch.app._fleet_idempotency import FleetIdempotency
 from crowwinch.app._fleet_scheduling import FleetScheduling
@@ -88,6 +89,9 @@
             self._peers,
             self._metrics,
         )
+        self._commands = FleetCommands(
+            settings, self._timers, self._snapshot, self._peers, self._metrics
+        )
         self._client = TargetClient(_target_ssl(settings))
         self._incarnations = IncarnationTable(self._fetch_load)
         self._monitor = TargetMonitor(self._timers, self._fetch_load)
@@ -162,6 +166,7 @@
             self._platform,
             self._peers,
             self._configuration,
+            self._commands,
             self._client,
             self._scheduling,
             HttpServer(
--- a/crowwinch/app/_fleet_scheduling.py
+++ b/crowwinch/app/_fleet_scheduling.py
@@ -112,19 +112,8 @@
             TokenBucket(self._timers.clock.monotonic, rate, rate * _BURST_S)
         )
 
-    def _region_routers(self) -> set[str]:
-        vm_list = self._peers.vm_list
-        if vm_list is None:
-            return set()
-        return {
-            machine.name
-            for machine in vm_list.machines
-            if machine.role == "router"
-            and machine.region in ("", self._settings.region)
-        }
-
     def _alive(self) -> set[str]:
-        return self._region_routers() & set(self._peers.membership.alive())
+        return self._peers.alive_in_region(self._settings.region)
 
     def _listed(self) -> set[str]:
         left = {
@@ -132,7 +121,7 @@
             for name, entry in self._peers.membership.members().items()
             if entry.state is MemberState.LEFT
         }
-        return self._region_routers() - left
+        return self._peers.routers_in_region(self._settings.region) - left
 
     def _receive(
         self, sender: PeerIdentity, message: SchedulingMessage
--- a/crowwinch/app/_peer_service.py
+++ b/crowwinch/app/_peer_service.py
@@ -125,6 +125,20 @@
             if machine.name in alive
         }
 
+    def routers_in_region(self, region: str) -> set[str]:
+        """Returns the routers of a region in the VM list."""
+        if self._vm_list is None:
+            return set()
+        return {
+            machine.name
+            for machine in self._vm_list.machines
+            if machine.role == "router" and machine.region in ("", region)
+        }
+
+    def alive_in_region(self, region: str) -> set[str]:
+        """Returns the live routers of a region."""
+        return self.routers_in_region(region) & set(self._membership.alive())
+
     def subscribe_vm_list(
         self, listener: Callable[[VirtualMachineList], None]
     ) -> None:
