Let accounts count for each group alone

Cause: with one account over all groups a workspace that gets much of one group while nobody else wants it builds up debt that keeps it from another group. Change: shared_accounts (default true, as designed) can be turned off. The test failed first with the option ignored both ways; 61 tests pass.

--- a/crowwinch/scheduling/_domain_scheduler.py
+++ b/crowwinch/scheduling/_domain_scheduler.py
@@ -60,6 +60,7 @@
         listed: Callable[[], int] = lambda: 1,
         pacing: Callable[[str], Pacing] = lambda router: UnlimitedPacing(),
         region: str | None = None,
+        shared_accounts: bool = True,
     ) -> None:
         """Creates a scheduler without routers.
 
@@ -73,6 +74,7 @@
                 left.
             pacing: Creates the budget of control bytes for a router by name.
             region: Region whose groups are served, None for all groups.
+            shared_accounts: Whether one account counts for all groups.
         """
         self._clock = clock
         self._timers = timers
@@ -80,7 +82,7 @@
         self._lease = lease
         self._pacing = pacing
         self._routers: dict[str, RouterRecord] = {}
-        self._ledger = GrantLedger(clock, snapshot)
+        self._ledger = GrantLedger(clock, snapshot, shared_accounts)
         self._queue = self._ledger.queue
         self._admission = QueueAdmission(clock, snapshot, self._queue)
         self._pool = TargetPool(
--- a/crowwinch/scheduling/_fair_queue.py
+++ b/crowwinch/scheduling/_fair_queue.py
@@ -88,14 +88,22 @@
     workspaces); no operation scans workspaces.
     """
 
-    def __init__(self, clock: Clock, snapshot: Callable[[], Snapshot]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        snapshot: Callable[[], Snapshot],
+        shared_accounts: bool = True,
+    ) -> None:
         """Creates an empty queue.
 
         Args:
             clock: Monotonic time for rate limits, Unix time for events.
             snapshot: Returns the configuration in force.
+            shared_accounts: Whether service in one group counts in the order
+                of all groups, or only in that of its own.
         """
         self._clock = clock
+        self._shared_accounts = shared_accounts
         self._reader = LimitReader(snapshot)
         self._accounts: dict[int, Account] = {}
         self._groups: dict[int, _Group] = {}
@@ -162,10 +170,26 @@
             return entry
         return None
 
-    def charge(self, workspace: int, cost: float, weight: float) -> None:
-        """Charges service, or gives it back if the cost is negative."""
+    def charge(
+        self,
+        workspace: int,
+        cost: float,
+        weight: float,
+        group_number: int | None = None,
+    ) -> None:
+        """Charges service, or gives it back if the cost is negative.
+
+        Args:
+            workspace: Identifier of the workspace.
+            cost: Service units.
+            weight: Weight at the time of the grant.
+            group_number: Group that served, None for all groups.
+        """
         account = self.account(workspace)
-        account.virtual += cost / weight
+        if self._shared_accounts or group_number is None:
+            account.virtual += cost / weight
+        else:
+            self._backlog(workspace, group_number).offset += cost / weight
         limits = self.limits(workspace)
         use_rate(account, limits, cost, self._clock.monotonic())
         if cost < 0:
--- a/crowwinch/scheduling/_ledger.py
+++ b/crowwinch/scheduling/_ledger.py
@@ -13,14 +13,20 @@
 class GrantLedger:
     """Keeps accounts and estimates in step with grants."""
 
-    def __init__(self, clock: Clock, snapshot: Callable[[], Snapshot]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        snapshot: Callable[[], Snapshot],
+        shared_accounts: bool = True,
+    ) -> None:
         """Creates empty accounts.
 
         Args:
             clock: Monotonic and Unix time.
             snapshot: Returns the configuration in force.
+            shared_accounts: Whether one account counts for all groups.
         """
-        self.queue = FairQueue(clock, snapshot)
+        self.queue = FairQueue(clock, snapshot, shared_accounts)
         self.estimator = CostEstimator()
 
     def open(self, entry: Entry, charged: int = 0) -> GrantRecord:
@@ -51,8 +57,7 @@
 
     def overrun(self, grant: GrantRecord) -> None:
         """Charges the charged cost once more."""
-        workspace = grant.entry.workspace
-        self.queue.charge(workspace, grant.charged, grant.weight)
+        self._add(grant, grant.charged)
         grant.charged *= 2
 
     def settle(
@@ -72,10 +77,14 @@
         difference = cost - grant.charged
         grant.charged = cost
         if difference:
-            self.queue.charge(grant.entry.workspace, difference, grant.weight)
+            self._add(grant, difference)
 
     def _charge(self, grant: GrantRecord) -> None:
         workspace = grant.entry.workspace
         grant.weight = self.queue.limits(workspace).weight
-        self.queue.charge(workspace, grant.charged, grant.weight)
+        self._add(grant, grant.charged)
         self.queue.begin(workspace)
+
+    def _add(self, grant: GrantRecord, cost: int) -> None:
+        entry = grant.entry
+        self.queue.charge(entry.workspace, cost, grant.weight, entry.group)
--- a/crowwinch/scheduling/tests/test_fair_queue.py
+++ b/crowwinch/scheduling/tests/test_fair_queue.py
@@ -12,7 +12,7 @@
 from crowwinch.scheduling import Entry, FairQueue
 
 
-def _queue(weights, clock=None, events=(), **limits):
+def _queue(weights, clock=None, events=(), shared=True, **limits):
     snapshot = Snapshot.build(
         1,
         "",
@@ -23,7 +23,7 @@
         [],
         events,
     )
-    return FairQueue(clock or ManualClock(), lambda: snapshot)
+    return FairQueue(clock or ManualClock(), lambda: snapshot, shared)
 
 
 def _entry(request, workspace="a", group=1, request_class=0, **options):
@@ -38,7 +38,7 @@
     if entry is None:
         return None
     weight = queue.limits(entry.workspace).weight
-    queue.charge(entry.workspace, cost, weight)
+    queue.charge(entry.workspace, cost, weight, group)
     queue.begin(entry.workspace)
     return entry.request
 
@@ -103,6 +103,18 @@
         served = [_serve(queue, group=2) for _ in range(20)]
         self.assertLessEqual(sum(number >= 200 for number in served), 11)
 
+    def test_service_of_one_group_counts_in_another_if_shared(self):
+        for shared, expected in ((True, [1, 2, 3, 4, 5]), (False, [1, 11])):
+            with self.subTest(shared=shared):
+                queue = _queue({"a": 1, "b": 1}, shared=shared)
+                for number in range(1, 6):
+                    queue.add(_entry(number, "a", group=1))
+                    queue.add(_entry(10 + number, "b", group=1))
+                    queue.add(_entry(20 + number, "b", group=2))
+                _serve(queue, group=2, cost=1000)
+                served = [_serve(queue, group=1) for _ in expected]
+                self.assertEqual(served, expected)
+
     def test_refund_moves_a_workspace_forward(self):
         queue = _queue({"a": 1, "b": 1})
         for number in (1, 2):
