Pass foreign idempotency keys on and test services that require one

Change: only keys of the fleet are claimed; others reach the target unchanged; a service that requires a key refuses calls without one of the fleet.

--- a/crowwinch/api/_parsing.py
+++ b/crowwinch/api/_parsing.py
@@ -204,7 +204,7 @@
         request_class=_request_class(request, workspace, snapshot),
         estimate=_SERVICE_ESTIMATE_UNITS,
         deadline=deadline,
-        idempotency_key=request.headers.get("Idempotency-Key", ""),
+        idempotency_key=_fleet_key(request),
     )
 
 
@@ -294,9 +294,9 @@
 
 
 def _fleet_key(request: web.Request) -> str:
-    """Returns the key of an engine request if the fleet issued it.
+    """Returns the key of a request if the fleet issued it, or "".
 
-    Client libraries send keys of their own, which have no meaning here.
+    Other keys have a meaning only for the target, which gets them unchanged.
     """
     text = request.headers.get("Idempotency-Key", "")
     return text if parse_key(text) is not None else ""
--- a/crowwinch/api/tests/test_contract.py
+++ b/crowwinch/api/tests/test_contract.py
@@ -195,6 +195,22 @@
         ):
             self.assertEqual(seen.headers.get(name), value, name)
 
+    async def test_service_that_requires_a_key_refuses_calls_without(self):
+        targets = await started(ScriptedTarget(whole(b"ok")))
+        options = {"group": {"requires_idempotency_key": True}}
+        async with Router(targets, "service", **options) as router:
+            for name, headers in (
+                ("none", {}),
+                ("foreign", {"Idempotency_Key": "k"}),
+            ):
+                with self.subTest(name):
+                    reply = await router.send("POST", _SERVICE, **headers)
+                    self.assertEqual(
+                        reply.error,
+                        (400, "idempotency_key_required", "not_run"),
+                    )
+            self.assertEqual(targets[0].seen, [])
+
     async def test_answers(self):
         packed = gzip.compress(b"hello" * 100)
         chunks = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/crowwinch/routing/tests/support.py
+++ b/crowwinch/routing/tests/support.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import re
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -9,12 +10,19 @@
 from crowwinch.api import CallerApi
 from crowwinch.app._http_server import HttpServer
 from crowwinch.configuration import Snapshot, key_hash
-from crowwinch.coordination import SystemClock, identifier
+from crowwinch.coordination import SystemClock, TimerService, identifier
 from crowwinch.errors import RefusalReason, RetryReason
 from crowwinch.generated.documents import Group, Target, Workspace
+from crowwinch.idempotency import IdempotencyService
 from crowwinch.observability import Metrics
-from crowwinch.routing import CrashRegistry, RequestHandler, StreamIds
-from crowwinch.scheduling import FirstFreeDispatcher, SlotOutcome
+from crowwinch.routing import (
+    CrashRegistry,
+    KeyedRequestHandler,
+    RequestHandler,
+    StreamIds,
+)
+from crowwinch.routing.tests.first_free import FirstFreeDispatcher
+from crowwinch.scheduling import SlotOutcome
 from crowwinch.targets import IncarnationTable, TargetClient, fetch_load
 from standins.scripted_target import ScriptedTarget
 
@@ -118,6 +126,7 @@
             clock,
             lambda: self.snapshot,
             handler,
+            self._keyed(clock, handler),
             self.metrics,
             "r",
             MAX_BODY_BYTES,
@@ -125,6 +134,20 @@
         )
         self._server = HttpServer(self.api.application(), "127.0.0.1", 0)
 
+    def _keyed(self, clock, handler) -> KeyedRequestHandler:
+        service = IdempotencyService(
+            "router",
+            1,
+            "zone",
+            TimerService(clock),
+            lambda peer, message: None,
+            lambda: [],
+            random.Random(1),
+        )
+        return KeyedRequestHandler(
+            clock, lambda: self.snapshot, handler, service
+        )
+
     async def __aenter__(self) -> "Router":
         """Starts the router."""
         await self.client.start()
