Fail the run when a decision class logs an error

Cause: the timer service logs exceptions of its subscribers and goes on, so a run with a broken scheduler printed figures and exited with status 0.

Change: `measurements.main` exits with status 1 if anything in crowwinch logs an error.

Conclusion: figures of a broken run can no longer pass for measured ones.

--- a/measurements/main.py
+++ b/measurements/main.py
@@ -4,7 +4,7 @@
 import json
 import logging
 import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 from measurements._arrivals import arrivals
 from measurements._baselines import Fifo, LocalFair, Oracle
@@ -43,6 +43,15 @@
     return lines
 
 
+class _ErrorCounter(logging.Handler):
+    """Counts errors, which the timer service logs and does not raise."""
+
+    count = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.count += 1
+
+
 def measure_scale(routers: int) -> dict:
     """Runs the fleet's own classes at a part of the two-year plan.
 
@@ -60,7 +69,8 @@
     """Runs the command line.
 
     Returns:
-        The exit code, 0 also when a target is missed; the lines tell.
+        The exit code: 1 if a decision class raised or logged an error. A
+        missed target is told by the lines, not by the exit code.
     """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--scale", action="store_true")
@@ -69,17 +79,22 @@
     options = parser.parse_args(arguments)
     # Faults are part of the scenarios; the fleet's warnings say nothing new.
     logging.getLogger("crowwinch").setLevel(logging.ERROR)
+    errors = _ErrorCounter(logging.ERROR)
+    logging.getLogger("crowwinch").addHandler(errors)
+    for line in _lines(options):
+        print(json.dumps(line), flush=True)
+    return 1 if errors.count else 0
+
+
+def _lines(options: argparse.Namespace) -> Iterator[dict]:
     if options.scale:
-        for routers in SCALE_ROUTERS:
-            print(json.dumps(measure_scale(routers)), flush=True)
-        return 0
+        yield from map(measure_scale, SCALE_ROUTERS)
+        return
     for scenario in scenarios():
         if options.scenario not in (None, scenario.name):
             continue
         for seed in SEEDS if options.seed is None else (options.seed,):
-            for line in measure(scenario, seed):
-                print(json.dumps(line), flush=True)
-    return 0
+            yield from measure(scenario, seed)
 
 
 if __name__ == "__main__":
--- a/measurements/tests/test_main.py
+++ b/measurements/tests/test_main.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 import json
+import logging
 import unittest
+from unittest import mock
 
 from measurements import main
 from measurements._arrivals import arrivals
@@ -53,6 +55,23 @@
         self.assertNotEqual(arrivals(scenario, 1), arrivals(scenario, 2))
 
 
+class ExitCodeTest(unittest.TestCase):
+    """Guards against a defect that the timer service logs and hides."""
+
+    def _run(self, fails):
+        def measure(scenario, seed):
+            if fails:
+                logging.getLogger("crowwinch.coordination").error("failed")
+            return []
+
+        with mock.patch.object(main, "measure", measure):
+            return main.main(["--scenario", "flood", "--seed", "1"])
+
+    def test_logged_error_fails_the_run(self):
+        self.assertEqual(self._run(fails=False), 0)
+        self.assertEqual(self._run(fails=True), 1)
+
+
 class ScenarioTest(unittest.TestCase):
     """Guards against scenarios without the load that they are named for."""
 
