Count decisions over the same time as the scheduler's processor time

Cause: decisions were counted during the burst and processor time over the whole run, so the time for a decision came out too high.

Change: decisions count over the whole run.

--- a/measurements/_fleet.py
+++ b/measurements/_fleet.py
@@ -272,13 +272,13 @@
     def _count(
         self, sender: str, receiver: str, message: SchedulingMessage
     ) -> None:
-        scenario = self.world.scenario
-        if not scenario.burst_start <= self.world.now < scenario.burst_end:
-            return
         if isinstance(message, Grants):
             self.decisions += len(message.grants)
         elif isinstance(message, Demand):
             self.decisions += len(message.reused)
+        scenario = self.world.scenario
+        if not scenario.burst_start <= self.world.now < scenario.burst_end:
+            return
         size = len(self._encoder.encode(message)) + _HEADER_BYTES
         for name in (sender, receiver):
             self.bytes[name] += size
