--- a/measurements/_fleet.py
+++ b/measurements/_fleet.py
@@ -111,6 +111,7 @@
             lambda: listed,
             suspect=self._suspect,
             pacing=lambda: TokenBucket(_CONTROL_BYTES_PER_SECOND),
+            shared_accounts=fleet.shared_accounts,
         )
         self.timers.call_every(_REPORT_PERIOD, self._report_targets)
 
@@ -163,6 +164,15 @@
     wants_progress = True
     outlives_routers = False
 
+    def __init__(self, shared_accounts: bool = True) -> None:
+        """Creates the policy.
+
+        Args:
+            shared_accounts: Whether a workspace has one account over all
+                groups instead of one for each group.
+        """
+        self.shared_accounts = shared_accounts
+
     def start(self, world: World) -> None:
         """Starts every router."""
         self.world = world
@@ -262,13 +272,13 @@
     def _count(
         self, sender: str, receiver: str, message: SchedulingMessage
     ) -> None:
-        scenario = self.world.scenario
-        if not scenario.burst_start <= self.world.now < scenario.burst_end:
-            return
         if isinstance(message, Grants):
             self.decisions += len(message.grants)
         elif isinstance(message, Demand):
             self.decisions += len(message.reused)
+        scenario = self.world.scenario
+        if not scenario.burst_start <= self.world.now < scenario.burst_end:
+            return
         size = len(self._encoder.encode(message)) + _HEADER_BYTES
         for name in (sender, receiver):
             self.bytes[name] += size
