Keep one account for each unit of service

Cause: one account per workspace added tokens of engines and slot-milliseconds of plain services. Ruled out: one account for each group meets the targets too, but gives up fairness over several groups of engines. Change: an account for each kind of group; registrations carry the lag of each group, so that a takeover restores them apart.

--- a/crowwinch/scheduling/_accounts.py
+++ b/crowwinch/scheduling/_accounts.py
@@ -13,21 +13,34 @@
 
 
 @dataclass(slots=True, eq=False)
-class Account:
-    """Service of one workspace, over all groups of a domain.
+class UnitAccount:
+    """Service of one workspace over all groups with one unit of service.
+
+    Tokens of engines and slot-milliseconds of plain services cannot be added.
 
     Attributes:
         virtual: Charged service divided by the weight.
-        in_flight: Grants in force.
         restored: Largest lag taken from a registration.
+    """
+
+    virtual: float = 0.0
+    restored: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Account:
+    """Service and limits of one workspace in a domain.
+
+    Attributes:
+        units: Service by kind of group, which decides the unit.
+        in_flight: Grants in force.
         waiting: Waiting entries in all groups.
         level: Service that the rate limit admits now, negative after use.
     """
 
     workspace: int
-    virtual: float = 0.0
+    units: dict[str, UnitAccount] = field(default_factory=dict)
     in_flight: int = 0
-    restored: float = 0.0
     waiting: int = 0
     level: float = 0.0
     level_at: float = -math.inf
--- a/crowwinch/scheduling/_domain_scheduler.py
+++ b/crowwinch/scheduling/_domain_scheduler.py
@@ -60,7 +60,6 @@
         listed: Callable[[], int] = lambda: 1,
         pacing: Callable[[str], Pacing] = lambda router: UnlimitedPacing(),
         region: str | None = None,
-        shared_accounts: bool = True,
     ) -> None:
         """Creates a scheduler without routers.
 
@@ -74,7 +73,6 @@
                 left.
             pacing: Creates the budget of control bytes for a router by name.
             region: Region whose groups are served, None for all groups.
-            shared_accounts: Whether one account counts for all groups.
         """
         self._clock = clock
         self._timers = timers
@@ -82,7 +80,7 @@
         self._lease = lease
         self._pacing = pacing
         self._routers: dict[str, RouterRecord] = {}
-        self._ledger = GrantLedger(clock, snapshot, shared_accounts)
+        self._ledger = GrantLedger(clock, snapshot)
         self._queue = self._ledger.queue
         self._admission = QueueAdmission(clock, snapshot, self._queue)
         self._pool = TargetPool(
@@ -135,7 +133,9 @@
         takes_over = age <= TAKEOVER_WINDOW_S
         if takes_over:
             for item in message.lags:
-                self._queue.restore(item.workspace, item.lag / VIRTUAL_SCALE)
+                self._queue.restore(
+                    item.workspace, item.group, item.lag / VIRTUAL_SCALE
+                )
         for attempt in message.in_flight:
             self._restore_grant(router, attempt)
         for entry in message.entries:
--- a/crowwinch/scheduling/_fair_queue.py
+++ b/crowwinch/scheduling/_fair_queue.py
@@ -12,6 +12,7 @@
 from crowwinch.scheduling._accounts import (
     Account,
     LimitReader,
+    UnitAccount,
     blocked_for,
     use_rate,
 )
@@ -60,6 +61,7 @@
     """
 
     account: Account
+    unit: UnitAccount
     group: "_Group"
     offset: float = 0.0
     order: list[tuple[int, float, int, Entry]] = field(default_factory=list)
@@ -69,7 +71,7 @@
 
     @property
     def key(self) -> float:
-        return self.account.virtual + self.offset
+        return self.unit.virtual + self.offset
 
 
 @dataclass(slots=True, eq=False)
@@ -84,7 +86,8 @@
 class FairQueue:
     """Orders waiting entries by virtual service of their workspaces.
 
-    Each workspace has one account. A decision costs O(log backlogged
+    Each workspace has one account for each unit of service; groups of one kind
+    share it. A decision costs O(log backlogged
     workspaces); no operation scans workspaces.
     """
 
@@ -92,18 +95,15 @@
         self,
         clock: Clock,
         snapshot: Callable[[], Snapshot],
-        shared_accounts: bool = True,
     ) -> None:
         """Creates an empty queue.
 
         Args:
             clock: Monotonic time for rate limits, Unix time for events.
             snapshot: Returns the configuration in force.
-            shared_accounts: Whether service in one group counts in the order
-                of all groups, or only in that of its own.
         """
         self._clock = clock
-        self._shared_accounts = shared_accounts
+        self._snapshot = snapshot
         self._reader = LimitReader(snapshot)
         self._accounts: dict[int, Account] = {}
         self._groups: dict[int, _Group] = {}
@@ -175,7 +175,7 @@
         workspace: int,
         cost: float,
         weight: float,
-        group_number: int | None = None,
+        group_number: int,
     ) -> None:
         """Charges service, or gives it back if the cost is negative.
 
@@ -183,13 +183,10 @@
             workspace: Identifier of the workspace.
             cost: Service units.
             weight: Weight at the time of the grant.
-            group_number: Group that served, None for all groups.
+            group_number: Group that served.
         """
         account = self.account(workspace)
-        if self._shared_accounts or group_number is None:
-            account.virtual += cost / weight
-        else:
-            self._backlog(workspace, group_number).offset += cost / weight
+        self._unit(account, group_number).virtual += cost / weight
         limits = self.limits(workspace)
         use_rate(account, limits, cost, self._clock.monotonic())
         if cost < 0:
@@ -208,16 +205,16 @@
         if account.blocked:
             self._unblock(account)
 
-    def restore(self, workspace: int, lag: float) -> None:
-        """Restores the lag of a workspace after a takeover.
+    def restore(self, workspace: int, group_number: int, lag: float) -> None:
+        """Restores the lag of a workspace in a group after a takeover.
 
         Of several reports the largest counts; service charged since then is
         kept.
         """
-        account = self.account(workspace)
-        if lag > account.restored:
-            account.virtual += lag - account.restored
-            account.restored = lag
+        unit = self._unit(self.account(workspace), group_number)
+        if lag > unit.restored:
+            unit.virtual += lag - unit.restored
+            unit.restored = lag
 
     def release_due(self) -> None:
         """Admits workspaces again whose rate limit has recovered."""
@@ -293,10 +290,19 @@
         backlog = account.backlogs.get(group_number)
         if backlog is None:
             group = self._groups.setdefault(group_number, _Group())
-            backlog = _Backlog(account, group)
+            unit = self._unit(account, group_number)
+            backlog = _Backlog(account, unit, group)
             account.backlogs[group_number] = backlog
         return backlog
 
+    def _unit(self, account: Account, group_number: int) -> UnitAccount:
+        group = self._snapshot().groups.get(group_number)
+        kind = group.kind if group is not None else ""
+        unit = account.units.get(kind)
+        if unit is None:
+            unit = account.units[kind] = UnitAccount()
+        return unit
+
     def _first(self, group: _Group) -> _Backlog | None:
         heap = group.heap
         while heap:
--- a/crowwinch/scheduling/_ledger.py
+++ b/crowwinch/scheduling/_ledger.py
@@ -13,20 +13,9 @@
 class GrantLedger:
     """Keeps accounts and estimates in step with grants."""
 
-    def __init__(
-        self,
-        clock: Clock,
-        snapshot: Callable[[], Snapshot],
-        shared_accounts: bool = True,
-    ) -> None:
-        """Creates empty accounts.
-
-        Args:
-            clock: Monotonic and Unix time.
-            snapshot: Returns the configuration in force.
-            shared_accounts: Whether one account counts for all groups.
-        """
-        self.queue = FairQueue(clock, snapshot, shared_accounts)
+    def __init__(self, clock: Clock, snapshot: Callable[[], Snapshot]) -> None:
+        """Creates empty accounts."""
+        self.queue = FairQueue(clock, snapshot)
         self.estimator = CostEstimator()
 
     def open(self, entry: Entry, charged: int = 0) -> GrantRecord:
--- a/crowwinch/scheduling/_reuse.py
+++ b/crowwinch/scheduling/_reuse.py
@@ -76,16 +76,13 @@
             self._known[workspace, group] = (value, self._clock.monotonic())
 
     def lags(self) -> list[WorkspaceLag]:
-        """Returns the lag of each workspace with recent grants."""
+        """Returns the lag of each workspace and group with recent grants."""
         oldest = self._clock.monotonic() - _LAG_LIFETIME_S
-        lags: dict[int, float] = {}
-        for (workspace, group), (value, seen) in self._known.items():
-            lag = value - self._floors.get(group, 0.0)
-            if seen >= oldest and lag > lags.get(workspace, 0.0):
-                lags[workspace] = lag
         return [
-            WorkspaceLag(workspace, round(lag * VIRTUAL_SCALE))
-            for workspace, lag in lags.items()
+            WorkspaceLag(workspace, group, round(lag * VIRTUAL_SCALE))
+            for (workspace, group), (value, seen) in self._known.items()
+            if seen >= oldest
+            and (lag := value - self._floors.get(group, 0.0)) > 0
         ]
 
     def forecast(self, group: int) -> float:
--- a/crowwinch/scheduling/_service.py
+++ b/crowwinch/scheduling/_service.py
@@ -54,7 +54,6 @@
         suspect: Callable[[str], None] = lambda name: None,
         pacing: Callable[[], Pacing] = UnlimitedPacing,
         max_waiting: int = 10_000,
-        shared_accounts: bool = True,
         on_retry: Callable[[RetryReason], None] = lambda reason: None,
     ) -> None:
         """Creates a service; nothing runs until `start`.
@@ -73,7 +72,6 @@
             suspect: Marks a member suspect.
             pacing: Creates a budget of control bytes.
             max_waiting: Most waiting requests at this router.
-            shared_accounts: Whether one account counts for all groups.
             on_retry: Is told the reason of each repeated ask.
         """
         self._clock = clock
@@ -87,7 +85,6 @@
         self._listed = listed
         self._suspect = suspect
         self._pacing = pacing
-        self._shared_accounts = shared_accounts
         self._leases = 0
         self._leaving = False
         self._current: str | None = None
@@ -257,7 +254,6 @@
                 listed=lambda: len({*self._listed(), self._name}),
                 pacing=self._pacing_for,
                 region=self._region,
-                shared_accounts=self._shared_accounts,
             )
         return self._scheduler
 
--- a/crowwinch/scheduling/tests/fleet.py
+++ b/crowwinch/scheduling/tests/fleet.py
@@ -226,7 +226,10 @@
         """Returns the charged service of each workspace."""
         queue = self.schedulers[scheduler].queue
         return {
-            name: queue.account(number).virtual * item.weight
+            name: sum(
+                unit.virtual for unit in queue.account(number).units.values()
+            )
+            * item.weight
             for number, item in self.snapshot.workspaces.items()
             for name in [item.name]
         }
--- a/crowwinch/scheduling/tests/test_fair_queue.py
+++ b/crowwinch/scheduling/tests/test_fair_queue.py
@@ -8,11 +8,13 @@
 
 from crowwinch.configuration import Snapshot
 from crowwinch.coordination import ManualClock, identifier
-from crowwinch.generated.documents import Event, Workspace
+from crowwinch.generated.documents import Event, Group, Workspace
 from crowwinch.scheduling import Entry, FairQueue
 
+_SERVICE_GROUP = identifier("service")
 
-def _queue(weights, clock=None, events=(), shared=True, **limits):
+
+def _queue(weights, clock=None, events=(), **limits):
     snapshot = Snapshot.build(
         1,
         "",
@@ -20,10 +22,10 @@
             Workspace(name=name, weight=weight, key_hashes=[], **limits)
             for name, weight in weights.items()
         ],
-        [],
+        [Group(name="service", kind="service", region="r", targets=[])],
         events,
     )
-    return FairQueue(clock or ManualClock(), lambda: snapshot, shared)
+    return FairQueue(clock or ManualClock(), lambda: snapshot)
 
 
 def _entry(request, workspace="a", group=1, request_class=0, **options):
@@ -103,15 +105,19 @@
         served = [_serve(queue, group=2) for _ in range(20)]
         self.assertLessEqual(sum(number >= 200 for number in served), 11)
 
-    def test_service_of_one_group_counts_in_another_if_shared(self):
-        for shared, expected in ((True, [1, 2, 3, 4, 5]), (False, [1, 11])):
-            with self.subTest(shared=shared):
-                queue = _queue({"a": 1, "b": 1}, shared=shared)
+    def test_service_counts_in_all_groups_with_the_same_unit(self):
+        cases = (
+            ("same unit", 2, [1, 2, 3, 4, 5]),
+            ("slot-milliseconds and tokens", _SERVICE_GROUP, [1, 11]),
+        )
+        for name, other, expected in cases:
+            with self.subTest(name):
+                queue = _queue({"a": 1, "b": 1})
                 for number in range(1, 6):
                     queue.add(_entry(number, "a", group=1))
                     queue.add(_entry(10 + number, "b", group=1))
-                    queue.add(_entry(20 + number, "b", group=2))
-                _serve(queue, group=2, cost=1000)
+                    queue.add(_entry(20 + number, "b", group=other))
+                _serve(queue, group=other, cost=1000)
                 served = [_serve(queue, group=1) for _ in expected]
                 self.assertEqual(served, expected)
 
@@ -122,7 +128,7 @@
             queue.add(_entry(10 + number, "b"))
         self.assertEqual(_serve(queue, cost=1000), 1)
         self.assertEqual(_serve(queue, cost=10), 11)
-        queue.charge(identifier("a"), -995, 1.0)
+        queue.charge(identifier("a"), -995, 1.0, 1)
         self.assertEqual(_serve(queue), 2)
 
 
@@ -193,7 +199,7 @@
             elif action == "end" and in_flight:
                 queue.end(in_flight.pop())
             elif action == "refund":
-                queue.charge(workspace, -cost, 2.0)
+                queue.charge(workspace, -cost, 2.0, 1)
             elif action == "serve":
                 usable = {
                     each.workspace
@@ -208,7 +214,7 @@
                     lowest = min(keys.values())
                     self.assertAlmostEqual(keys[entry.workspace], lowest)
                     waiting.remove(entry)
-                    queue.charge(entry.workspace, cost, 2.0)
+                    queue.charge(entry.workspace, cost, 2.0, entry.group)
                     queue.begin(entry.workspace)
                     in_flight.append(entry.workspace)
             self.assertEqual(
--- a/measurements/_fleet.py
+++ b/measurements/_fleet.py
@@ -111,7 +111,6 @@
             lambda: listed,
             suspect=self._suspect,
             pacing=lambda: TokenBucket(_CONTROL_BYTES_PER_SECOND),
-            shared_accounts=fleet.shared_accounts,
         )
         self.timers.call_every(_REPORT_PERIOD, self._report_targets)
 
@@ -164,15 +163,6 @@
     wants_progress = True
     outlives_routers = False
 
-    def __init__(self, shared_accounts: bool = True) -> None:
-        """Creates the policy.
-
-        Args:
-            shared_accounts: Whether a workspace has one account over all
-                groups instead of one for each group.
-        """
-        self.shared_accounts = shared_accounts
-
     def start(self, world: World) -> None:
         """Starts every router."""
         self.world = world
--- a/measurements/main.py
+++ b/measurements/main.py
@@ -18,9 +18,7 @@
 BASELINES: tuple[Callable[[], Policy], ...] = (Oracle, LocalFair, Fifo)
 
 
-def measure(
-    scenario: Scenario, seed: int, shared_accounts: bool = True
-) -> list[dict]:
+def measure(scenario: Scenario, seed: int) -> list[dict]:
     """Runs every policy on the same arrivals.
 
     Returns:
@@ -28,7 +26,7 @@
     """
     requests = arrivals(scenario, seed)
     lines = []
-    fleet = Crowwinch(shared_accounts)
+    fleet = Crowwinch()
     for policy in (fleet, *(create() for create in BASELINES)):
         world = World(scenario, requests, policy)
         world.run()
@@ -48,14 +46,14 @@
         self.count += 1
 
 
-def measure_scale(routers: int, shared_accounts: bool = True) -> dict:
+def measure_scale(routers: int) -> dict:
     """Runs the fleet's own classes at a part of the two-year plan.
 
     Returns:
         The line with messages, bytes and the scheduler's processor time.
     """
     scenario = scale(routers)
-    policy = Crowwinch(shared_accounts)
+    policy = Crowwinch()
     world = World(scenario, arrivals(scenario, SEEDS[0]), policy)
     world.run()
     return scale_line(world, policy)
@@ -70,11 +68,6 @@
     """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--scale", action="store_true")
-    parser.add_argument(
-        "--separate-accounts",
-        action="store_true",
-        help="give each workspace an account for each group",
-    )
     parser.add_argument("--scenario", help="only this scenario")
     parser.add_argument("--seed", type=int, help="only this seed")
     options = parser.parse_args(arguments)
@@ -88,16 +81,15 @@
 
 
 def _lines(options: argparse.Namespace) -> Iterator[dict]:
-    shared = not options.separate_accounts
     if options.scale:
         for routers in SCALE_ROUTERS:
-            yield measure_scale(routers, shared)
+            yield measure_scale(routers)
         return
     for scenario in scenarios():
         if options.scenario not in (None, scenario.name):
             continue
         for seed in SEEDS if options.seed is None else (options.seed,):
-            yield from measure(scenario, seed, shared)
+            yield from measure(scenario, seed)
 
 
 if __name__ == "__main__":
--- a/measurements/tests/test_main.py
+++ b/measurements/tests/test_main.py
@@ -59,7 +59,7 @@
     """Guards against a defect that the timer service logs and hides."""
 
     def _run(self, fails):
-        def measure(scenario, seed, shared):
+        def measure(scenario, seed):
             if fails:
                 logging.getLogger("crowwinch.coordination").error("failed")
             return []
