--- a/crowwinch/scheduling/_target_limits.py
+++ b/crowwinch/scheduling/_target_limits.py
@@ -54,6 +54,7 @@
         self._history = deque([(-math.inf, 0)], maxlen=1024)
         self._others = 0
         self._spare = 0
+        self._share = 0
         self.leaving = False
         self.incarnation = 0
 
@@ -108,7 +109,10 @@
             self._limit = min(self._limit + 1.0, float(self._maximum))
         own = self._own_since(now - report.age - _START_DELAY_S)
         self._others = max(report.running + report.waiting - own, 0)
-        self._spare = max(min(self.limit - self._others, self._spare + 1), 0)
+        # Starting at the share keeps slots from being idle for as many reports
+        # as the share has slots after a takeover.
+        raised = max(self._spare, self._share) + 1
+        self._spare = max(min(self.limit - self._others, raised), 0)
 
     def allowed(self, registered: int, listed: int) -> int:
         """Returns how many grants this scheduler may have in force.
@@ -120,7 +124,8 @@
         if self.leaving or registered <= 0:
             return 0
         part = min(registered / max(listed, 1), 1.0)
-        return max(math.ceil(self.limit * part), self._spare)
+        self._share = math.ceil(self.limit * part)
+        return max(self._share, self._spare)
 
     def _remember(self, now: float) -> None:
         if now - self._history[-1][0] < _DIP_S:
--- a/crowwinch/scheduling/tests/test_parts.py
+++ b/crowwinch/scheduling/tests/test_parts.py
@@ -89,6 +89,14 @@
                 allowed = TargetLimit(10).allowed(registered, listed)
                 self.assertEqual(allowed, expected)
 
+    def test_allowance_rises_from_the_share_by_one_a_report(self):
+        # A rise from zero left slots idle for seconds after a takeover.
+        limit = TargetLimit(10)
+        self.assertEqual(limit.allowed(1, 2), 5)
+        for allowed in (6, 7, 8, 9, 10, 10):
+            limit.report(TargetReport(1, 1, 0, 0), 1.0)
+            self.assertEqual(limit.allowed(1, 2), allowed)
+
     def test_grants_of_a_lost_router_count_as_load_of_others(self):
         limit = TargetLimit(10)
         for _ in range(4):
