Apply a target's report to its own group only

Cause: each report computed the allowance of every target and decided for every group, which is quadratic in the targets for a round of reports. Change: a report touches its target and the group of that target.

--- a/crowwinch/scheduling/_domain_scheduler.py
+++ b/crowwinch/scheduling/_domain_scheduler.py
@@ -188,8 +188,10 @@
     def report_target(self, report: TargetReport) -> None:
         """Adjusts a target's limit to its report."""
         self._pool.read_configuration()
-        self._pool.report(report)
-        self._decide()
+        group = self._pool.report(report)
+        if group is not None:
+            self._decide_group(group)
+            self._schedule_release()
 
     def refresh(self) -> None:
         """Applies changes of configuration, events and listed routers."""
@@ -343,16 +345,17 @@
 
     def _decide(self) -> None:
         for group in self._pool.groups.values():
-            if group.parked:
-                group.parked = [
-                    grant
-                    for grant in group.parked
-                    if not self._place(group, grant)
-                ]
-            if self._queue.waiting(group.number):
-                self._grant_waiting(group)
+            self._decide_group(group)
         self._schedule_release()
 
+    def _decide_group(self, group: GroupRecord) -> None:
+        if group.parked:
+            group.parked = [
+                grant for grant in group.parked if not self._place(group, grant)
+            ]
+        if self._queue.waiting(group.number):
+            self._grant_waiting(group)
+
     def _grant_waiting(self, group: GroupRecord) -> None:
         while group.has_free_target:
             entry = self._queue.select(group.number)
--- a/crowwinch/scheduling/_target_pool.py
+++ b/crowwinch/scheduling/_target_pool.py
@@ -39,6 +39,7 @@
         self._region = region
         self._seen: Snapshot | None = None
         self._targets: dict[int, TargetRecord] = {}
+        self._group_of: dict[int, GroupRecord] = {}
         self.groups: dict[int, GroupRecord] = {}
 
     def read_configuration(self) -> None:
@@ -62,18 +63,31 @@
         for number, group in self.groups.items():
             if number not in snapshot.groups:
                 group.targets = []
+        self._group_of = {
+            target.number: group
+            for group in self.groups.values()
+            for target in group.targets
+        }
         self.update_allowed()
 
     def target(self, number: int) -> TargetRecord | None:
         """Returns a target, or None if it was never configured."""
         return self._targets.get(number)
 
-    def report(self, report: TargetReport) -> None:
-        """Applies a target's report; unknown targets are ignored."""
+    def report(self, report: TargetReport) -> GroupRecord | None:
+        """Applies a target's report; unknown targets are ignored.
+
+        Returns:
+            The target's group, if it belongs to one.
+        """
         target = self._targets.get(report.target)
-        if target is not None:
-            target.limit.report(report, self._clock.monotonic())
-            self.update_allowed()
+        if target is None:
+            return None
+        target.limit.report(report, self._clock.monotonic())
+        target.allowed = target.limit.allowed(
+            self._registered(), self._listed()
+        )
+        return self._group_of.get(report.target)
 
     def update_allowed(self) -> None:
         """Computes each target's allowance again."""
