Start a newly backlogged workspace where the active ones are served

Change: the start is the lowest virtual service of active workspaces less half of what is charged for their grants in force; a lazy heap of its own for them.

--- a/crowwinch/scheduling/_domain_scheduler.py
+++ b/crowwinch/scheduling/_domain_scheduler.py
@@ -340,7 +340,7 @@
             if grant.number == 0:
                 self._cancel_parked(router, grant)
         for grant in router.grants.values():
-            self._queue.end(grant.entry.workspace)
+            self._ledger.drop(grant)
             self._pool.release(grant, abandoned)
 
     def _decide(self) -> None:
--- a/crowwinch/scheduling/_fair_queue.py
+++ b/crowwinch/scheduling/_fair_queue.py
@@ -16,10 +16,7 @@
     blocked_for,
     use_rate,
 )
-
-# A heap is rebuilt when stale items outnumber live ones by this many, so that
-# the cost of rebuilding stays a constant part of each update.
-_STALE_ITEMS = 64
+from crowwinch.scheduling._lazy_heap import LazyHeap
 
 
 @dataclass(slots=True, eq=False)
@@ -64,19 +61,41 @@
     unit: UnitAccount
     group: "_Group"
     offset: float = 0.0
+    in_flight: int = 0
+    pending: float = 0.0
     order: list[tuple[int, float, int, Entry]] = field(default_factory=list)
-    heap_key: float = 0.0
-    queued: bool = False
     weight: float = 0.0
 
     @property
     def key(self) -> float:
         return self.unit.virtual + self.offset
 
+    @property
+    def served_key(self) -> float:
+        # Half of what is charged for requests in flight is, on average, still
+        # to be served.
+        return self.key - self.pending / 2
+
 
 @dataclass(slots=True, eq=False)
 class _Group:
-    heap: list[tuple[float, int, _Backlog]] = field(default_factory=list)
+    """Backlogs of a group.
+
+    Attributes:
+        selectable: Backlogs with entries whose workspace is under its limits.
+        active: Those and backlogs with a grant in force.
+        start: Lowest served key of the active ones, or the last one while
+            there is none: where a workspace that becomes backlogged starts.
+        floor: Lowest key of the selectable ones, or the last one.
+    """
+
+    selectable: LazyHeap[_Backlog] = field(
+        default_factory=lambda: LazyHeap(lambda each: each.key)
+    )
+    active: LazyHeap[_Backlog] = field(
+        default_factory=lambda: LazyHeap(lambda each: each.served_key)
+    )
+    start: float = 0.0
     floor: float = 0.0
     weight: float = 0.0
     backlogged: int = 0
@@ -117,7 +136,8 @@
         Args:
             entry: The entry.
             at_floor: Whether a workspace that becomes backlogged starts at
-                least at the floor. Restored lags must not be raised.
+                least where the active ones are. Restored lags must not be
+                raised.
         """
         entry.arrival = next(self._numbers)
         backlog = self._backlog(entry.workspace, entry.group)
@@ -154,7 +174,7 @@
         if group is None:
             return None
         self.release_due()
-        while (backlog := self._first(group)) is not None:
+        while (backlog := group.selectable.first()) is not None:
             account = backlog.account
             delay = blocked_for(
                 account,
@@ -191,16 +211,40 @@
         use_rate(account, limits, cost, self._clock.monotonic())
         if cost < 0:
             for backlog in account.backlogs.values():
-                if backlog.queued:
-                    self._push(backlog)
+                for heap in (backlog.group.selectable, backlog.group.active):
+                    if backlog in heap:
+                        heap.push(backlog)
 
-    def begin(self, workspace: int) -> None:
-        """Counts a grant in force."""
-        self.account(workspace).in_flight += 1
+    def begin(self, workspace: int, group_number: int, charge: float) -> None:
+        """Counts a grant in force.
 
-    def end(self, workspace: int) -> None:
-        """Counts the end of a grant."""
-        account = self.account(workspace)
+        Args:
+            workspace: Identifier of the workspace.
+            group_number: Group of the grant.
+            charge: What is charged for it, divided by the weight.
+        """
+        backlog = self._backlog(workspace, group_number)
+        backlog.in_flight += 1
+        backlog.account.in_flight += 1
+        backlog.pending += charge
+        backlog.group.active.push(backlog)
+
+    def extend(self, workspace: int, group_number: int, charge: float) -> None:
+        """Counts a further charge for a grant in force."""
+        backlog = self._backlog(workspace, group_number)
+        backlog.pending += charge
+        backlog.group.active.push(backlog)
+
+    def end(self, workspace: int, group_number: int, charge: float) -> None:
+        """Counts the end of a grant with all that was charged for it."""
+        backlog = self._backlog(workspace, group_number)
+        backlog.in_flight = max(backlog.in_flight - 1, 0)
+        backlog.pending -= charge
+        if not backlog.in_flight:
+            # Sums of fractions do not return to zero exactly.
+            backlog.pending = 0.0
+        self._drop_inactive(backlog)
+        account = backlog.account
         account.in_flight = max(account.in_flight - 1, 0)
         if account.blocked:
             self._unblock(account)
@@ -247,13 +291,13 @@
         return self._reader.read(self.account(workspace), self._clock.time())
 
     def floor(self, group_number: int) -> float:
-        """Returns the lowest virtual service of the group's backlogged ones."""
+        """Returns the lowest virtual service of the workspaces that wait."""
         group = self._groups.get(group_number)
         if group is None:
             return 0.0
-        backlog = self._first(group)
-        if backlog is not None:
-            group.floor = backlog.key
+        first = group.selectable.first()
+        if first is not None:
+            group.floor = first.key
         return group.floor
 
     def lag(self, workspace: int, group_number: int) -> float:
@@ -303,50 +347,33 @@
             unit = account.units[kind] = UnitAccount()
         return unit
 
-    def _first(self, group: _Group) -> _Backlog | None:
-        heap = group.heap
-        while heap:
-            key, _, backlog = heap[0]
-            if not backlog.queued or key != backlog.heap_key:
-                heapq.heappop(heap)
-            elif backlog.key > key:
-                backlog.heap_key = backlog.key
-                heapq.heapreplace(
-                    heap, (backlog.heap_key, next(self._numbers), backlog)
-                )
-            else:
-                return backlog
-        return None
-
     def _activate(self, backlog: _Backlog, at_floor: bool = True) -> None:
         group = backlog.group
-        first = self._first(group)
-        if first is not None:
-            group.floor = first.key
+        # A workspace with a grant in force is active already and is not lifted:
+        # lifting it to the charges of others took its share away in a flood.
         if at_floor:
-            backlog.offset += max(group.floor - backlog.key, 0.0)
-        backlog.queued = True
-        self._push(backlog)
+            backlog.offset += max(self._start(group) - backlog.key, 0.0)
+        group.selectable.push(backlog)
+        group.active.push(backlog)
 
-    def _push(self, backlog: _Backlog) -> None:
-        group = backlog.group
-        backlog.heap_key = backlog.key
-        item = (backlog.heap_key, next(self._numbers), backlog)
-        heapq.heappush(group.heap, item)
-        if len(group.heap) > 2 * group.backlogged + _STALE_ITEMS:
-            live = {
-                id(each[2]): each
-                for each in group.heap
-                if each[2].queued and each[0] == each[2].heap_key
-            }
-            group.heap[:] = live.values()
-            heapq.heapify(group.heap)
+    @staticmethod
+    def _start(group: _Group) -> float:
+        first = group.active.first()
+        if first is not None:
+            group.start = first.served_key
+        return group.start
+
+    def _drop_inactive(self, backlog: _Backlog) -> None:
+        if not backlog.in_flight and backlog not in backlog.group.selectable:
+            self._start(backlog.group)
+            backlog.group.active.discard(backlog)
 
     def _removed(self, backlog: _Backlog) -> None:
         backlog.account.waiting -= 1
         backlog.group.waiting -= 1
         if not backlog.order:
-            backlog.queued = False
+            backlog.group.selectable.discard(backlog)
+            self._drop_inactive(backlog)
             backlog.group.backlogged -= 1
             backlog.group.weight -= backlog.weight
 
@@ -354,7 +381,8 @@
         account.blocked = True
         self._blocked[account.workspace] = account
         for backlog in account.backlogs.values():
-            backlog.queued = False
+            backlog.group.selectable.discard(backlog)
+            self._drop_inactive(backlog)
         if delay < math.inf:
             ready = self._clock.monotonic() + delay
             heapq.heappush(self._ready, (ready, next(self._numbers), account))
--- a/crowwinch/scheduling/_ledger.py
+++ b/crowwinch/scheduling/_ledger.py
@@ -40,22 +40,30 @@
 
     def restore(self, grant: GrantRecord) -> None:
         """Counts a grant that an earlier scheduler charged."""
-        workspace = grant.entry.workspace
-        grant.weight = self.queue.limits(workspace).weight
-        self.queue.begin(workspace)
+        grant.weight = self.queue.limits(grant.entry.workspace).weight
+        self._begin(grant)
 
     def overrun(self, grant: GrantRecord) -> None:
         """Charges the charged cost once more."""
+        entry = grant.entry
         self._add(grant, grant.charged)
+        charge = grant.charged / grant.weight
+        self.queue.extend(entry.workspace, entry.group, charge)
         grant.charged *= 2
 
+    def drop(self, grant: GrantRecord) -> None:
+        """Ends the use of a grant and leaves its charge as it is."""
+        entry = grant.entry
+        charge = grant.charged / grant.weight
+        self.queue.end(entry.workspace, entry.group, charge)
+
     def settle(
         self, grant: GrantRecord, cost: int, outcome: SlotOutcome
     ) -> None:
         """Ends the use of a grant by its entry at the real cost."""
         entry = grant.entry
+        self.drop(grant)
         self.settle_charge(grant, cost)
-        self.queue.end(entry.workspace)
         if outcome == SlotOutcome.SERVED:
             self.estimator.observe(
                 entry.workspace, entry.group, entry.hint, cost
@@ -69,10 +77,14 @@
             self._add(grant, difference)
 
     def _charge(self, grant: GrantRecord) -> None:
-        workspace = grant.entry.workspace
-        grant.weight = self.queue.limits(workspace).weight
+        grant.weight = self.queue.limits(grant.entry.workspace).weight
         self._add(grant, grant.charged)
-        self.queue.begin(workspace)
+        self._begin(grant)
+
+    def _begin(self, grant: GrantRecord) -> None:
+        entry = grant.entry
+        charge = grant.charged / grant.weight
+        self.queue.begin(entry.workspace, entry.group, charge)
 
     def _add(self, grant: GrantRecord, cost: int) -> None:
         entry = grant.entry
