Limit the new entries of one workspace in a message

Cause: a flood announced about 1,200 requests in one message. Change: a message takes at most 16 new entries of a workspace and group; the rest follows at 0.2 s. Completions, reuse and other workspaces do not wait. Ruled out: announcing only as many requests as a group has slots, since the scheduler then cannot hold a workspace to its limit of waiting requests over all routers.

--- a/crowwinch/scheduling/_dispatcher.py
+++ b/crowwinch/scheduling/_dispatcher.py
@@ -40,6 +40,8 @@
 # Overruns change the order but free no slot, so they wait for a message that
 # leaves anyway; each in a message of its own took a fifth of the budget.
 OVERRUN_DELAY_S = 0.2
+# Entries that did not fit in a message follow at the pace of paced messages.
+FURTHER_ENTRIES_DELAY_S = 0.2
 
 
 class RouterDispatcher:
@@ -380,6 +382,8 @@
             self._schedule_flush(delay)
             return
         self._send(self._outbox.take(self._echoes.send(), now))
+        if self._outbox.events:
+            self._schedule_flush(FURTHER_ENTRIES_DELAY_S)
 
     def _add(self, waiting: WaitingRequest) -> None:
         self._waiting.add(waiting)
--- a/crowwinch/scheduling/_outbox.py
+++ b/crowwinch/scheduling/_outbox.py
@@ -1,5 +1,6 @@
 """Changes at a router that its scheduler has not been told yet."""
 
+from collections import Counter
 from collections.abc import Sequence
 
 import msgspec
@@ -11,6 +12,11 @@
 )
 from crowwinch.scheduling._slots import WaitingRequest
 
+# New entries of one workspace and group in one message. Without this limit a
+# flood of one workspace overdrew the control budget for seconds, and
+# completions of all workspaces waited for it.
+MAX_ENTRIES = 16
+
 
 class DemandOutbox:
     """Gathers events until they are sent in one message."""
@@ -25,9 +31,9 @@
 
     @property
     def events(self) -> int:
-        """Number of events to send."""
+        """Number of events that the next message takes."""
         return (
-            len(self._entries)
+            len(self._next_entries())
             + len(self._withdrawn)
             + len(self._overruns)
             + len(self._completions)
@@ -76,14 +82,35 @@
         return completions
 
     def take(self, echo_ms: int, now: float) -> Demand:
-        """Returns all events as a message and empties the outbox."""
+        """Returns events as a message and takes them out of the outbox.
+
+        All events go but for entries beyond `MAX_ENTRIES`.
+        """
+        taken = self._next_entries()
+        for waiting in taken:
+            del self._entries[waiting.number]
         message = Demand(
             echo_ms,
-            [each.to_entry(now) for each in self._entries.values()],
+            [each.to_entry(now) for each in taken],
             self._withdrawn,
             self._overruns,
             self._completions,
             self._reused,
         )
+        entries = self._entries
         self.__init__()
+        self._entries = entries
         return message
+
+    def _next_entries(self) -> Sequence[WaitingRequest]:
+        """Returns the next entries, those of reused slots in any case."""
+        reused = {slot.request for slot in self._reused}
+        counts: Counter[tuple[int, int]] = Counter()
+        taken = []
+        for number, waiting in self._entries.items():
+            key = (waiting.request.workspace, waiting.request.group)
+            if number not in reused and counts[key] >= MAX_ENTRIES:
+                continue
+            counts[key] += 1
+            taken.append(waiting)
+        return taken
--- a/crowwinch/scheduling/tests/test_parts.py
+++ b/crowwinch/scheduling/tests/test_parts.py
@@ -243,6 +243,27 @@
         self.assertEqual(fleet.served["a"], 1000)
         self.assertAlmostEqual(fleet.charged()["a"], 1000)
 
+    def test_flood_leaves_room_for_others_in_a_message(self):
+        # A flood in one message overdrew the budget and held completions back.
+        fleet = Fleet(make_snapshot({"a": 1, "b": 1}, 1, 2), 1)
+        sent = []
+        forward = fleet.to_scheduler
+
+        def record(router, message):
+            sent.append(message)
+            forward(router, message)
+
+        fleet.to_scheduler = record
+        for _ in range(200):
+            fleet.ask("r0", "a", 5)
+        fleet.ask("r0", "b", 5)
+        fleet.run(0.001)
+        workspaces = [each.workspace for each in sent[0].entries]
+        self.assertEqual(workspaces.count(identifier("a")), 16)
+        self.assertEqual(workspaces.count(identifier("b")), 1)
+        fleet.run(10)
+        self.assertEqual((fleet.served["a"], fleet.served["b"]), (1000, 5))
+
     def test_overruns_wait_for_each_other(self):
         # Each in a message of its own took a fifth of the control budget.
         fleet = Fleet(make_snapshot({"a": 1}, 1, 20), 1)
