Send the status of a group only with its grants

Cause: each answer carried the floor and forecast of every group in which the router has entries or grants: 56% of the bytes of Grants at 34 routers, taken from a budget that grants wait for. Change: only groups with a grant in the message, and groups whose slots must not be reused, are reported; a router reuses slots only for workspaces with recent grants.

--- a/crowwinch/scheduling/_answers.py
+++ b/crowwinch/scheduling/_answers.py
@@ -79,10 +79,14 @@
         router.flush = None
         router.flush_at = float("inf")
         now = self._clock.monotonic()
+        # A router reuses slots only for workspaces with recent grants, so it
+        # needs the floors of their groups only.
+        granted = {record.entry.group for record in router.granted}
         statuses = [
             self._status(group)
             for number in sorted(router.groups)
             if (group := self._groups.get(number)) is not None
+            and (number in granted or not group.allows_reuse)
         ]
         events = len(router.granted) + len(router.refused) + len(statuses)
         delay = router.pacing.allows(message_size(events), now)
