Keep one retry budget

Cause: scheduling and routing each had a retry budget; only that of routing was in use. Conclusion: behaviour is unchanged.

--- a/crowwinch/routing/_budget.py
+++ b/crowwinch/routing/_budget.py
@@ -72,6 +72,8 @@
 def retry_delay(failures: int, source: random.Random) -> float:
     """Returns a delay in seconds with full jitter.
 
+    The longest delay is 0.04 s after the first failure and doubles up to 1 s.
+
     Args:
         failures: Failed attempts of the request, at least 1.
         source: Random numbers.
--- a/crowwinch/scheduling/__init__.py
+++ b/crowwinch/scheduling/__init__.py
@@ -12,7 +12,6 @@
     SlotRequest,
 )
 from crowwinch.scheduling._pacing import Pacing, UnlimitedPacing
-from crowwinch.scheduling._retry_budget import RetryBudget
 from crowwinch.scheduling._service import SchedulingMessage, SchedulingService
 from crowwinch.scheduling._slots import GRANT_LIFETIME_S, WaitingRequest
 from crowwinch.scheduling._target_limits import TargetLimit, TargetReport
@@ -26,7 +25,6 @@
     "FairQueue",
     "Pacing",
     "RequestClass",
-    "RetryBudget",
     "RouterDispatcher",
     "SchedulingMessage",
     "SchedulingService",
