Serve what the balancer still sends while a router stops

Cause: a router refused new requests at once on SIGTERM, although the balancer learns from /readyz only later; callers saw refusals during a planned stop. Change: for stop_grace_s (1 s by default) the router is not ready but serves; then it refuses, hands its roles over and finishes what it has. Measured: the test of a planned stop passes: a request 0.1 s after SIGTERM is answered, one 1.3 s after it is refused with not_run, the stream ends whole and the exit code is 0. Before the change the first of these is refused. Conclusion: operators set the grace to the balancer's check interval.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -205,11 +205,19 @@
         await self._stopped.wait()
 
     def begin_shutdown(self) -> None:
-        """Starts a graceful shutdown; repeated calls change nothing."""
+        """Starts a graceful shutdown; repeated calls change nothing.
+
+        The router is not ready from now on, but serves what the balancer still
+        sends until `stop_grace_s` has passed.
+        """
         if self._stopping:
             return
         self._stopping = True
         _LOGGER.info("shutdown started", extra={"active": self._callers.active})
+        self._timers.call_later(self._settings.stop_grace_s, self._leave)
+
+    def _leave(self) -> None:
+        """Refuses new requests, hands roles over and waits for the others."""
         self._callers.drain()
         self._scheduling.service.leave()
         self._peers.leave()
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,6 +2,8 @@
 
 import json
 import signal
+import threading
+import time
 import unittest
 
 from standins import fleet as demo
@@ -78,22 +80,29 @@
     """Guards against a planned stop that cuts a stream (I7)."""
 
     def test_stream_finishes_after_sigterm(self):
-        import threading
-
         fleet = demo.build_fleet()
-        try:
-            router = fleet.routers[0]
-            results = []
-            body = {**_BODY, "stream": True, "max_tokens": 100}
-            thread = threading.Thread(
-                target=lambda: results.append(_ask(router.url, body))
-            )
-            thread.start()
-            threading.Event().wait(0.3)
-            router.signal(signal.SIGTERM)
-            router.signal(signal.SIGTERM)
-            thread.join()
-            self.assertTrue(results[0][1].endswith(b"data: [DONE]\n\n"))
-            self.assertEqual(router.handle.wait(10), 0)
-        finally:
-            fleet.stop()
+        self.addCleanup(fleet.stop)
+        router = fleet.routers[0]
+        results = []
+        body = {**_BODY, "stream": True, "max_tokens": 300}
+        thread = threading.Thread(
+            target=lambda: results.append(_ask(router.url, body))
+        )
+        thread.start()
+        time.sleep(0.3)
+        router.signal(signal.SIGTERM)
+        router.signal(signal.SIGTERM)
+        time.sleep(0.1)
+        # The balancer learns first; what it still sends is served.
+        self.assertEqual(call("GET", f"{router.operator_url}/readyz")[0], 503)
+        self.assertEqual(_ask(router.url, _BODY)[0], 200)
+        time.sleep(1.2)
+        status, answer = _ask(router.url, _BODY)
+        error = json.loads(answer)["error"]
+        self.assertEqual(
+            (status, error["code"], error["run_state"]),
+            (503, "shutting_down", "not_run"),
+        )
+        thread.join()
+        self.assertTrue(results[0][1].endswith(b"data: [DONE]\n\n"))
+        self.assertEqual(router.handle.wait(10), 0)
