Tell a router that joins which requests crash targets

Cause: a router that restarted with no memory let a request through that the others refused, and it crashed two more engines. Conclusion: two crashes are the most that one request causes while any router remembers it.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -12,6 +12,7 @@
 from crowwinch.api import CallerApi, OperatorApi
 from crowwinch.app._fleet_commands import FleetCommands
 from crowwinch.app._fleet_configuration import FleetConfiguration
+from crowwinch.app._fleet_crashes import FleetCrashes
 from crowwinch.app._fleet_idempotency import FleetIdempotency
 from crowwinch.app._fleet_scheduling import FleetScheduling
 from crowwinch.app._http_server import HttpServer
@@ -21,12 +22,10 @@
 from crowwinch.configuration import ConfigurationStore, Snapshot
 from crowwinch.coordination import SystemClock, TimerService
 from crowwinch.errors import PeerRejection, RefusalReason, RetryReason
-from crowwinch.generated.peer_messages import CrashReport
 from crowwinch.generated.settings import RouterSettings
 from crowwinch.observability import Metrics
 from crowwinch.platform import PlatformClient
 from crowwinch.routing import (
-    CrashRegistry,
     KeyedRequestHandler,
     RequestHandler,
     StreamIds,
@@ -106,6 +105,9 @@
             self._monitor,
             self._count_retry,
         )
+        self._crashes = FleetCrashes(
+            settings, self._clock, self._peers, self._links
+        )
         self._idempotency = FleetIdempotency(
             settings, self._timers, self._peers, self._links
         )
@@ -136,18 +138,13 @@
         return self._store.snapshot.revision > 0 and not self._stopping
 
     def _build_handler(self) -> RequestHandler:
-        self._crashes = CrashRegistry(self._clock, self._broadcast_crash)
-        self._peers.dispatcher.register(
-            CrashReport,
-            lambda sender, report: self._crashes.on_report(report),
-        )
         return RequestHandler(
             self._clock,
             self._snapshot,
             self._scheduling.service.dispatcher,
             self._client,
             self._incarnations,
-            self._crashes,
+            self._crashes.registry,
             StreamIds(self._settings.peer_secret_key, self._snapshot),
             count_retry=self._count_retry,
             unavailable=lambda: self._monitor.unavailable,
@@ -242,11 +239,6 @@
     def _count_retry(self, reason: RetryReason) -> None:
         self._metrics.count_reason("retries", reason)
 
-    def _broadcast_crash(self, report: CrashReport) -> None:
-        for member in self._peers.membership.alive():
-            if member != self._settings.name:
-                self._links.send(member, report)
-
     def _state(self) -> dict[str, object]:
         return {
             "router": self._settings.name,
--- a/tests/test_faults_on_the_path.py
+++ b/tests/test_faults_on_the_path.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import threading
+import time
 import unittest
 import urllib.parse
 
@@ -125,3 +126,30 @@
             if engine.handle.poll() is None
         ]
         self.assertEqual(len(running), 1)
+
+    def test_crashing_request_is_refused_by_every_router(self):
+        """Guards against a router that lets a known request crash more."""
+        fleet = self._start(4, 3, "--token-seconds=0.02")
+        for engine in fleet.targets.values():
+            call("POST", f"{engine.url}/control/faults", b'{"crash_on": "bad"}')
+        self.assertEqual(_ask(fleet.routers[0].url, "bad", 4)[0], 422)
+        fleet.routers[2].kill()
+        fleet.restart_router(2)
+        fleet.wait_ready()
+        for router in fleet.routers[1:]:
+            with self.subTest(router.name):
+                for _ in range(50):
+                    status, answer = _ask(router.url, "harmless", 1)
+                    self.assertEqual(status, 200, answer)
+                    state = call("GET", f"{router.operator_url}/v1/state")[1]
+                    if len(json.loads(state)["alive"]) == 3:
+                        break
+                    time.sleep(0.1)
+                time.sleep(0.5)
+                self.assertEqual(_ask(router.url, "bad", 4)[0], 422)
+        running = [
+            engine
+            for engine in fleet.targets.values()
+            if engine.handle.poll() is None
+        ]
+        self.assertEqual(len(running), 2)
