Exclude long-lived objects from collections and return free memory

Change: after the first configuration the router collects once and excludes the objects that exist from later collections; after each one it returns free memory to the system where the C library offers this. The exclusion is not repeated, as it could keep cycles of requests in flight for ever.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -16,6 +16,7 @@
 from crowwinch.app._fleet_scheduling import FleetScheduling
 from crowwinch.app._http_server import HttpServer
 from crowwinch.app._links import LinkTable
+from crowwinch.app._memory import MemoryKeeper
 from crowwinch.app._peer_service import PeerService
 from crowwinch.app._timer_driver import TimerDriver
 from crowwinch.configuration import ConfigurationStore, Snapshot
@@ -68,6 +69,7 @@
         self._metrics.declare_reasons("retries", RetryReason)
         self._metrics.declare_reasons("peer_rejections", PeerRejection)
         self._store = ConfigurationStore(self._metrics.count)
+        self._store.subscribe(MemoryKeeper().on_change)
         self._platform = PlatformClient(
             settings.configuration_url, settings.vm_list_url
         )
