--- a/crowwinch/configuration/_snapshot.py
+++ b/crowwinch/configuration/_snapshot.py
@@ -37,7 +37,7 @@
     groups: dict[int, Group] = field(default_factory=dict)
     targets: dict[int, Target] = field(default_factory=dict)
     events: dict[str, tuple[Event, ...]] = field(default_factory=dict)
-    keys: dict[bytes, int] = field(default_factory=dict)
+    keys: dict[str, int] = field(default_factory=dict)
 
     @classmethod
     def build(
@@ -67,7 +67,7 @@
             },
             events=by_workspace,
             keys={
-                bytes.fromhex(value): number
+                value: number
                 for number, item in by_identifier.items()
                 for value in item.key_hashes
             },
@@ -75,8 +75,7 @@
 
     def workspace_of_key(self, bearer_key: str) -> int | None:
         """Returns the identifier of the workspace that a key belongs to."""
-        digest = hashlib.sha256(bearer_key.encode()).digest()
-        return self.keys.get(digest)
+        return self.keys.get(key_hash(bearer_key))
 
     def groups_of_model(self, model: str, region: str) -> list[int]:
         """Returns the groups that serve a model, those of a region first."""
