--- a/standins/processes.py
+++ b/standins/processes.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -17,13 +18,25 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _START_TIMEOUT_S = 20.0
+# Below the range of outgoing connections, which begins at 32768 on Linux.
+_PORTS = (16384, 32768)
 
 
 def free_port() -> int:
-    """Returns a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a TCP port that is free now.
+
+    Ports that the kernel gives to outgoing connections are left out: one of
+    them could be taken while its router is down for a restart.
+    """
+    while True:
+        port = random.randrange(*_PORTS)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def call(
