Ask the witness when the recorder does not know a key

The new life of the recorder answers UNKNOWN, and the claim took that as final. Ruled out: a lost Outcome (the witness held the answer) and the loss of the recorder alone; after SIGKILL the loss was mostly noticed first, and then the witness was asked.

Change: UNKNOWN from the recorder leads to the same question to the witness as silence. Close at the witness is safe then: a key that is not confirmed cannot start any more.

Conclusion: the answer survives a restart of the recorder.

--- a/crowwinch/idempotency/_claim.py
+++ b/crowwinch/idempotency/_claim.py
@@ -85,6 +85,10 @@
         elif self._ended:
             if verdict is ClaimVerdict.RUN:
                 self.finish(RunState.NOT_RUN, b"")
+        elif verdict is ClaimVerdict.UNKNOWN:
+            # A recorder that restarted holds nothing, but the witness may
+            # hold the answer.
+            self.on_recorder_lost()
         else:
             self._decide(verdict, message.content)
 
