Count fetches and key requests as active during a planned stop

Ruled out: the aiohttp shutdown timeout, which is 1 s and ended before the call.

Change: every request counts while it is handled.

Conclusion: a planned stop interrupts no request of any kind.

--- a/crowwinch/api/_callers.py
+++ b/crowwinch/api/_callers.py
@@ -150,19 +150,20 @@
     async def _serve(
         self, request: web.Request, parse: Parse
     ) -> web.StreamResponse:
-        self._active += 1
-        try:
-            return await self._guard(request, self._answer(request, parse))
-        finally:
-            self._active -= 1
+        return await self._guard(request, self._answer(request, parse))
 
     async def _guard(
         self, request: web.Request, answer: Awaitable[web.StreamResponse]
     ) -> web.StreamResponse:
+        # A planned stop waits for every request, also those without a slot:
+        # a fetch waits while its call runs at another router.
+        self._active += 1
         try:
             return await answer
         except RefusalError as refusal:
             return self._refuse(refusal, new_request_id(), request)
+        finally:
+            self._active -= 1
 
     async def _answer(
         self, request: web.Request, parse: Parse
