Test router faults at each step of a request's life

Cause: random load does not show at which step a fault hit a request.

Conclusion: a granted slot cannot be held from outside a process and is covered by unit tests only.

--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -6,7 +6,13 @@
 import json
 import threading
 import time
-from collections.abc import Callable, Coroutine, Mapping, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Coroutine,
+    Mapping,
+    Sequence,
+)
 from dataclasses import dataclass
 
 import aiohttp
@@ -131,8 +137,12 @@
         key: str = "",
         key_url: str = "",
         progress: Callable[[int], None] = lambda count: None,
+        hold: asyncio.Event | None = None,
     ) -> Record:
-        """Sends one request; a keyed one gets a key first if it has none."""
+        """Sends one request; a keyed one gets a key first if it has none.
+
+        The second half of the body waits for `hold`.
+        """
         started = time.monotonic()
         headers = {
             "Authorization": f"Bearer key-{record.workspace}",
@@ -145,7 +155,12 @@
                 if key:
                     headers["Idempotency-Key"] = key
                 await self._exchange(
-                    record, url, headers, tokens, model, service, progress
+                    record,
+                    url,
+                    headers,
+                    (tokens, model, service),
+                    progress,
+                    hold,
                 )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             record.outcome, record.detail = "broken", repr(error)
@@ -154,6 +169,24 @@
         record.seconds = time.monotonic() - started
         return record
 
+    async def fetch(
+        self, record: Record, url: str, key: str, started: asyncio.Event
+    ) -> Record:
+        """Asks for the recorded answer of a call with a key."""
+        path = f"{url}/v1/idempotency-keys/{key}"
+        headers = {"Authorization": f"Bearer key-{record.workspace}"}
+        asyncio.get_running_loop().call_later(0.2, started.set)
+        try:
+            async with self._session.get(path, headers=headers) as response:
+                body = await response.read()
+            if response.status == 200:
+                judge_service(record, body)
+            else:
+                record.take_refusal(response.status, body)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            record.outcome, record.detail = "broken", repr(error)
+        return record
+
     async def _issue(
         self, record: Record, url: str, headers: Mapping[str, str]
     ) -> str:
@@ -170,11 +203,11 @@
         record: Record,
         url: str,
         headers: Mapping[str, str],
-        tokens: int,
-        model: str,
-        service: str,
+        content: tuple[int, str, str],
         progress: Callable[[int], None],
+        hold: asyncio.Event | None,
     ) -> None:
+        tokens, model, service = content
         if record.runs_once:
             url = f"{url}/services/{service}/calls"
             data = record.text.encode()
@@ -186,7 +219,9 @@
             ).encode()
         body = b""
         async with self._session.post(
-            url, data=data, headers=headers
+            url,
+            data=_in_halves(data, hold) if hold else data,
+            headers=headers,
         ) as response:
             async for part in response.content.iter_any():
                 body += part
@@ -202,6 +237,12 @@
             judge_service(record, body)
 
 
+async def _in_halves(data: bytes, hold: asyncio.Event) -> AsyncIterator[bytes]:
+    yield data[:10]
+    await hold.wait()
+    yield data[10:]
+
+
 class Load:
     """Sends requests of every kind through all routers from one thread."""
 
@@ -357,8 +398,8 @@
 def start_fleet(routers: int = 4) -> Fleet:
     """Starts a fleet with room for every step of a request's life.
 
-    Group `queue` has one slot, which makes a second request wait. Service
-    `slow` takes 2.5 s, which keeps a call at its target.
+    Group `queue` and service `narrow` have one slot, which makes a second
+    request wait. Service `slow` keeps a call at its target for 2.5 s.
     """
     fleet = Fleet()
     try:
@@ -368,6 +409,7 @@
         fleet.start_target("queue-0", "engine", "--token-seconds=0.02")
         fleet.start_target("roster-0", "plain_service")
         fleet.start_target("slow-0", "plain_service", "--seconds=2.5")
+        fleet.start_target("narrow-0", "plain_service", "--seconds=1.5")
         documents = [workspace(name, weight) for name, weight in WORKSPACES]
         fleet.publish(1, documents, groups(fleet))
         fleet.start_routers(routers, ("az-1", "az-2", "az-3"))
@@ -403,6 +445,7 @@
         group("queue", "engine", "queue-model", "queue-", 1),
         group("rosters", "service", "rosters", "roster-", 8),
         group("slow", "service", "slow", "slow-", 8),
+        group("narrow", "service", "narrow", "narrow-", 1),
     ]
 
 
