Test cut links between routers

Cause: no test cut links between routers that still reach callers and targets.

Change: standins/relay.py carries the links between routers and swallows the bytes of cut directions. The platform stand-in serves a VM list per reader, so that each router sees the others at relayed addresses.

During a cut a keyed call may be refused when its key's recorder is on the other side.

--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -23,7 +23,8 @@
         """Creates a healthy service without values."""
         self._values: dict[str, bytes] = {}
         self._stale_values: dict[str, bytes] | None = None
-        self._vms: dict[str, object] = {"version": 0, "machines": []}
+        # By reader; readers without a list of their own get that of "".
+        self._vms: dict[str, object] = {"": {"version": 0, "machines": []}}
         self._changed = asyncio.Event()
         self._down = False
         self._calls = 0
@@ -39,8 +40,10 @@
         router.add_get("/v1/values/{name}", self._read)
         router.add_get("/v1/watch/{name}", self._watch)
         router.add_get("/v1/vms", self._read_vms)
+        router.add_get("/views/{reader}/v1/vms", self._read_vms)
         router.add_put("/control/values/{name}", self._write)
         router.add_put("/control/vms", self._write_vms)
+        router.add_put("/control/vms/{reader}", self._write_vms)
         router.add_post("/control/faults", self._set_faults)
         router.add_get("/control/calls", self._read_calls)
         return application
@@ -98,8 +101,9 @@
         self._changed = asyncio.Event()
 
     async def _read_vms(self, request: web.Request) -> web.Response:
-        del request
-        return self._admit() or web.json_response(self._vms)
+        reader = request.match_info.get("reader", "")
+        vms = self._vms.get(reader, self._vms[""])
+        return self._admit() or web.json_response(vms)
 
     async def _write(self, request: web.Request) -> web.Response:
         self._values[request.match_info["name"]] = await request.read()
@@ -107,7 +111,8 @@
         return web.Response(status=204)
 
     async def _write_vms(self, request: web.Request) -> web.Response:
-        self._vms = await request.json()
+        reader = request.match_info.get("reader", "")
+        self._vms[reader] = await request.json()
         return web.Response(status=204)
 
     async def _set_faults(self, request: web.Request) -> web.Response:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -109,6 +109,7 @@
 
     log_path: str = os.devnull
     platform: Process | None = None
+    relay: Process | None = None
     routers: list[Process] = field(default_factory=list)
     targets: dict[str, Process] = field(default_factory=dict)
     router_command: Sequence[str] = (sys.executable, "-m", "crowwinch")
@@ -117,6 +118,10 @@
         """Starts the stand-in for the platform."""
         self.platform = start_standin("platform_service")
 
+    def start_relay(self) -> None:
+        """Puts a relay between the routers that are started later."""
+        self.relay = start_standin("relay")
+
     def start_target(self, name: str, module: str, *arguments: str) -> None:
         """Starts a target stand-in; module is engine or plain_service."""
         self.targets[name] = start_standin(module, *arguments)
@@ -167,10 +172,9 @@
             }
             for index, (_, _, peer) in enumerate(ports)
         ]
-        self.put(
-            "/control/vms",
-            json.dumps({"version": 1, "machines": machines}).encode(),
-        )
+        self.list_machines(1, machines)
+        if self.relay is not None:
+            self._list_relayed(machines)
         for index, (caller, operator, peer) in enumerate(ports):
             self.routers.append(
                 self.start_router(
@@ -183,6 +187,43 @@
             )
         self.wait_ready()
 
+    def list_machines(
+        self,
+        version: int,
+        machines: Sequence[Mapping[str, object]],
+        reader: str = "",
+    ) -> None:
+        """Publishes a VM list, for one reader or for all the others."""
+        document = {"version": version, "machines": list(machines)}
+        path = "/control/vms" + (f"/{reader}" if reader else "")
+        self.put(path, json.dumps(document).encode())
+
+    def _list_relayed(self, machines: Sequence[Mapping[str, object]]) -> None:
+        """Gives each router a list with relayed addresses of the others."""
+        for reader in machines:
+            seen = []
+            for machine in machines:
+                address = str(machine["address"])
+                if machine is not reader:
+                    address = self._relayed(reader, machine)
+                seen.append({**machine, "address": address})
+            self.list_machines(1, seen, str(reader["name"]))
+
+    def _relayed(
+        self, reader: Mapping[str, object], machine: Mapping[str, object]
+    ) -> str:
+        assert self.relay is not None
+        port = int(str(machine["address"]).rsplit(":", 1)[1])
+        url = f"{self.relay.url}/links/{reader['name']}>{machine['name']}"
+        _, answer = call("PUT", url, json.dumps({"port": port}).encode())
+        return f"127.0.0.1:{json.loads(answer)['port']}"
+
+    def cut_links(self, pairs: Sequence[tuple[str, str]]) -> None:
+        """Cuts the links from first to second of each pair, heals others."""
+        assert self.relay is not None
+        cuts = {f"{a}>{b}": ["forward", "back"] for a, b in pairs}
+        call("PUT", f"{self.relay.url}/cuts", json.dumps(cuts).encode())
+
     def start_router(
         self, name: str, zone: str, caller: int, operator: int, peer: int
     ) -> Process:
@@ -198,7 +239,7 @@
             f"--operator-port={operator}",
             f"--peer-port={peer}",
             f"--configuration-url={self.platform.url}",
-            f"--vm-list-url={self.platform.url}",
+            f"--vm-list-url={self.platform.url}/views/{name}",
         ]
         with open(self.log_path, "a", encoding="utf-8") as log:
             handle = subprocess.Popen(command, cwd=_ROOT, stderr=log)
@@ -235,8 +276,9 @@
     def stop(self) -> None:
         """Stops every process that this fleet started."""
         running = [*self.routers, *self.targets.values()]
-        if self.platform is not None:
-            running.append(self.platform)
+        for helper in (self.platform, self.relay):
+            if helper is not None:
+                running.append(helper)
         for process in running:
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,116 @@
+"""A TCP relay whose two directions can be cut and healed.
+
+A cut direction swallows the bytes, as a network does that drops packets: the
+connections stay open and neither end gets an error. Connections that were cut
+are closed when the direction heals, since bytes are missing in them.
+"""
+
+import argparse
+import asyncio
+import contextlib
+
+from aiohttp import web
+
+from standins._server import run_standin
+
+_CHUNK = 65536
+
+
+class Relay:
+    """Links by name, each from a port of its own to one address."""
+
+    def __init__(self) -> None:
+        """Creates a relay without links."""
+        self._servers: dict[str, asyncio.Server] = {}
+        self._cut: dict[str, frozenset[str]] = {}
+        self._damaged: dict[str, set[asyncio.StreamWriter]] = {}
+
+    def application(self) -> web.Application:
+        """Returns the routes."""
+        application = web.Application()
+        application.router.add_put("/links/{link}", self._open)
+        application.router.add_put("/cuts", self._set_cuts)
+        return application
+
+    async def _open(self, request: web.Request) -> web.Response:
+        """Takes {"port": number}; answers with the port of the link."""
+        link = request.match_info["link"]
+        port = (await request.json())["port"]
+        server = await asyncio.start_server(
+            lambda reader, writer: self._serve(link, port, reader, writer),
+            "127.0.0.1",
+            0,
+        )
+        self._servers[link] = server
+        self._damaged[link] = set()
+        return web.json_response({"port": server.sockets[0].getsockname()[1]})
+
+    async def _set_cuts(self, request: web.Request) -> web.Response:
+        """Takes {link: ["forward", "back"]}; other links are healed."""
+        cuts = await request.json()
+        self._cut = {link: frozenset(ways) for link, ways in cuts.items()}
+        for link, writers in self._damaged.items():
+            if not self._cut.get(link):
+                for writer in writers:
+                    writer.close()
+                writers.clear()
+        return web.Response(status=204)
+
+    async def _serve(
+        self,
+        link: str,
+        port: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", port
+            )
+        except OSError:
+            writer.close()
+            return
+        writers = (writer, far_writer)
+        # When the relay ends, the stream protocol would log a task that ends
+        # as cancelled as an error.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                self._copy(link, "forward", reader, far_writer, writers),
+                self._copy(link, "back", far_reader, writer, writers),
+            )
+
+    async def _copy(
+        self,
+        link: str,
+        way: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter],
+    ) -> None:
+        try:
+            while data := await reader.read(_CHUNK):
+                if way in self._cut.get(link, ()):
+                    self._damaged[link].update(writers)
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            for each in writers:
+                each.close()
+            self._damaged[link].difference_update(writers)
+
+
+def main() -> None:
+    """Runs the stand-in."""
+
+    def build(arguments: argparse.Namespace) -> web.Application:
+        del arguments
+        return Relay().application()
+
+    run_standin("TCP relay with links that can be cut.", build)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -284,24 +284,37 @@
         self.records.append(record)
         return record
 
-    def begin(self, routers: Sequence[tuple[str, str]]) -> None:
-        """Starts senders: one of each kind at each (name, URL)."""
+    def begin(
+        self,
+        routers: Sequence[tuple[str, str]],
+        kinds: Sequence[str] = KINDS,
+        pause_s: float = _PAUSE_S,
+    ) -> None:
+        """Starts senders: one of each entry of `kinds` at each (name, URL)."""
 
         async def start() -> None:
             for index, (name, url) in enumerate(routers):
-                for offset, kind in enumerate(KINDS):
+                for offset, kind in enumerate(kinds):
                     others = [each for _, each in routers]
                     key_url = others[(index + offset) % len(others)]
                     self._tasks.append(
                         asyncio.ensure_future(
-                            self._send_all(kind, name, url, key_url, index)
+                            self._send_all(
+                                kind, name, url, key_url, index, pause_s
+                            )
                         )
                     )
 
         self.submit(start()).result()
 
     async def _send_all(
-        self, kind: str, name: str, url: str, key_url: str, index: int
+        self,
+        kind: str,
+        name: str,
+        url: str,
+        key_url: str,
+        index: int,
+        pause_s: float,
     ) -> None:
         turn = index
         while not self._stopping:
@@ -309,7 +322,7 @@
             owner = WORKSPACES[turn % len(WORKSPACES)][0]
             record = self.new_record(kind, name, owner)
             await self.caller.send(record, url, key_url=key_url)
-            await asyncio.sleep(_PAUSE_S)
+            await asyncio.sleep(pause_s)
 
     def correct_since(self, start: int) -> collections.Counter:
         """Counts correct answers by router since a number of records."""
