Measure the scheduler by processor time

Cause: the scheduler's time per decision was taken with a wall clock. Change: measurements._fleet uses time.process_time. Conclusion: the figures say processor time, as their names promise.

--- a/measurements/_fleet.py
+++ b/measurements/_fleet.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
-from time import perf_counter
+from time import process_time
 
 import msgspec
 
@@ -123,10 +123,10 @@
 
     def receive(self, sender: str, message: SchedulingMessage) -> None:
         """Passes a message to the service and measures the scheduler."""
-        start = perf_counter()
+        start = process_time()
         self.service.receive(message, sender)
         if isinstance(message, Demand | Registration):
-            self._fleet.scheduler_seconds += perf_counter() - start
+            self._fleet.scheduler_seconds += process_time() - start
 
     def _suspect(self, name: str) -> None:
         # A live member refutes the suspicion within a probe period.
@@ -141,7 +141,7 @@
     def _report_targets(self) -> None:
         if self.service.scheduler is None:
             return
-        start = perf_counter()
+        start = process_time()
         for target in self._world.targets_of(self.region):
             self.service.report_target(
                 TargetReport(
@@ -152,7 +152,7 @@
                     leaving=not target.alive,
                 )
             )
-        self._fleet.report_seconds += perf_counter() - start
+        self._fleet.report_seconds += process_time() - start
 
 
 class Crowwinch:
