Read parts at a rate derived from the VM list

Cause: 2 calls a second for each watcher covered watches and reads of parts alike, and a peer answered at most 16 of the names of a pull, which the holder of a few parts mostly lacked. A first read of 10,000 workspaces (65 parts) took 11.3 s with 8 routers and 10.2 s with 340.

Change: watches keep their 2 calls a second. Parts have a budget of their own of 1,100 calls a second divided by the routers in the VM list, from 2 to 20. A pull names up to 128 parts and the answer carries the first 16 that the peer holds; a full answer is followed by the next pull at once. Without a configuration another peer is asked after 0.25 s.

If all of 340 routers read at once, they make at most 1,700 calls a second.

--- a/crowwinch/app/_fleet_configuration.py
+++ b/crowwinch/app/_fleet_configuration.py
@@ -39,6 +39,7 @@
             platform,
             peers.send,
             peers.alive_zones,
+            peers.listed_routers,
             metrics.count,
         )
         self._events = EventClock(timers, lambda: store.snapshot)
--- a/crowwinch/app/_peer_service.py
+++ b/crowwinch/app/_peer_service.py
@@ -125,6 +125,12 @@
             if machine.name in alive
         }
 
+    def listed_routers(self) -> int:
+        """Returns the number of routers in the VM list, 0 without a list."""
+        if self._vm_list is None:
+            return 0
+        return sum(each.role == "router" for each in self._vm_list.machines)
+
     def routers_in_region(self, region: str) -> set[str]:
         """Returns the routers of a region in the VM list."""
         if self._vm_list is None:
--- a/crowwinch/configuration/_candidates.py
+++ b/crowwinch/configuration/_candidates.py
@@ -23,6 +23,7 @@
         parts: Parts that arrived, compressed, by name.
         holders: Peers that announced the version.
         requested: Parts asked for and not yet received.
+        answered: Parts that peers sent since the last pull.
         progress_at: Monotonic time of the last arrival.
         asked_at: Monotonic time of the last pull.
     """
@@ -35,6 +36,7 @@
     parts: dict[str, bytes] = field(default_factory=dict)
     holders: set[str] = field(default_factory=set)
     requested: set[str] = field(default_factory=set)
+    answered: int = 0
 
     def missing(self) -> list[str]:
         """Returns names of parts that have not arrived."""
@@ -132,6 +134,7 @@
         if candidate is None:
             return False
         candidate.requested.discard(name)
+        candidate.answered += bool(compressed)
         if candidate.digests.get(name) != digest_of(document):
             self._count("configuration_parts_mismatched")
             return False
--- a/crowwinch/configuration/_spread.py
+++ b/crowwinch/configuration/_spread.py
@@ -29,6 +29,9 @@
 # Answers take a few round trips of at most 0.2 s between regions. What has not
 # arrived after this time is asked for again, of another peer.
 _RETRY_S = 0.5
+# Without a configuration most peers that are asked hold few parts, so others
+# are asked as soon as an answer from any region has had time to arrive.
+_FIRST_PULL_RETRY_S = 0.25
 # Peers answer in milliseconds; a router that starts gives them this long
 # before it reads the service.
 _PEER_WAIT_S = 1.0
@@ -36,7 +39,10 @@
 # this, because they may be cut off from the service.
 _FALLBACK_S = 5.0
 _PEERS_ASKED_AT_START = 3
-_PARTS_PER_PULL = 16
+_PARTS_PER_ANSWER = 16
+# A peer that has a part of a new version only answers with what it holds, so
+# a pull names more parts than an answer carries.
+_NAMES_PER_PULL = 128
 
 
 class ConfigurationSpread:
@@ -55,6 +61,7 @@
         reader: ConfigurationReader,
         send: Callable[[str, Any], None],
         alive: Callable[[], Mapping[str, str]],
+        listed: Callable[[], int],
         count: Callable[[str], None] = lambda name: None,
         randomness: random.Random | None = None,
     ) -> None:
@@ -68,6 +75,7 @@
             reader: The configuration service.
             send: Sends a message to a peer; may lose it.
             alive: Returns the zone of each live member by name.
+            listed: Returns the number of routers in the VM list.
             count: Adds one to the counter of a name.
             randomness: Source of jitter.
         """
@@ -81,7 +89,12 @@
         self._random = randomness or random.Random()
         self._candidates = CandidateSet(store, timers.clock, count)
         self._watcher = ServiceWatcher(
-            timers, reader, self._candidates, self._may_read, self._random
+            timers,
+            reader,
+            self._candidates,
+            self._may_read,
+            self._random,
+            listed,
         )
         self._heard: dict[str, Version] = {}
         self._asked: dict[Version, float] = {}
@@ -104,7 +117,7 @@
         self._fallback_at = (
             now + _FALLBACK_S + self._random.uniform(0, _FALLBACK_S)
         )
-        self._timer = self._timers.call_every(_RETRY_S, self._tick)
+        self._timer = self._timers.call_every(_FIRST_PULL_RETRY_S, self._tick)
         self.on_membership_changed()
         self._ask_any(_PEERS_ASKED_AT_START)
 
@@ -162,10 +175,14 @@
         if not message.names:
             self._send_manifest(peer, version, candidate)
             return
-        for name in message.names[:_PARTS_PER_PULL]:
+        sent = 0
+        for name in message.names[:_NAMES_PER_PULL]:
             content = self._compressed(version, name, candidate)
             if content is not None:
                 self._send(peer, ConfigurationPart(*version, name, content))
+                sent += 1
+            if sent == _PARTS_PER_ANSWER:
+                return
 
     def on_part(self, peer: str, message: ConfigurationPart) -> None:
         """Adds a document that was pulled."""
@@ -184,7 +201,10 @@
             candidate = self._candidates.get(version)
         if candidate is not None:
             candidate.holders.add(peer)
-            if not candidate.requested:
+            # A full answer means that the peer may hold more.
+            if not candidate.requested or (
+                candidate.answered >= _PARTS_PER_ANSWER
+            ):
                 self._pull_parts(peer, candidate)
         self._watcher.wake()
 
@@ -199,8 +219,10 @@
     def _tick(self) -> None:
         now = self._timers.clock.monotonic()
         candidates = self._candidates.incomplete()
+        has_configuration = self._store.snapshot.revision > 0
+        retry_s = _RETRY_S if has_configuration else _FIRST_PULL_RETRY_S
         for candidate in candidates:
-            if now - candidate.asked_at >= _RETRY_S:
+            if now - candidate.asked_at >= retry_s:
                 peer = self._pick(candidate.holders)
                 if peer is not None:
                     self._pull_parts(peer, candidate)
@@ -215,7 +237,7 @@
             version = max(newer)[0]
             holders = [peer for each, peer in newer if each == version]
             self._pull_manifest(self._random.choice(holders), version)
-        elif not candidates and not self._store.snapshot.revision:
+        elif not candidates and not has_configuration:
             peer = self._pick(set())
             if peer is not None:
                 self._send(peer, ConfigurationPull(0, "", []))
@@ -254,8 +276,9 @@
     def _pull_parts(self, peer: str, candidate: Candidate) -> None:
         names = candidate.missing()
         self._random.shuffle(names)
-        names = names[:_PARTS_PER_PULL]
+        names = names[:_NAMES_PER_PULL]
         candidate.requested = set(names)
+        candidate.answered = 0
         candidate.asked_at = self._timers.clock.monotonic()
         self._send(peer, ConfigurationPull(*candidate.version, names))
 
