Measure how edits reach real routers

Cause: propagation was tested with fakes and, on real processes, with two routers and three edits only.

The stand-in can take the configuration service down without the VM list: a router that starts without a VM list knows no peers.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -245,10 +245,8 @@
             "availability_zone": self._settings.availability_zone,
             "region": self._settings.region,
             "ready": self.is_ready,
-            "revision": self._store.snapshot.revision,
-            "digest": self._store.snapshot.digest,
             "active_requests": self._callers.active,
-            "refused_documents": self._store.refused,
+            **self._configuration.state(),
             "scheduler": self._scheduling.service.scheduler_name,
             **self._peers.state(),
         }
--- a/crowwinch/app/_fleet_configuration.py
+++ b/crowwinch/app/_fleet_configuration.py
@@ -5,6 +5,7 @@
     ConfigurationSpread,
     ConfigurationStore,
     EventClock,
+    Snapshot,
 )
 from crowwinch.coordination import TimerService
 from crowwinch.generated.peer_messages import (
@@ -31,6 +32,8 @@
     ) -> None:
         """Builds the parts and registers for their messages."""
         self._peers = peers
+        self._store = store
+        self._in_force_since: float | None = None
         self._spread = ConfigurationSpread(
             settings.name,
             settings.availability_zone,
@@ -43,7 +46,13 @@
             metrics.count,
         )
         self._events = EventClock(timers, lambda: store.snapshot)
-        store.subscribe(lambda _: self._events.refresh())
+        clock = timers.clock
+
+        def on_change(_: Snapshot) -> None:
+            self._in_force_since = clock.time()
+            self._events.refresh()
+
+        store.subscribe(on_change)
         self._register()
 
     @property
@@ -51,6 +60,17 @@
         """Tells when an event starts or ends."""
         return self._events
 
+    def state(self) -> dict[str, object]:
+        """Returns what `/v1/state` shows, with times as Unix seconds."""
+        snapshot = self._store.snapshot
+        return {
+            "revision": snapshot.revision,
+            "digest": snapshot.digest,
+            "in_force_since": self._in_force_since,
+            "active_events": len(self._events.active),
+            "refused_documents": self._store.refused,
+        }
+
     async def start(self) -> None:
         """Asks peers and watches the service if it is this router's turn."""
         self._events.start()
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -26,12 +26,17 @@
         self._vms: dict[str, object] = {"version": 0, "machines": []}
         self._changed = asyncio.Event()
         self._down = False
+        self._configuration_down = False
         self._calls = 0
         self._rejected = 0
         self._limit = calls_per_second
         self._window_start = 0.0
         self._window_calls = 0
 
+    @property
+    def _is_configuration_down(self) -> bool:
+        return self._down or self._configuration_down
+
     def application(self) -> web.Application:
         """Returns the routes."""
         application = web.Application(client_max_size=4_000_000)
@@ -45,13 +50,13 @@
         router.add_get("/control/calls", self._read_calls)
         return application
 
-    def _admit(self) -> web.Response | None:
+    def _admit(self, down: bool) -> web.Response | None:
         now = time.monotonic()
         if now - self._window_start >= 1.0:
             self._window_start, self._window_calls = now, 0
         self._calls += 1
         self._window_calls += 1
-        if self._down:
+        if down:
             return web.Response(status=503, text="down")
         if self._window_calls > self._limit:
             self._rejected += 1
@@ -64,7 +69,7 @@
         return self._values.get(name)
 
     async def _read(self, request: web.Request) -> web.Response:
-        if refused := self._admit():
+        if refused := self._admit(self._is_configuration_down):
             return refused
         value = self._value(request.match_info["name"])
         if value is None:
@@ -72,14 +77,14 @@
         return web.Response(body=value)
 
     async def _watch(self, request: web.Request) -> web.Response:
-        if refused := self._admit():
+        if refused := self._admit(self._is_configuration_down):
             return refused
         name = request.match_info["name"]
         known = request.query.get("digest", "")
         timeout = min(float(request.query.get("timeout", "20")), _MAX_WATCH_S)
         end = time.monotonic() + timeout
         while True:
-            if self._down:
+            if self._is_configuration_down:
                 return web.Response(status=503, text="down")
             value = self._value(name)
             if value is not None and hashlib.sha256(value).hexdigest() != known:
@@ -99,7 +104,7 @@
 
     async def _read_vms(self, request: web.Request) -> web.Response:
         del request
-        return self._admit() or web.json_response(self._vms)
+        return self._admit(self._down) or web.json_response(self._vms)
 
     async def _write(self, request: web.Request) -> web.Response:
         self._values[request.match_info["name"]] = await request.read()
@@ -111,9 +116,17 @@
         return web.Response(status=204)
 
     async def _set_faults(self, request: web.Request) -> web.Response:
-        """Takes {"down": bool, "stale": bool, "calls_per_second": number}."""
+        """Takes any of the faults.
+
+        `down` (bool) covers both services, `configuration_down` (bool) leaves
+        the VM list up, `stale` (bool) serves the values of this moment, and
+        `calls_per_second` (number) is the rate limit.
+        """
         faults = await request.json()
         self._down = bool(faults.get("down", self._down))
+        self._configuration_down = bool(
+            faults.get("configuration_down", self._configuration_down)
+        )
         self._limit = float(faults.get("calls_per_second", self._limit))
         if "stale" in faults:
             stale = dict(self._values) if faults["stale"] else None
