Let the quiet period of commands end while the VM list is read

Cause: each read of the VM list (every 2 s) started the quiet period of 10 s and the interval between loads again. Targets that ignore fencing numbers never got a command, and at the default of 0.1 loads a second no target ever got a load. A router that was frozen also sent commands of its old revision at its first pass, which such targets obey.

Change: a read starts the quiet period only if it changes the live routers. A pass that is more than 0.5 s late starts it as well. The engine stand-in can take time for a load, and does not serve the model meanwhile.

--- a/crowwinch/app/_fleet_commands.py
+++ b/crowwinch/app/_fleet_commands.py
@@ -36,9 +36,7 @@
         peers.membership.subscribe(
             lambda _: self._executor.on_membership_changed()
         )
-        peers.subscribe_vm_list(
-            lambda _: self._executor.on_membership_changed()
-        )
+        peers.subscribe_vm_list(lambda _: self._executor.on_vm_list_read())
 
     async def start(self) -> None:
         """Starts periodic passes."""
--- a/crowwinch/commands/_executor.py
+++ b/crowwinch/commands/_executor.py
@@ -22,6 +22,9 @@
 # the router in charge, so that its predecessor has stopped.
 COMMAND_QUIET_PERIOD_S = 10.0
 _PERIOD_S = 2.0
+# A pass that starts later than this shows that the process was frozen. It may
+# have lost the charge or missed a revision without knowing.
+_FROZEN_S = 0.5
 # A pass reads states within 2 s. A plan that is older was made before a freeze.
 _PLAN_LIFETIME_S = 3.0
 # A load may take minutes until the target reports the model.
@@ -75,6 +78,8 @@
         self._count = count
         self._quiet_until = 0.0
         self._sent: dict[Command, float] = {}
+        self._members: frozenset[str] = frozenset()
+        self._ticked_at = 0.0
         self._task: asyncio.Task | None = None
         self._timer: Subscription | None = None
         self.on_membership_changed()
@@ -87,6 +92,7 @@
 
     def start(self) -> None:
         """Starts periodic passes."""
+        self._ticked_at = self._timers.clock.monotonic()
         self._timer = self._timers.call_every(_PERIOD_S, self._tick)
 
     def stop(self) -> None:
@@ -99,9 +105,19 @@
     def on_membership_changed(self) -> None:
         """Starts the quiet period for targets that ignore fencing."""
         now = self._timers.clock.monotonic()
+        self._members = frozenset(self._alive())
         self._quiet_until = now + COMMAND_QUIET_PERIOD_S
         self._pacer.restart()
 
+    def on_vm_list_read(self) -> None:
+        """Starts the quiet period if the list changed the live routers.
+
+        The list is read every 2 s, so a quiet period at each read would never
+        end.
+        """
+        if frozenset(self._alive()) != self._members:
+            self.on_membership_changed()
+
     async def run_once(self) -> int:
         """Makes one pass if this router is in charge.
 
@@ -216,6 +232,10 @@
         return {name: state for name, state in results if state is not None}
 
     def _tick(self) -> None:
+        now = self._timers.clock.monotonic()
+        if now - self._ticked_at > _PERIOD_S + _FROZEN_S:
+            self.on_membership_changed()
+        self._ticked_at = now
         if self._task is None and self.is_in_charge:
             self._task = asyncio.ensure_future(self.run_once())
             self._task.add_done_callback(self._on_done)
--- a/crowwinch/commands/tests/test_executor.py
+++ b/crowwinch/commands/tests/test_executor.py
@@ -31,6 +31,7 @@
 
     def __init__(self):
         self.clock = ManualClock(unix_start=1e6)
+        self.timers = TimerService(self.clock)
         self.client = CommandClient()
         self.counts = Counter()
         self.runners = []
@@ -76,7 +77,7 @@
         return CommandExecutor(
             name,
             _REGION,
-            TimerService(self.clock),
+            self.timers,
             lambda: self.snapshot,
             lambda: members,
             client or self.client,
@@ -256,6 +257,35 @@
         fixture.advance(10)
         self.assertEqual(await router.run_once(), 1)
 
+    @_with_engines(1, {"ignore_fencing": True})
+    async def test_reads_of_the_vm_list(self, fixture):
+        """Guards against a quiet period that each read starts again."""
+        fixture.publish(1, "m@1", fencing=False)
+        router = fixture.router(rate=0.1)
+        for _ in range(6):
+            fixture.advance(2)
+            router.on_vm_list_read()
+            await router.run_once()
+        self.assertEqual(await fixture.models(), [{"m": "1"}])
+
+    @_with_engines(1, {"ignore_fencing": True})
+    async def test_first_pass_after_a_freeze(self, fixture):
+        """Guards against an old command of a router that wakes up."""
+        fixture.publish(1, "m@1", fencing=False)
+        router = fixture.router()
+        router.start()
+        for freeze_s, expected in ((60, 0), (2, 0), (2, 0), (2, 0), (4, 0)):
+            fixture.advance(freeze_s)
+            fixture.timers.run_due()
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(await fixture.orders()), expected)
+        for _ in range(5):
+            fixture.advance(2)
+            fixture.timers.run_due()
+            await asyncio.sleep(0.1)
+        self.assertEqual(len(await fixture.orders()), 1)
+        router.stop()
+
     @_with_engines(4, store=WeightStore(2))
     async def test_loads_are_paced(self, fixture):
         """Guards against loads that the weight store rejects."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -269,6 +269,11 @@
         self._highest_fencing = max(self._highest_fencing, fencing)
         self._orders.append(order)
         if order["action"] in ("load", "version"):
+            seconds = float(self._faults.get("load_seconds") or 0)
+            if seconds:
+                # The model is not served while its weights are replaced.
+                self._models.pop(order["model"], None)
+                await asyncio.sleep(seconds)
             if not await self._fetch_weights(order["model"]):
                 return web.json_response({"error": "no weights"}, status=503)
             self._models[order["model"]] = order.get("version", "")
