Import the parts of the command line late

Cause: every command imported the application, the HTTP client and the configuration package before it parsed its arguments.

Change: a command imports its parts when it runs. The settings move from crowwinch.app to crowwinch.cli, the only user, so that help of the router needs no application.

--- a/crowwinch/cli/_router.py
+++ b/crowwinch/cli/_router.py
@@ -4,8 +4,7 @@
 import os
 from typing import ClassVar
 
-from crowwinch.app import add_settings_arguments, load_settings, run_router
-from crowwinch.observability import configure_logs
+from crowwinch.cli._settings import add_settings_arguments, load_settings
 
 
 class RouterCommand:
@@ -27,6 +26,10 @@
     def run(self, arguments: argparse.Namespace) -> int:
         """Runs until a graceful shutdown has finished."""
         settings = load_settings(vars(arguments), os.environ)
+        # The application takes long to import; the help does not need it.
+        from crowwinch.app import run_router
+        from crowwinch.observability import configure_logs
+
         configure_logs(settings.log_level)
         run_router(settings)
         return 0
--- a/crowwinch/cli/_status.py
+++ b/crowwinch/cli/_status.py
@@ -3,8 +3,6 @@
 import argparse
 from typing import ClassVar
 
-from crowwinch.cli._operators import failure_text, format_grid, read_all
-
 _COLUMNS = (
     ("NAME", "router"),
     ("ZONE", "availability_zone"),
@@ -39,6 +37,13 @@
 
     def run(self, arguments: argparse.Namespace) -> int:
         """Prints the table; returns 1 when routers differ."""
+        # The HTTP client takes long to import; the help does not need it.
+        from crowwinch.cli._operators import (
+            failure_text,
+            format_grid,
+            read_all,
+        )
+
         rows = [[title for title, _ in _COLUMNS]]
         failures = []
         versions = set()
