Compare the short digest of probes with the beginning of the digest

Cause: probes carry 16 characters of the digest. The check for a second document of one revision compared them with the whole digest, so every router counted and logged a conflict at every revision, and a real conflict did not stand out. The fakes passed the whole digest in probes and hid it.

Change: the digest in force is compared by its beginning, and conflicts are kept by the first 16 characters. The fakes probe with 16 characters.

--- a/crowwinch/configuration/_store.py
+++ b/crowwinch/configuration/_store.py
@@ -16,6 +16,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 Version = tuple[int, str]
+# Probes carry this many characters of a digest.
+_PROBED_DIGEST_LENGTH = 16
 
 
 def decompress(content: bytes) -> bytes:
@@ -105,13 +107,19 @@
         return version > self.version
 
     def note_version(self, version: Version, source: str) -> None:
-        """Counts and logs a second digest of the revision in force."""
+        """Counts and logs a second digest of the revision in force.
+
+        The digest of `version` may be the beginning that probes carry.
+        """
         revision, digest = self.version
-        if not revision or version[0] != revision or version[1] == digest:
+        if not revision or version[0] != revision:
+            return
+        if digest.startswith(version[1]):
             return
-        if version in self._conflicts:
+        key = (revision, version[1][:_PROBED_DIGEST_LENGTH])
+        if key in self._conflicts:
             return
-        self._conflicts.add(version)
+        self._conflicts.add(key)
         self._count("configuration_conflicts")
         _LOGGER.error(
             "two configurations have the same revision; the higher digest wins",
--- a/crowwinch/configuration/tests/fake_fleet.py
+++ b/crowwinch/configuration/tests/fake_fleet.py
@@ -137,6 +137,12 @@
         )
 
 
+def _probed(router):
+    """Returns what probes carry: a part of the digest."""
+    revision, digest = router.store.version
+    return revision, digest[:16]
+
+
 class Fleet:
     """Steps all routers and checks that none goes back."""
 
@@ -204,9 +210,9 @@
             others = sorted(self.alive(name).keys() - {name})
             if others and not router.frozen:
                 peer = self.routers[self.random.choice(others)]
-                router.spread.on_peer_revision(peer.name, *peer.store.version)
+                router.spread.on_peer_revision(peer.name, *_probed(peer))
                 if not peer.frozen:
-                    peer.spread.on_peer_revision(name, *router.store.version)
+                    peer.spread.on_peer_revision(name, *_probed(router))
 
     async def run(self, seconds, until=None, step=STEP_S):
         """Runs; returns seconds until a condition held, or None."""
--- a/crowwinch/configuration/tests/test_spread.py
+++ b/crowwinch/configuration/tests/test_spread.py
@@ -236,6 +236,19 @@
                 self.assertGreater(router.counts["configuration_conflicts"], 0)
         fleet.stop()
 
+    @_in_loop
+    async def test_one_digest_is_no_conflict(self):
+        """Guards against an alarm for the short digest that probes carry."""
+        fleet = Fleet(8, 3)
+        for built in (_FIRST, _SECOND):
+            fleet.service.publish(built)
+            if built is _FIRST:
+                fleet.start()
+            await fleet.run(10)
+        for router in fleet.routers.values():
+            self.assertEqual(router.counts["configuration_conflicts"], 0)
+        fleet.stop()
+
     @_in_loop
     async def test_all_routers_start_at_once(self):
         """Guards against reads that grow with the fleet."""
--- a/tests/test_propagation.py
+++ b/tests/test_propagation.py
@@ -22,6 +22,8 @@
 
     def test_edits_and_faults(self):
         self.assertLess(max(propagation.healthy(self.rig, 8)), _HEALTHY_S)
+        conflicts = self.rig.counter("configuration_conflicts")
+        self.assertEqual(sum(conflicts), 0, "one digest for each revision")
         for fault in propagation.FAULTS:
             with self.subTest(fault.__name__):
                 self.assertLess(fault(self.rig), _FAULT_S)
