Recognise a refused version by the digest that probes carry

Cause: refused manifests were kept by their whole digest, but probes carry 16 characters. A router that refuses what a peer has in force, for instance while two software versions run, pulled the manifest again at each probe.

Change: refused manifests are kept by the first 16 characters.

--- a/crowwinch/configuration/_candidates.py
+++ b/crowwinch/configuration/_candidates.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass, field
 
 from crowwinch.configuration._loader import digest_of, parse_manifest
-from crowwinch.configuration._store import ConfigurationStore, Version
+from crowwinch.configuration._store import (
+    PROBED_DIGEST_LENGTH,
+    ConfigurationStore,
+    Version,
+)
 from crowwinch.coordination import Clock
 from crowwinch.errors import DocumentError
 
@@ -74,8 +78,12 @@
         return self._candidates.get(version)
 
     def is_refused(self, digest: str) -> bool:
-        """Whether the manifest with this digest was refused."""
-        return digest in self._refused
+        """Whether the manifest with this digest was refused.
+
+        Args:
+            digest: A digest, or the beginning of it that probes carry.
+        """
+        return digest[:PROBED_DIGEST_LENGTH] in self._refused
 
     def add_manifest(self, document: bytes, source: str) -> Candidate | None:
         """Starts to collect the parts of a manifest.
@@ -172,6 +180,6 @@
         return True
 
     def _refuse(self, digest: str) -> None:
-        self._refused[digest] = None
+        self._refused[digest[:PROBED_DIGEST_LENGTH]] = None
         while len(self._refused) > _MAX_REFUSED:
             del self._refused[next(iter(self._refused))]
--- a/crowwinch/configuration/_store.py
+++ b/crowwinch/configuration/_store.py
@@ -17,7 +17,7 @@
 _LOGGER = logging.getLogger(__name__)
 Version = tuple[int, str]
 # Probes carry this many characters of a digest.
-_PROBED_DIGEST_LENGTH = 16
+PROBED_DIGEST_LENGTH = 16
 
 
 def decompress(content: bytes) -> bytes:
@@ -116,7 +116,7 @@
             return
         if digest.startswith(version[1]):
             return
-        key = (revision, version[1][:_PROBED_DIGEST_LENGTH])
+        key = (revision, version[1][:PROBED_DIGEST_LENGTH])
         if key in self._conflicts:
             return
         self._conflicts.add(key)
--- a/crowwinch/configuration/tests/test_spread.py
+++ b/crowwinch/configuration/tests/test_spread.py
@@ -249,6 +249,26 @@
             self.assertEqual(router.counts["configuration_conflicts"], 0)
         fleet.stop()
 
+    @_in_loop
+    async def test_refused_version_is_not_pulled_again(self):
+        """Guards against pulls of what this router cannot put in force."""
+        fleet = Fleet(2, 1)
+        fleet.service.publish(_FIRST)
+        fleet.start()
+        await fleet.run(5, fleet.all_have(_FIRST))
+        unusable = Documents(b'{"revision": 9, "parts": 1}', {})
+        digest = digest_of(unusable.manifest)
+        fleet.service.publish(unusable)
+        await fleet.run(2)
+        router = fleet.routers["r0"]
+        self.assertEqual(router.store.refused, 1)
+        # A peer of another software version has it in force.
+        before = fleet.messages
+        router.spread.on_peer_revision("r1", 9, digest[:16])
+        await fleet.run(5)
+        self.assertEqual(fleet.messages, before)
+        fleet.stop()
+
     @_in_loop
     async def test_all_routers_start_at_once(self):
         """Guards against reads that grow with the fleet."""
