Put each planted finding beside its row and shorten table checks

Cause: the test of 20 planted findings kept rows and places in separate lists and patched names into the text. Two checks of the table were long, and looking for the owner of a URL passed over all targets for each target.

Change: each planted line names the column of its finding; the expected places and their number of 20 stay the same. The checks of events are three methods, and the owner of a URL is kept with it. The reason for the size of parts names the present read rate.

--- a/crowwinch/configuration/_build.py
+++ b/crowwinch/configuration/_build.py
@@ -28,8 +28,8 @@
 _KINDS = ("workspaces", "events", "groups")
 # A part over this size is divided in two by the next bit of the hash, so the
 # division depends only on the contents and an edit touches no other part. A
-# router reads two parts a second, so a small table needs few parts; each edit
-# moves one part to each router, so a large table needs small parts.
+# router reads at most 20 parts a second, so a small table needs few parts; each
+# edit moves one part to each router, so a large table needs small parts.
 _SPLIT_BYTES = 48_000
 # Deeper parts would need a fourth digit in their names.
 _MAX_DEPTH = 8
--- a/crowwinch/configuration/_check.py
+++ b/crowwinch/configuration/_check.py
@@ -149,17 +149,21 @@
     def _check_targets(self) -> None:
         groups = self._names("groups", "group")
         self._check_target_names()
-        urls: dict[str, int] = {}
+        urls: dict[str, _Record] = {}
         sizes: Counter[str] = Counter()
         for record in self._records["targets"]:
             group, url = record.get("group"), record.get("url")
             if group is not None and group not in groups:
                 self._add(record, "group", f"unknown group {group!r}")
             if url is not None:
-                other = urls.setdefault(url.rstrip("/"), record.row.number)
-                name = self._name_at("targets", other)
-                if other != record.row.number and name != record.get("target"):
-                    self._add(record, "url", f"{url} is already in row {other}")
+                other = urls.setdefault(url.rstrip("/"), record)
+                # A target that is listed twice has its own finding.
+                if other.get("target") != record.get("target"):
+                    self._add(
+                        record,
+                        "url",
+                        f"{url} is already in row {other.row.number}",
+                    )
             if "slots" in record.values and record.values["slots"] == 0:
                 self._add(record, "slots", "'0' is not from 1 to 4096")
             sizes[group or ""] += 1
@@ -170,12 +174,6 @@
                     f"group {group!r} has more than {MAX_TARGETS} targets",
                 )
 
-    def _name_at(self, sheet: str, row: int) -> str | None:
-        for record in self._records[sheet]:
-            if record.row.number == row:
-                return record.get(SHEETS[sheet][0].name)
-        return None
-
     def _check_target_names(self) -> None:
         first: dict[str, _Record] = {}
         numbers: dict[int, str] = {}
@@ -205,9 +203,9 @@
     def _check_events(self) -> None:
         workspaces = self._names("workspaces", "workspace")
         groups = self._names("groups", "group")
-        spans: dict[str, list[tuple[int, int, _Record]]] = defaultdict(list)
+        unmanaged = self._unmanaged_groups()
+        unique = []
         names: dict[tuple[str, str], int] = {}
-        wanting = 0
         for record in self._records["events"]:
             name, workspace = record.get("event"), record.get("workspace")
             if workspace is not None and workspace not in workspaces:
@@ -223,31 +221,45 @@
                     f"{name!r} of {workspace!r} is already in row {known}",
                 )
                 continue
-            self._check_event_models(record, groups)
-            wanting += bool(record.get("models"))
-            if wanting == MAX_MODEL_EVENTS + 1 and record.get("models"):
-                self._add(
-                    record,
-                    "models",
-                    f"more than {MAX_MODEL_EVENTS} events want models",
-                )
+            self._check_event_models(record, groups, unmanaged)
+            unique.append(record)
+        self._check_model_events(unique)
+        self._check_spans(unique)
+
+    def _check_model_events(self, records: Iterable[_Record]) -> None:
+        wanting = [record for record in records if record.get("models")]
+        if len(wanting) > MAX_MODEL_EVENTS:
+            self._add(
+                wanting[MAX_MODEL_EVENTS],
+                "models",
+                f"more than {MAX_MODEL_EVENTS} events want models",
+            )
+
+    def _check_spans(self, records: Iterable[_Record]) -> None:
+        spans: dict[str, list[tuple[int, int, _Record]]] = defaultdict(list)
+        for record in records:
             start, end = record.get("start"), record.get("end")
-            if start is not None and end is not None:
-                if end <= start:
-                    self._add(record, "end", "the end is not after the start")
-                elif workspace is not None:
-                    spans[workspace].append((start, end, record))
+            if start is None or end is None:
+                continue
+            workspace = record.get("workspace")
+            if end <= start:
+                self._add(record, "end", "the end is not after the start")
+            elif workspace is not None:
+                spans[workspace].append((start, end, record))
         self._check_overlaps(spans)
 
     def _check_event_models(
-        self, record: _Record, groups: frozenset[str]
+        self,
+        record: _Record,
+        groups: frozenset[str],
+        unmanaged: frozenset[str],
     ) -> None:
         group = record.get("group")
         if group is not None and group not in groups:
             self._add(record, "group", f"unknown group {group!r}")
         elif record.get("models") and group is None:
             self._add(record, "group", "models need a group")
-        elif record.get("models") and group in self._unmanaged_groups():
+        elif record.get("models") and group in unmanaged:
             self._add(
                 record,
                 "models",
--- a/crowwinch/configuration/tests/test_table.py
+++ b/crowwinch/configuration/tests/test_table.py
@@ -24,41 +24,67 @@
 from crowwinch.generated.documents import Event, Workspace
 
 _HASHES = [digest_of(str(index).encode()) for index in range(20)]
-_WORKSPACES = f"""\
-workspace,weight,max_in_flight,class,key_hashes,colour
-a,1,,,{_HASHES[0]},
-a,1,,,{_HASHES[0]},
-b,-1,,,{_HASHES[2]},
-c,1,x,,{_HASHES[3]},
-d,1,,urgent,{_HASHES[4]},
-e,1,,,abc,
-f,1,,,{_HASHES[0]},
-g,,,,{_HASHES[5]},
-h,nan,,,{_HASHES[6]},
-COLLISION,1,,,{_HASHES[7]},
-"""
-_EVENTS = """\
-event,workspace,start,end,group,models
-e1,a,2027-01-04T06:00:00+00:00,2027-01-04T05:00:00+00:00,,
-e2,nobody,2027-01-04T06:00:00Z,2027-01-04T07:00:00Z,,
-e3,b,2027-01-04T06:00:00,2027-01-04T07:00:00Z,,
-e4,c,2027-01-04T06:00:00Z,2027-01-04T08:00:00Z,,
-e5,c,2027-01-04T07:00:00Z,2027-01-04T09:00:00Z,,
-e6,d,2027-01-04T06:00:00Z,2027-01-04T07:00:00Z,none,m
-"""
-_GROUPS = """\
-group,kind,region,model,models
-g1,engine,r,m,m@1:2
-g2,robot,r,m,
-g3,engine,r,m,other
-big,engine,r,m,
-"""
-_TARGETS = """\
-target,group,url,slots
-t1,g1,http://h/1,8
-t1,g2,http://h/2,8
-t2,g1,ftp://h/3,8
-"""
+_HOURS = [f"2027-01-04T{hour:02}:00:00Z" for hour in range(10)]
+
+
+def _colliding_names():
+    """Returns two names with the same identifier."""
+    names = {}
+    for index in range(2**20):
+        name = f"n{index}"
+        other = names.setdefault(identifier(name), name)
+        if other != name:
+            return other, name
+    raise AssertionError("no collision found")
+
+
+def _planted():
+    """Returns lines by sheet, each with the column of its one finding."""
+    first, second = _colliding_names()
+    return {
+        "workspaces": [
+            (
+                "workspace,weight,max_in_flight,class,key_hashes,colour",
+                "colour",
+            ),
+            (f"a,1,,,{_HASHES[0]},", None),
+            (f"a,1,,,{_HASHES[0]},", "workspace"),
+            (f"b,-1,,,{_HASHES[2]},", "weight"),
+            (f"c,1,x,,{_HASHES[3]},", "max_in_flight"),
+            (f"d,1,,urgent,{_HASHES[4]},", "class"),
+            ("e,1,,,abc,", "key_hashes"),
+            (f"f,1,,,{_HASHES[0]},", "key_hashes"),
+            (f"g,,,,{_HASHES[5]},", "weight"),
+            (f"{first},nan,,,{_HASHES[6]},", "weight"),
+            (f"{second},1,,,{_HASHES[7]},", "workspace"),
+        ],
+        "events": [
+            ("event,workspace,start,end,group,models", None),
+            (f"e1,a,{_HOURS[6]},{_HOURS[5]},,", "end"),
+            (f"e2,nobody,{_HOURS[6]},{_HOURS[7]},,", "workspace"),
+            (f"e3,b,2027-01-04T06:00:00,{_HOURS[7]},,", "start"),
+            (f"e4,c,{_HOURS[6]},{_HOURS[8]},,", None),
+            (f"e5,c,{_HOURS[7]},{_HOURS[9]},,", "start"),
+            (f"e6,d,{_HOURS[6]},{_HOURS[7]},none,m", "group"),
+        ],
+        "groups": [
+            ("group,kind,region,model,models", None),
+            ("g1,engine,r,m,m@1:2", None),
+            ("g2,robot,r,m,", "kind"),
+            ("g3,engine,r,m,other", "models"),
+            ("big,engine,r,m,", None),
+        ],
+        "targets": [
+            ("target,group,url,slots", None),
+            ("t1,g1,http://h/1,8", None),
+            ("t1,g2,http://h/2,8", "group"),
+            ("t2,g1,ftp://h/3,8", "url"),
+            *((f"x{n},big,http://big/{n},1", None) for n in range(64)),
+            ("x64,big,http://big/64,1", "group"),
+        ],
+    }
+
+
 # The two rows of each sheet differ in every column.
 _FULL = {
     "workspaces": "workspace,weight,max_in_flight,max_service_per_second,"
@@ -75,54 +101,6 @@
     "t2,g,http://h/2,8,16,no,prefill\nt1,g,http://h/1,4,,,\n"
     "t3,h,http://h/3,4,,,\n",
 }
-_PLACES = (
-    "workspaces row 1 column colour",
-    "workspaces row 3 column workspace",
-    "workspaces row 4 column weight",
-    "workspaces row 5 column max_in_flight",
-    "workspaces row 6 column class",
-    "workspaces row 7 column key_hashes",
-    "workspaces row 8 column key_hashes",
-    "workspaces row 9 column weight",
-    "workspaces row 10 column weight",
-    "workspaces row 11 column workspace",
-    "events row 2 column end",
-    "events row 3 column workspace",
-    "events row 4 column start",
-    "events row 6 column start",
-    "events row 7 column group",
-    "groups row 3 column kind",
-    "groups row 4 column models",
-    "targets row 3 column group",
-    "targets row 4 column url",
-    "targets row 69 column group",
-)
-
-
-def _colliding_name(taken):
-    wanted = {identifier(name): name for name in taken}
-    names = {}
-    for index in range(2**20):
-        number = identifier(f"n{index}")
-        if number in wanted:
-            return wanted[number], f"n{index}"
-        if number in names:
-            return names[number], f"n{index}"
-        names[number] = f"n{index}"
-    raise AssertionError("no collision found")
-
-
-def _planted():
-    first, second = _colliding_name(())
-    big = "".join(f"x{n},big,http://big/{n},1\n" for n in range(65))
-    return {
-        "workspaces": _WORKSPACES.replace("COLLISION", second).replace(
-            "h,nan", f"{first},nan"
-        ),
-        "events": _EVENTS,
-        "groups": _GROUPS,
-        "targets": _TARGETS + big,
-    }
 
 
 class TableTest(unittest.TestCase):
@@ -141,16 +119,25 @@
 
     def test_twenty_planted_errors_give_twenty_findings(self):
         """Guards against missing, repeated or misplaced findings."""
-        sheets = _planted()
+        planted = _planted()
+        places = [
+            f"{sheet} row {row} column {column}"
+            for sheet, lines in planted.items()
+            for row, (_, column) in enumerate(lines, 1)
+            if column
+        ]
+        self.assertEqual(len(places), 20)
+        sheets = {
+            sheet: "".join(f"{line}\n" for line, _ in lines)
+            for sheet, lines in planted.items()
+        }
         csv_table = read_table(self._write(sheets))
         path = self.folder / "table.xlsx"
         self._write_workbook(sheets, path)
         for name, table in (("csv", csv_table), ("xlsx", read_table(path))):
             with self.subTest(name):
                 findings = check_table(table).findings
-                self.assertEqual(
-                    [each.place for each in findings], list(_PLACES)
-                )
+                self.assertEqual([each.place for each in findings], places)
         with self.assertRaises(FindingsError):
             build_documents(check_table(csv_table), 1)
 
