--- a/measurements/_slopes_messages.py
+++ b/measurements/_slopes_messages.py
@@ -21,7 +21,7 @@
     return len(encode(message)) + FRAMING_BYTES
 
 
-def _linked(message: MessageStruct) -> int:
+def linked_size(message: MessageStruct) -> int:
     """Returns the size over a reliable link, as most messages travel."""
     return _size(
         messages.LinkFrame(_LIFE, _LIFE + 1, 100_000, 100_000, encode(message))
@@ -36,7 +36,7 @@
 
 
 def _demand(requests: int) -> int:
-    return _linked(
+    return linked_size(
         messages.Demand(
             10_000_000,
             [
@@ -57,7 +57,7 @@
 
 
 def _grants(requests: int) -> int:
-    return _linked(
+    return linked_size(
         messages.Grants(
             10_000_000,
             [
@@ -71,7 +71,7 @@
 
 
 def _registration(requests: int) -> int:
-    return _linked(
+    return linked_size(
         messages.Registration(
             10_000_000,
             [
@@ -106,7 +106,7 @@
         ),
     }
     for name, message in fixed.items():
-        yield {"message": name, "bytes": _linked(message)}
+        yield {"message": name, "bytes": linked_size(message)}
     announce = messages.ConfigurationAnnounce(1_000, _DIGEST)
     yield {"message": "ConfigurationAnnounce", "bytes": _size(announce)}
     pull = messages.ConfigurationPull(1_000, _DIGEST, ["workspaces-100"])
