--- a/measurements/slopes.py
+++ b/measurements/slopes.py
@@ -18,6 +18,7 @@
     _slopes_page,
     _slopes_processes,
     _slopes_records,
+    _slopes_spread,
     _slopes_state,
     _slopes_transport,
 )
@@ -27,6 +28,7 @@
     "queue": _slopes_state.queue,
     "dispatcher": _slopes_state.dispatcher,
     "configuration": _slopes_state.configuration,
+    "spread": _slopes_spread.spread,
     "crashes": _slopes_records.crashes,
     "idempotency": _slopes_records.idempotency,
     "commands": _slopes_records.commands,
