Poll the targets of the own region only

Cause: the scheduler of a region polled the targets of every region, eight times as many as it schedules at the planned size. Change: only targets of groups in the own region are watched.

--- a/crowwinch/app/_fleet_scheduling.py
+++ b/crowwinch/app/_fleet_scheduling.py
@@ -5,7 +5,7 @@
 from crowwinch.app._links import LinkTable
 from crowwinch.app._peer_service import PeerService
 from crowwinch.configuration import Snapshot
-from crowwinch.coordination import MemberState, TimerService
+from crowwinch.coordination import MemberState, TimerService, identifier
 from crowwinch.errors import RetryReason
 from crowwinch.generated.peer_messages import (
     Demand,
@@ -129,7 +129,7 @@
         self._service.receive(message, sender.name)
 
     def _watch_targets(self) -> None:
-        """Polls targets only while the scheduler runs here."""
+        """Polls the region's targets, only while the scheduler runs here."""
         snapshot = self._snapshot()
         watching = (self._service.scheduler is not None, snapshot.digest)
         if watching == self._watching:
@@ -138,8 +138,10 @@
         targets = {}
         if watching[0]:
             targets = {
-                number: target.url
-                for number, target in snapshot.targets.items()
+                identifier(target.name): target.url
+                for group in snapshot.groups.values()
+                if group.region == self._settings.region
+                for target in group.targets
             }
         self._monitor.watch(targets)
 
