Ask peers for crash reports before a router is ready

The log of a failing run shows the third crash at a router that had restarted: it was ready before the others had noticed it and sent the known reports. Ruled out: a crash that is not detected; both first crashes are logged, the second one of the request running alone. Crashes are logged. Repeats at the same moment through several routers can still crash more than two targets.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -108,7 +108,7 @@
             self._count_retry,
         )
         self._crashes = FleetCrashes(
-            settings, self._clock, self._peers, self._links
+            settings, self._timers, self._peers, self._links
         )
         self._idempotency = FleetIdempotency(
             settings, self._timers, self._peers, self._links
@@ -137,7 +137,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether the router takes requests."""
-        return self._store.snapshot.revision > 0 and not self._stopping
+        return (
+            self._store.snapshot.revision > 0
+            and self._crashes.is_current
+            and not self._stopping
+        )
 
     def _build_handler(self) -> RequestHandler:
         return RequestHandler(
@@ -165,6 +169,7 @@
             self._platform,
             self._peers,
             self._configuration,
+            self._crashes,
             self._commands,
             self._client,
             self._scheduling,
--- a/crowwinch/peers/_codec.py
+++ b/crowwinch/peers/_codec.py
@@ -38,6 +38,8 @@
     20: messages.CrashReport,
     21: messages.Reserve,
     22: messages.ReserveAnswer,
+    23: messages.CrashPull,
+    24: messages.CrashReports,
 }
 _NUMBERS = {kind: number for number, kind in MESSAGE_TYPES.items()}
 _DECODERS = {
--- a/crowwinch/routing/_retries.py
+++ b/crowwinch/routing/_retries.py
@@ -1,6 +1,7 @@
 """Decides whether a failed attempt is repeated."""
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
     TargetError,
 )
 
+_LOGGER = logging.getLogger(__name__)
 # The first attempt and three more, each at another target where possible.
 _MAX_FAILURES = 4
 _BUDGET_RETRY_S = 1.0
@@ -91,6 +93,15 @@
         crashed = await self._incarnations.has_crashed(
             attempt.number, attempt.target.url, attempt.epoch
         )
+        if crashed:
+            _LOGGER.warning(
+                "target crashed",
+                extra={
+                    "request_id": run.request.request_id,
+                    "target": attempt.target.name,
+                    "alone": attempt.alone,
+                },
+            )
         # The body of a resumed stream is not known at this router.
         if crashed and attempt.slot is not None:
             self._crashes.note_crash(
