--- a/measurements/_slopes_messages.py
+++ b/measurements/_slopes_messages.py
@@ -86,7 +86,10 @@
                 )
                 for index in range(requests)
             ],
-            [messages.WorkspaceLag(_NUMBER, 100_000) for _ in range(requests)],
+            [
+                messages.WorkspaceLag(_NUMBER, _NUMBER, 100_000)
+                for _ in range(requests)
+            ],
         )
     )
 
--- a/measurements/_slopes_state.py
+++ b/measurements/_slopes_state.py
@@ -107,7 +107,7 @@
         result = FairQueue(ManualClock(), lambda: snapshot)
         numbers = list(snapshot.workspaces)
         for number in numbers:
-            result.charge(number, 100, 1.0)
+            result.charge(number, 100, 1.0, 1)
         for number in numbers[: workspaces // 10]:
             for request in range(10):
                 result.add(Entry("r", request, number, 1, 0))
@@ -124,9 +124,9 @@
 
         def decide() -> None:
             entry = filled.select(1)
-            filled.charge(entry.workspace, rng.randint(1, 1000), 1.0)
-            filled.begin(entry.workspace)
-            filled.end(entry.workspace)
+            filled.charge(entry.workspace, rng.randint(1, 1000), 1.0, 1)
+            filled.begin(entry.workspace, 1, 100.0)
+            filled.end(entry.workspace, 1, 100.0)
             filled.add(Entry("r", 11, entry.workspace, 1, 0))
 
         return microseconds(decide, 5_000)
