Give up the slots of lost routers until a report shows them free

Cause: tests.test_fault_partition still reached 11 of 8 slots. A trace showed 11 at the moment of healing: while the members' views differed, three schedulers were active, and each was allowed its share although a router that had left it kept its slots. A second trace showed both sides raising their allowances by a slot for each report while the side below its share had not yet caught up.

Change: a grant of a router that leaves or is lost lowers the allowance by one. The scheduler then polls all targets at once, so that the slots come back with the next report instead of the next period. Above the share the allowance rises with every other report only.

--- a/crowwinch/app/_fleet_scheduling.py
+++ b/crowwinch/app/_fleet_scheduling.py
@@ -79,7 +79,7 @@
             pacing=self._new_budget,
             max_waiting=settings.max_waiting,
             on_retry=on_retry,
-            request_reports=self._restart_polls,
+            request_reports=self._request_reports,
         )
         for kind in (Demand, Grants, Registration, RegistrationRequest):
             peers.dispatcher.register(kind, self._receive)
@@ -129,11 +129,10 @@
     ) -> None:
         self._service.receive(message, sender.name)
 
-    def _restart_polls(self) -> None:
-        """Polls all targets at once for a scheduler that has just started."""
-        self._monitor.stop()
-        self._watching = (False, "")
+    def _request_reports(self) -> None:
+        """Polls all targets of the region at once."""
         self._watch_targets()
+        self._monitor.poll_now()
 
     def _watch_targets(self) -> None:
         """Polls the region's targets, only while the scheduler runs here."""
--- a/crowwinch/scheduling/_service.py
+++ b/crowwinch/scheduling/_service.py
@@ -75,8 +75,9 @@
             max_waiting: Most waiting requests at this router.
             on_retry: Is told the reason of each repeated ask.
             request_reports: Called when a scheduler starts here, which then
-                awaits a target's report before new grants on it. Without it,
-                the scheduler uses its share at once.
+                awaits a target's report before new grants on it, and when it
+                loses a router. Without it, the scheduler uses its share at
+                once.
         """
         self._clock = clock
         self._timers = timers
@@ -158,7 +159,7 @@
         if self._scheduler is not None:
             for router in self._scheduler.routers:
                 if router not in alive:
-                    self._scheduler.remove_router(router)
+                    self._remove_router(router)
         self._place(alive)
         self._close_unused()
 
@@ -168,8 +169,7 @@
         Messages that it had not acknowledged are lost, so a scheduler on that
         router needs a new registration.
         """
-        if self._scheduler is not None:
-            self._scheduler.remove_router(peer)
+        self._remove_router(peer)
         if peer == self._current:
             self._register(peer, 0)
 
@@ -198,8 +198,8 @@
     def _(self, message: Registration, peer: str) -> None:
         if message.echo_ms != WITHDRAWN_ECHO:
             self._run_scheduler().register(peer, message)
-        elif self._scheduler is not None:
-            self._scheduler.remove_router(peer)
+        else:
+            self._remove_router(peer)
             self._close_unused()
 
     @receive.register
@@ -233,8 +233,8 @@
         _LOGGER.info(
             "scheduler changed", extra={"scheduler": chosen, "was": previous}
         )
-        if previous == self._name and self._scheduler is not None:
-            self._scheduler.remove_router(self._name)
+        if previous == self._name:
+            self._remove_router(self._name)
         elif previous is not None:
             self._send(previous, Registration(WITHDRAWN_ECHO, [], [], []))
         self._register(chosen, 0)
@@ -265,6 +265,15 @@
                 self._request_reports()
         return self._scheduler
 
+    def _remove_router(self, router: str) -> None:
+        scheduler = self._scheduler
+        if scheduler is None or router not in scheduler.routers:
+            return
+        scheduler.remove_router(router)
+        if self._request_reports is not None:
+            # Slots of its grants return only when a report shows them free.
+            self._request_reports()
+
     def _close_unused(self) -> None:
         scheduler = self._scheduler
         if (
--- a/crowwinch/scheduling/_target_limits.py
+++ b/crowwinch/scheduling/_target_limits.py
@@ -62,6 +62,7 @@
         self._share = 0
         self._awaits_report = awaits_report
         self._was_idle = not awaits_report
+        self._has_risen = False
         self.leaving = False
         self.incarnation = 0
 
@@ -120,7 +121,7 @@
         """Counts a grant of a lost router as load of others."""
         self.end(now)
         self._others += 1
-        self._latest_others += 1
+        self._allowed = max(self._allowed - 1, 0)
 
     def report(self, report: TargetReport, now: float) -> None:
         """Adjusts the limit and the load of others to a report."""
@@ -144,21 +145,28 @@
         self._was_idle = total == 0
         self._awaits_report = False
         low, high = sorted((self._free, self._share))
-        if total <= self.limit:
+        if total > self.limit:
+            rise = 0
+        elif self._allowed < low:
             # Half of the way, since one report may show too little load.
-            half = (self._allowed + low + 1) // 2
-            self._allowed = max(self._allowed + 1, half)
-        self._allowed = min(self._allowed, high)
+            rise = (low - self._allowed + 1) // 2
+        else:
+            # Every other report, so that the other side, which may still be
+            # below its share, is not overtaken.
+            rise = 0 if self._has_risen else 1
+        before = self._allowed
+        self._allowed = min(self._allowed + rise, high)
+        self._has_risen = self._allowed > before
 
     def allowed(self, registered: int, listed: int) -> int:
         """Returns how many grants this scheduler may have in force.
 
         With each report, the allowance rises by half of the way to the lower
         of the scheduler's share and the slots that others leave free, then by
-        one slot up to the higher of them. It does not rise while the target is
-        above its limit. A scheduler whose share is in use by others thus takes
-        it over as fast as they withdraw. All of an idle target's share may be
-        used at once.
+        one slot every other report up to the higher of them. It does not rise
+        while the target is above its limit. A scheduler whose share is in use
+        by others thus takes it over as fast as they withdraw. All of an idle
+        target's share may be used at once.
 
         Args:
             registered: Routers whose registration the scheduler holds.
--- a/crowwinch/scheduling/tests/test_fleet.py
+++ b/crowwinch/scheduling/tests/test_fleet.py
@@ -312,8 +312,8 @@
         scheduler.remove_router("r0")
         limit = scheduler.targets.target(identifier("t0")).limit
         # One of two listed routers is registered: at least its half, from
-        # which the allowance rises by one a report, to what the higher of two
-        # reports leaves free.
+        # which the allowance rises by one every other report, to what the
+        # higher of two reports leaves free.
         for running, allowed in ((4, 2), (4, 2), (1, 2), (0, 3), (0, 4)):
             fleet.run(1)
             scheduler.report_target(_report(running=running))
--- a/crowwinch/targets/_monitor.py
+++ b/crowwinch/targets/_monitor.py
@@ -92,15 +92,31 @@
             if targets.get(target) != watched.base_url:
                 self._drop(target)
         new = [target for target in targets if target not in self._watched]
-        spacing = min(_FIRST_POLLS_SPACING_S, self._period_s / max(len(new), 1))
         for index, target in enumerate(new):
-            self._add(target, targets[target], index * spacing)
+            self._add(target, targets[target], index * self._spacing(len(new)))
+
+    def poll_now(self) -> None:
+        """Polls every watched target once more than its period asks for."""
+        for index, target in enumerate(self._watched):
+            self._timers.call_later(
+                index * self._spacing(len(self._watched)),
+                lambda target=target: self._poll_once(target),
+            )
 
     def stop(self) -> None:
         """Ends all polls."""
         for target in list(self._watched):
             self._drop(target)
 
+    def _spacing(self, count: int) -> float:
+        """Returns the seconds between the starts of so many polls."""
+        return min(_FIRST_POLLS_SPACING_S, self._period_s / count)
+
+    def _poll_once(self, target: int) -> None:
+        watched = self._watched.get(target)
+        if watched is not None:
+            self._start_poll(target, watched)
+
     def _add(self, target: int, base_url: str, delay: float) -> None:
         def begin() -> None:
             watched.timer = self._timers.call_every(
