Prefer the target that holds a prompt prefix

Change: a router remembers which target served which prompt prefix last and names it in the new field `preferred` of DemandEntry (default 0, so that both forms decode). The scheduler picks it if it is free and its load is within 0.25 of the lowest; the order of entries and the time of a grant do not depend on it. Cached tokens in the usage of an answer withdraw hints; cache events are not read, because they name blocks of tokens by the engine's own hashes and cost polls and a broadcast. The stand-in engine gets a limited prefix cache and reports cached tokens (fault `omit_cached_tokens`).

Conversations that the balancer spreads over the routers gain little.

--- a/crowwinch/api/_parsing.py
+++ b/crowwinch/api/_parsing.py
@@ -46,6 +46,8 @@
     stream: bool = False
     max_tokens: Annotated[int, msgspec.Meta(ge=1)] | None = None
     max_completion_tokens: Annotated[int, msgspec.Meta(ge=1)] | None = None
+    messages: msgspec.Raw = msgspec.Raw()
+    prompt: msgspec.Raw = msgspec.Raw()
 
 
 _DECODER = msgspec.json.Decoder(_EngineBody)
@@ -168,6 +170,7 @@
         ),
         deadline=deadline,
         idempotency_key=_fleet_key(request),
+        prompt=parsed.messages if len(parsed.messages) else parsed.prompt,
     )
 
 
--- a/crowwinch/routing/__init__.py
+++ b/crowwinch/routing/__init__.py
@@ -10,6 +10,12 @@
 from crowwinch.routing._crashes import CrashRegistry, CrashVerdict
 from crowwinch.routing._handler import RequestHandler
 from crowwinch.routing._keyed import KeyedRequestHandler
+from crowwinch.routing._prefixes import (
+    BLOCK_BYTES,
+    PrefixHints,
+    PromptAffinity,
+    prompt_prefixes,
+)
 from crowwinch.routing._requests import (
     Answer,
     BodyAnswer,
@@ -20,6 +26,7 @@
 from crowwinch.routing._stream_ids import StreamIds
 
 __all__ = [
+    "BLOCK_BYTES",
     "Answer",
     "BodyAnswer",
     "CallerRequest",
@@ -27,6 +34,8 @@
     "CrashVerdict",
     "EngineMeter",
     "KeyedRequestHandler",
+    "PrefixHints",
+    "PromptAffinity",
     "RequestHandler",
     "RetryBudget",
     "StreamAnswer",
@@ -35,5 +44,6 @@
     "WholeAnswer",
     "engine_cost",
     "estimate_engine_cost",
+    "prompt_prefixes",
     "service_cost",
 ]
--- a/crowwinch/routing/_attempts.py
+++ b/crowwinch/routing/_attempts.py
@@ -6,6 +6,7 @@
 from crowwinch.errors import RefusalError, RefusalReason, RunState
 from crowwinch.generated.documents import Group, Target
 from crowwinch.routing._crashes import CrashRegistry
+from crowwinch.routing._prefixes import PromptAffinity
 from crowwinch.routing._requests import AnswerParts, CallerRequest
 from crowwinch.scheduling import Slot, SlotOutcome, SlotRequest
 from crowwinch.targets import TargetAnswer
@@ -21,6 +22,7 @@
         excluded: Targets that failed.
         failures: Attempts that failed.
         run_state: Whether any attempt ran; it never goes back.
+        affinity: Preference for a target, None for plain services.
     """
 
     request: CallerRequest
@@ -29,6 +31,7 @@
     excluded: set[int] = field(default_factory=set)
     failures: int = 0
     run_state: RunState = RunState.NOT_RUN
+    affinity: PromptAffinity | None = None
     _digest: str = ""
 
     @property
@@ -65,11 +68,17 @@
         """Returns a refusal with the run state of the whole request."""
         return RefusalError(reason, message, self.run_state, retry_after_s)
 
+    def note_served(self, target: int, cached_part: float | None) -> None:
+        """Remembers which target served the prompt."""
+        if self.affinity is not None:
+            self.affinity.note_served(target, cached_part)
+
     def slot_request(
         self, excluded: frozenset[int], exclusive: bool
     ) -> SlotRequest:
         """Returns what to ask the dispatcher for."""
         request = self.request
+        preferred = self.affinity.preferred() if self.affinity else 0
         return SlotRequest(
             workspace=request.workspace,
             group=self.group_number,
@@ -78,6 +87,7 @@
             deadline=request.deadline,
             exclusive=exclusive,
             excluded_targets=excluded,
+            preferred=0 if preferred in excluded else preferred,
         )
 
 
--- a/crowwinch/routing/_costs.py
+++ b/crowwinch/routing/_costs.py
@@ -1,5 +1,6 @@
 """Cost of requests in service units."""
 
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -53,12 +54,18 @@
         self._group = group
         self._input = body_bytes // _BYTES_PER_TOKEN
         self._output = 0
+        self._cached_part: float | None = None
 
     @property
     def cost(self) -> int:
         """Cost so far in weighted tokens."""
         return engine_cost(self._group, self._input, self._output)
 
+    @property
+    def cached_part(self) -> float | None:
+        """Part of the input tokens that were cached, None if not reported."""
+        return self._cached_part
+
     def add_event(self, event: bytes) -> None:
         """Counts one server-sent event, one token unless it reports usage."""
         if b'"usage"' in event and self.add_document(
@@ -75,10 +82,21 @@
             Whether the document reports usage.
         """
         try:
-            usage = usage_of(msgspec.json.decode(body))
+            document = msgspec.json.decode(body)
         except msgspec.DecodeError:
             return False
+        usage = usage_of(document)
         if usage is None:
             return False
         self._input, self._output = usage
+        self._cached_part = _cached_part_of(document["usage"])
         return True
+
+
+def _cached_part_of(usage: Mapping[str, Any]) -> float | None:
+    """Returns cached by all prompt tokens, None if not reported."""
+    details = usage.get("prompt_tokens_details")
+    cached = details.get("cached_tokens") if isinstance(details, dict) else None
+    if not isinstance(cached, int):
+        return None
+    return cached / max(usage["prompt_tokens"], 1)
--- a/crowwinch/routing/_handler.py
+++ b/crowwinch/routing/_handler.py
@@ -19,6 +19,7 @@
 from crowwinch.routing._budget import RetryBudget, TokenBucketRetryBudget
 from crowwinch.routing._costs import EngineMeter, service_cost
 from crowwinch.routing._crashes import CrashRegistry
+from crowwinch.routing._prefixes import PrefixHints, PromptAffinity
 from crowwinch.routing._requests import (
     Answer,
     CallerRequest,
@@ -37,6 +38,7 @@
     TargetError,
 )
 
+_OK_STATUS = 200
 _UNAVAILABLE_STATUS = 503
 
 
@@ -78,6 +80,7 @@
         self._client = client
         self._incarnations = incarnations
         self._stream_ids = stream_ids
+        self._hints = PrefixHints(clock)
         self._starter = AttemptStarter(
             clock,
             snapshot,
@@ -105,7 +108,12 @@
             RefusalError: If no complete answer can be given.
         """
         number = request.groups[0]
-        run = RequestRun(request, number, self._snapshot().groups[number])
+        group = self._snapshot().groups[number]
+        run = RequestRun(request, number, group)
+        if group.kind == "engine":
+            run.affinity = PromptAffinity(
+                self._hints, request.workspace, number, request.prompt
+            )
         while True:
             attempt = await self._starter.begin(run)
             try:
@@ -192,7 +200,7 @@
             return await ServiceBody(
                 run, attempt, answer, lambda: self._finish(run, attempt)
             ).read()
-        if run.request.stream and answer.status == 200:
+        if run.request.stream and answer.status == _OK_STATUS:
             return await self._stream(run, attempt, answer)
         return await self._whole(run, attempt, answer)
 
@@ -239,12 +247,14 @@
     ) -> WholeAnswer:
         body = await answer.read()
         meter = EngineMeter(run.group, len(run.request.body))
-        if not _is_document(body) and answer.status == 200:
+        if not _is_document(body) and answer.status == _OK_STATUS:
             raise run.refusal(
                 RefusalReason.TARGET_FAILED, "the answer is malformed"
             )
         meter.add_document(body)
         attempt.settle(meter.cost, SlotOutcome.SERVED)
+        if answer.status == _OK_STATUS:
+            run.note_served(attempt.number, meter.cached_part)
         self._policy.note_finished(run, attempt)
         return WholeAnswer(answer.status, answer.headers, body)
 
--- a/crowwinch/routing/_requests.py
+++ b/crowwinch/routing/_requests.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from crowwinch.scheduling import RequestClass
 
 
@@ -20,6 +22,7 @@
         estimate: Hint of the cost in service units.
         deadline: Monotonic time in seconds at which the caller gives up.
         idempotency_key: Key issued by the fleet, or "".
+        prompt: Messages or prompt of an engine request as in the body.
     """
 
     request_id: str
@@ -34,6 +37,7 @@
     estimate: int
     deadline: float
     idempotency_key: str = ""
+    prompt: bytes | msgspec.Raw = b""
 
 
 class AnswerParts(Protocol):
--- a/crowwinch/routing/_streams.py
+++ b/crowwinch/routing/_streams.py
@@ -143,6 +143,7 @@
         self._run.note(RunState.RAN)
         if self._is_complete:
             self._attempt.settle(self._meter.cost, SlotOutcome.SERVED)
+            self._run.note_served(self._attempt.number, self._meter.cached_part)
         return True
 
     async def _recover(self, error: TargetError) -> TargetAnswer:
--- /dev/null
+++ b/crowwinch/routing/tests/test_prefixes.py
@@ -0,0 +1,105 @@
+"""Hints on the targets that hold prompt prefixes."""
+
+import json
+import unittest
+
+from crowwinch.coordination import ManualClock
+from crowwinch.routing import (
+    BLOCK_BYTES,
+    PrefixHints,
+    PromptAffinity,
+    prompt_prefixes,
+)
+from crowwinch.routing._prefixes import HINT_LIFETIME_S
+from crowwinch.routing.tests.support import Router, number_of, started
+from standins.scripted_target import ScriptedTarget, stream, whole
+
+_TEXT = bytes(range(256)) * (4 * BLOCK_BYTES // 256)
+
+
+class PrefixesTest(unittest.TestCase):
+    """Guards against digests that workspaces or models share."""
+
+    def test_only_equal_prefixes_of_one_workspace_and_group_match(self):
+        own = prompt_prefixes(1, 1, _TEXT)
+        cases = (
+            ("same", 1, 1, _TEXT, 4),
+            ("longer", 1, 1, _TEXT + b"x" * BLOCK_BYTES, 4),
+            ("differs in the third block", 1, 1, _TEXT[:1100] + b"x" * 900, 2),
+            ("shorter than a block", 1, 1, _TEXT[:500], 0),
+            ("other workspace", 2, 1, _TEXT, 0),
+            ("other group", 1, 2, _TEXT, 0),
+        )
+        for name, workspace, group, text, shared in cases:
+            with self.subTest(name):
+                other = prompt_prefixes(workspace, group, text)
+                self.assertEqual(len({*own} & {*other}), shared)
+                self.assertEqual(own[:shared], other[:shared])
+
+
+class HintsTest(unittest.TestCase):
+    """Guards against hints that outlive the prefix at its target."""
+
+    def test_hint_after_an_answer(self):
+        # (seconds, reported part of the prompt, preferred target next time)
+        cases = (
+            ("fresh", 1.0, 1.0, 7),
+            ("expired", HINT_LIFETIME_S, 1.0, 0),
+            ("evicted", 1.0, 0.1, 0),
+            ("event missing", 1.0, None, 7),
+        )
+        for name, seconds, part, expected in cases:
+            with self.subTest(name):
+                clock = ManualClock()
+                hints = PrefixHints(clock, capacity=8)
+                first = PromptAffinity(hints, 1, 1, _TEXT)
+                self.assertEqual(first.preferred(), 0)
+                first.note_served(7, 0.0)
+                clock.move_to(clock.monotonic() + seconds / 2)
+                # The same target serves another prompt that it held, or not.
+                other = PromptAffinity(hints, 1, 1, _TEXT)
+                self.assertEqual(other.preferred(), 7)
+                other._hints.note_cached(other._hint, len(_TEXT), part)
+                clock.move_to(clock.monotonic() + seconds / 2)
+                self.assertEqual(
+                    PromptAffinity(hints, 1, 1, _TEXT).preferred(), expected
+                )
+
+    def test_oldest_hints_are_dropped(self):
+        hints = PrefixHints(ManualClock(), capacity=8)
+        for workspace in range(3):
+            PromptAffinity(hints, workspace, 1, _TEXT).note_served(7, None)
+        self.assertEqual(len(hints), 8)
+        self.assertIsNone(hints.find(prompt_prefixes(0, 1, _TEXT)))
+        self.assertIsNotNone(hints.find(prompt_prefixes(2, 1, _TEXT)))
+
+
+class LearningTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against answers from which a router learns nothing."""
+
+    async def test_router_prefers_the_target_that_served(self):
+        usage = {"prompt_tokens": 500, "completion_tokens": 1}
+        evicted = usage | {"prompt_tokens_details": {"cached_tokens": 0}}
+        answer = whole(json.dumps({"usage": usage}).encode())
+        miss = whole(json.dumps({"usage": evicted}).encode())
+        script = [answer, miss, answer, stream(0, 2), answer]
+        target = ScriptedTarget(*script)
+        messages = [{"role": "user", "content": "x" * 2000}]
+        async with Router(await started(target)) as router:
+            preferred = []
+            for key, streams in (
+                ("alpha", False),
+                ("alpha", False),
+                ("beta", False),
+                ("alpha", True),
+                ("alpha", False),
+            ):
+                body = {"model": "name", "messages": messages}
+                body["stream"] = streams
+                raw = json.dumps(body).encode()
+                path = "/v1/chat/completions"
+                reply = await router.send("POST", path, raw, key)
+                self.assertEqual(reply.status, 200)
+                preferred.append(router.dispatcher.requests[-1].preferred)
+        number = number_of(0)
+        self.assertEqual(preferred, [0, number, 0, number, number])
--- a/crowwinch/scheduling/_domain_scheduler.py
+++ b/crowwinch/scheduling/_domain_scheduler.py
@@ -239,6 +239,7 @@
             deadline=self._clock.monotonic() + left,
             exclusive=message.exclusive,
             avoided=avoided,
+            preferred=message.preferred,
         )
         router.groups.add(entry.group)
         group = self._pool.groups.get(entry.group)
--- a/crowwinch/scheduling/_fair_queue.py
+++ b/crowwinch/scheduling/_fair_queue.py
@@ -29,6 +29,7 @@
         hint: Cost hint in service units, 0 if unknown.
         deadline: Monotonic time of the scheduler, infinite for none.
         avoided: Targets not to be used.
+        preferred: Target that may hold the prompt prefix, 0 for none.
         arrival: Order of arrival, set by the queue.
     """
 
@@ -41,6 +42,7 @@
     deadline: float = math.inf
     exclusive: bool = False
     avoided: frozenset[int] = frozenset()
+    preferred: int = 0
     arrival: int = 0
 
     def sort_key(self) -> tuple[int, float, int]:
--- a/crowwinch/scheduling/_interfaces.py
+++ b/crowwinch/scheduling/_interfaces.py
@@ -32,6 +32,7 @@
         deadline: Monotonic time in seconds, or None.
         exclusive: Whether the request must run alone on its target.
         excluded_targets: Targets not to be used, for instance after a failure.
+        preferred: Target that may hold the prompt prefix, 0 for none.
     """
 
     workspace: int
@@ -41,6 +42,7 @@
     deadline: float | None = None
     exclusive: bool = False
     excluded_targets: frozenset[int] = frozenset()
+    preferred: int = 0
 
 
 class Slot(Protocol):
--- a/crowwinch/scheduling/_records.py
+++ b/crowwinch/scheduling/_records.py
@@ -11,6 +11,9 @@
 
 # Time constant of the rate of completions.
 _RATE_WINDOW_S = 10.0
+# A preferred target may be this much more loaded than the least loaded one, as
+# a fraction of its limit: two of eight slots.
+AFFINITY_SLACK = 0.25
 
 
 @dataclass(slots=True, eq=False)
@@ -110,15 +113,25 @@
     parked: list[GrantRecord] = field(default_factory=list)
     rate: CompletionRate = field(default_factory=CompletionRate)
 
-    def best_target(self, avoided: frozenset[int]) -> TargetRecord | None:
-        """Returns the free target with the lowest load, or None."""
-        best = None
+    def best_target(
+        self, avoided: frozenset[int], preferred: int = 0
+    ) -> TargetRecord | None:
+        """Returns the free target with the lowest load, or None.
+
+        The preferred target is returned instead if it is free and its load is
+        at most `AFFINITY_SLACK` above the lowest load of a free target.
+        """
+        best = held = None
         best_load = math.inf
         for target in self.targets:
             if target.is_free and target.number not in avoided:
                 load = target.limit.load
                 if load < best_load:
                     best, best_load = target, load
+                if target.number == preferred:
+                    held = target
+        if held is not None and held.limit.load <= best_load + AFFINITY_SLACK:
+            return held
         return best
 
     @property
--- a/crowwinch/scheduling/_slots.py
+++ b/crowwinch/scheduling/_slots.py
@@ -51,6 +51,7 @@
             max(request.estimate, 0),
             left,
             request.exclusive,
+            request.preferred,
         )
 
 
--- a/crowwinch/scheduling/_target_pool.py
+++ b/crowwinch/scheduling/_target_pool.py
@@ -142,7 +142,8 @@
         entries cannot stop the whole group.
         """
         if not grant.entry.exclusive:
-            return group.best_target(grant.entry.avoided)
+            entry = grant.entry
+            return group.best_target(entry.avoided, entry.preferred)
         if any(
             each.reserved is not None and each.reserved is not grant
             for each in group.targets
--- a/crowwinch/scheduling/tests/test_fleet.py
+++ b/crowwinch/scheduling/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Tests of scheduler and dispatchers together, on a fake clock."""
 
+import itertools
 import random
 import unittest
 
@@ -9,6 +10,7 @@
 from crowwinch.coordination import identifier
 from crowwinch.errors import RefusalReason
 from crowwinch.scheduling import RequestClass, SlotOutcome, TargetReport
+from crowwinch.scheduling._records import AFFINITY_SLACK
 from crowwinch.scheduling._reuse import KNOWN_LIFETIME_S
 from crowwinch.scheduling.tests.fleet import GROUP, Fleet, make_snapshot
 
@@ -53,8 +55,11 @@
             self.assertLessEqual(fleet.most_running[number], 2)
 
     def test_slots_never_idle_while_entries_wait(self):
-        for reuse in (False, True):
-            with self.subTest(reuse=reuse):
+        # Waiting for a preferred target would leave the other one idle.
+        for reuse, preferred in itertools.product(
+            (False, True), (0, identifier("t1"))
+        ):
+            with self.subTest(reuse=reuse, preferred=preferred):
                 fleet = Fleet(
                     make_snapshot({"a": 1, "b": 3}, 2, 3), reuse=reuse
                 )
@@ -64,6 +69,7 @@
                         f"r{rng.randrange(2)}",
                         "ab"[rng.random() < 0.8],
                         rng.randint(20, 200),
+                        preferred=preferred,
                     )
                 fleet.run(4)
                 # Each end costs at most two delays and two timer steps.
@@ -225,6 +231,32 @@
                 self.assertEqual(alone[2] > 0, targets == 2)
                 self.assertEqual(fleet.served["a"], 3000)
 
+    def test_preferred_target_is_used_within_the_slack(self):
+        # t0 of 8 slots has the lowest load; the load of t1 is given.
+        cases = (
+            ("equal", 0, 8, "t1", "t1"),
+            ("at the slack", 2, 8, "t1", "t1"),
+            ("above the slack", 3, 8, "t1", "t0"),
+            ("not free", 1, 1, "t1", "t0"),
+            ("unknown", 0, 8, "t9", "t0"),
+            ("avoided", 0, 8, "t1", "t0"),
+        )
+        self.assertEqual(AFFINITY_SLACK, 2 / 8)
+        for name, load, slots, preferred, expected in cases:
+            with self.subTest(name):
+                fleet = Fleet(make_snapshot({"a": 1}, 2, 8), 1)
+                fleet.run(0.1)
+                group = fleet.schedulers["s"].targets.groups[GROUP]
+                target = group.targets[1]
+                target.allowed = slots
+                for _ in range(load):
+                    target.limit.begin(fleet.clock.monotonic())
+                avoided = {target.number} if name == "avoided" else ()
+                best = group.best_target(
+                    frozenset(avoided), identifier(preferred)
+                )
+                self.assertEqual(best.number, identifier(expected))
+
     def test_excluded_target_is_avoided(self):
         fleet = Fleet(make_snapshot({"a": 1}, 2, 1))
         excluded = frozenset([identifier("t0")])
--- a/measurements/_slopes_messages.py
+++ b/measurements/_slopes_messages.py
@@ -41,7 +41,14 @@
             10_000_000,
             [
                 messages.DemandEntry(
-                    _GRANT + index, _NUMBER, _NUMBER, 0, 500, 60_000, False
+                    _GRANT + index,
+                    _NUMBER,
+                    _NUMBER,
+                    0,
+                    500,
+                    60_000,
+                    False,
+                    _NUMBER,
                 )
                 for index in range(requests)
             ],
@@ -76,7 +83,14 @@
             10_000_000,
             [
                 messages.DemandEntry(
-                    _GRANT + index, _NUMBER, _NUMBER, 0, 500, 60_000, False
+                    _GRANT + index,
+                    _NUMBER,
+                    _NUMBER,
+                    0,
+                    500,
+                    60_000,
+                    False,
+                    _NUMBER,
                 )
                 for index in range(requests)
             ],
--- a/measurements/_targets.py
+++ b/measurements/_targets.py
@@ -58,6 +58,10 @@
             return 0
         return int((self._world.now - attempt.started) * self.rate)
 
+    def duration(self, request: Request) -> float:
+        """Returns the seconds that a request, which starts now, will take."""
+        return request.cost / self.rate
+
     def cancel(self, attempt: Attempt) -> None:
         """Ends an attempt without an answer."""
         if attempt in self.running:
@@ -89,7 +93,7 @@
             self.running.add(attempt)
             attempt.started = self._world.now
             attempt.end = self._world.timers.call_later(
-                attempt.request.cost / self.rate,
+                self.duration(attempt.request),
                 lambda attempt=attempt: self._complete(attempt),
             )
             self._world.service_started(attempt.request, self.rate)
--- a/measurements/_world.py
+++ b/measurements/_world.py
@@ -70,6 +70,8 @@
 class World:
     """One run of one policy."""
 
+    target_class = FakeTarget
+
     def __init__(
         self, scenario: Scenario, requests: list[Request], policy: Policy
     ) -> None:
@@ -177,6 +179,27 @@
         self.gap.change_rate(self.now, *key, -rate)
         self._update_starvation(key)
 
+    def slot_request(
+        self, request: Request, router: int, failed: frozenset[int]
+    ) -> SlotRequest:
+        """Returns what a router asks the dispatcher for."""
+        del router
+        return SlotRequest(
+            request.workspace,
+            request.group,
+            estimate=request.hint,
+            excluded_targets=failed,
+        )
+
+    def answered(self, request: Request, router: int, target: int) -> None:
+        """Called when a target has answered completely."""
+
+    def arrive(self, request: Request) -> None:
+        """Adds a request at its time."""
+        self.timers.call_later(
+            max(request.time - self.now, 0.0), lambda: self._arrive(request)
+        )
+
     def stop_router(self, router: int) -> None:
         """Breaks every connection of a router; callers repeat elsewhere."""
         self.alive[router] = False
@@ -197,7 +220,7 @@
         targets = {}
         for number, group in self.snapshot.groups.items():
             for each in group.targets:
-                target = FakeTarget(
+                target = self.target_class(
                     self,
                     identifier(each.name),
                     number,
@@ -214,9 +237,7 @@
         if self.scenario.recovery is not None:
             self.timers.call_later(self.scenario.recovery, self._recover)
         for request in self._requests:
-            self.timers.call_later(
-                request.time, lambda request=request: self._arrive(request)
-            )
+            self.arrive(request)
         await self._sleep(self.scenario.end)
         for task, (request, _) in list(self._tasks.items()):
             if request.number in self._not_started or not self.scenario.drains:
@@ -275,12 +296,7 @@
         while True:
             try:
                 slot = await dispatcher.acquire(
-                    SlotRequest(
-                        request.workspace,
-                        request.group,
-                        estimate=request.hint,
-                        excluded_targets=failed,
-                    )
+                    self.slot_request(request, router, failed)
                 )
             except RefusalError:
                 self._set_waiting(request, False)
@@ -300,6 +316,7 @@
             if complete:
                 slot.finish(cost, SlotOutcome.SERVED)
                 self.answers[request.number] += 1
+                self.answered(request, router, slot.target)
                 return
             slot.finish(cost, SlotOutcome.FAILED)
             failed |= {slot.target}
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,6 +17,7 @@
 from aiohttp import web
 
 from standins._server import refusal, run_standin
+from standins.prefix_cache import PrefixCache
 
 _FINISHED_STREAM_LIFE_S = 60.0
 # Time in which a stream whose connection broke can be resumed.
@@ -53,6 +54,7 @@
 
     body: dict
     tokens: list[str]
+    cached_characters: int = 0
     produced: int = 0
     cancelled: bool = False
     finished_at: float | None = None
@@ -69,6 +71,7 @@
         token_seconds: float,
         first_token_seconds: float,
         weight_store_url: str = "",
+        cache_characters: int = 0,
     ) -> None:
         """Creates an idle engine; loads read the weight store if it has one."""
         self._weight_store_url = weight_store_url
@@ -76,6 +79,7 @@
         self._batch = asyncio.Semaphore(batch)
         self._token_seconds = token_seconds
         self._first_token_seconds = first_token_seconds
+        self._cache = PrefixCache(cache_characters)
         self._generations: dict[str, Generation] = {}
         self._running = 0
         self._waiting = 0
@@ -158,7 +162,7 @@
             self._waiting -= 1
             self._running += 1
             try:
-                await asyncio.sleep(self._first_token_seconds)
+                await asyncio.sleep(self._prefill(generation))
                 while generation.produced < len(generation.tokens):
                     if generation.cancelled:
                         return
@@ -171,6 +175,13 @@
                 self._running -= 1
                 generation.finished_at = time.monotonic()
 
+    def _prefill(self, generation: Generation) -> float:
+        """Returns the seconds to the first token, less for a cached prefix."""
+        prompt = prompt_of(generation.body)
+        generation.cached_characters = self._cache.use(prompt)
+        part = generation.cached_characters / max(len(prompt), 1)
+        return self._first_token_seconds * (1 - part)
+
     async def _stream(
         self, request: web.Request, generation: Generation, offset: int
     ) -> web.StreamResponse:
@@ -212,11 +223,15 @@
         }
         return b"data: " + json.dumps(document).encode() + b"\n\n"
 
-    def _usage(self, generation: Generation) -> dict[str, int]:
-        return {
+    def _usage(self, generation: Generation) -> dict[str, object]:
+        usage: dict[str, object] = {
             "prompt_tokens": len(prompt_of(generation.body)) // 4,
             "completion_tokens": generation.produced,
         }
+        if not self._faults.get("omit_cached_tokens"):
+            cached = generation.cached_characters // 4
+            usage["prompt_tokens_details"] = {"cached_tokens": cached}
+        return usage
 
     def _document(self, generation: Generation) -> dict:
         text = "".join(generation.tokens[: generation.produced])
@@ -333,6 +348,7 @@
             arguments.token_seconds,
             arguments.first_token_seconds,
             arguments.weight_store_url,
+            arguments.cache_characters,
         ).application()
 
     def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -340,6 +356,7 @@
         parser.add_argument("--token-seconds", type=float, default=0.01)
         parser.add_argument("--first-token-seconds", type=float, default=0.02)
         parser.add_argument("--weight-store-url", default="")
+        parser.add_argument("--cache-characters", type=int, default=262_144)
 
     run_standin("Stand-in for a model engine.", build, add_arguments)
 
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -16,7 +16,7 @@
 generate peer_messages crowwinch.generated.bases.MessageStruct
 generate documents crowwinch.generated.bases.DocumentStruct
 generate settings crowwinch.generated.bases.DocumentStruct
-for name in documents settings; do
+for name in peer_messages documents settings; do
   "$python" - "crowwinch/generated/$name.py" <<'PY'
 import pathlib, re, sys
 path = pathlib.Path(sys.argv[1])
