Agree on a conversation's target without messages

Cause: hints are known to one router.

Change: a request without a hint for its conversation prefers the rendezvous choice among the group's targets for the messages up to the first one of the user. A hint that ends before these messages do is one for shared instructions and does not count.

--- a/crowwinch/routing/_handler.py
+++ b/crowwinch/routing/_handler.py
@@ -112,7 +112,11 @@
         run = RequestRun(request, number, group)
         if group.kind == "engine":
             run.affinity = PromptAffinity(
-                self._hints, request.workspace, number, request.prompt
+                self._hints,
+                request.workspace,
+                number,
+                request.prompt,
+                group.targets,
             )
         while True:
             attempt = await self._starter.begin(run)
--- a/crowwinch/routing/_prefixes.py
+++ b/crowwinch/routing/_prefixes.py
@@ -13,7 +13,8 @@
 import msgspec
 import xxhash
 
-from crowwinch.coordination import Clock
+from crowwinch.coordination import Clock, identifier, owner
+from crowwinch.generated.documents import Target
 
 # A shorter common prefix saves too little to be worth a preference: 512
 # characters are about 128 tokens.
@@ -52,6 +53,33 @@
     return tuple(digests)
 
 
+class _Message(msgspec.Struct):
+    role: str = ""
+
+
+_MESSAGES = msgspec.json.Decoder(list[msgspec.Raw])
+_MESSAGE = msgspec.json.Decoder(_Message)
+
+
+def conversation_opening(prompt: bytes | memoryview) -> bytes:
+    """Returns the messages up to the first one of the user.
+
+    All turns of a conversation have it in common.
+
+    Returns:
+        The messages, or nothing if the prompt is no list of messages.
+    """
+    opening = []
+    try:
+        for message in _MESSAGES.decode(prompt):
+            opening.append(bytes(message))
+            if _MESSAGE.decode(message).role == "user":
+                return b"".join(opening)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        pass
+    return b""
+
+
 @dataclass(frozen=True, slots=True)
 class PrefixHint:
     """A target that served a prefix.
@@ -135,18 +163,40 @@
         workspace: int,
         group: int,
         prompt: bytes | msgspec.Raw,
+        targets: Sequence[Target] = (),
     ) -> None:
-        """Stores the prompt; digests are not kept while the request waits."""
+        """Stores the prompt; digests are not kept while the request waits.
+
+        Args:
+            hints: Table of the router.
+            workspace: Identifier of the workspace.
+            group: Identifier of the group.
+            prompt: Messages or prompt as in the body.
+            targets: Targets of the group.
+        """
         self._hints = hints
         self._workspace = workspace
         self._group = group
         self._prompt = memoryview(prompt)
+        self._targets = targets
         self._hint: PrefixHint | None = None
 
     def preferred(self) -> int:
-        """Returns the target that may hold a prefix, 0 for none."""
-        self._hint = self._hints.find(self._prefixes())
-        return self._hint.target if self._hint is not None else 0
+        """Returns the target that may hold a prefix, 0 for none.
+
+        Without a hint for the conversation it is the target that every router
+        of the fleet computes for it. A hint that covers less than the opening
+        is one for instructions that many conversations share.
+        """
+        opening = conversation_opening(self._prompt)
+        hint = self._hint = self._hints.find(self._prefixes())
+        if hint is not None and hint.length > len(opening) - BLOCK_BYTES:
+            return hint.target
+        if len(opening) < BLOCK_BYTES or not self._targets:
+            return 0
+        digest = xxhash.xxh3_64_hexdigest(opening, seed=self._group)
+        names = (each.name for each in self._targets)
+        return identifier(owner(f"{self._workspace}/{digest}", names) or "")
 
     def note_served(self, target: int, cached_part: float | None) -> None:
         """Learns from a complete answer of a target.
