--- a/measurements/affinity.py
+++ b/measurements/affinity.py
@@ -139,6 +139,20 @@
         self.first_tokens[request.number] = self.now + prefill - request.time
         self.cached[request.number] = cached
 
+    def service_started(self, request: Turn, rate: float) -> None:
+        """Counts service from the first token on, as it is charged.
+
+        With the prefill, which is shorter for cached prompts and not charged,
+        the gap would show differences of cache hits.
+        """
+        super().service_started(request, 0.0)
+        self.timers.call_later(
+            self.first_tokens[request.number] + request.time - self.now,
+            lambda: self.gap.change_rate(
+                self.now, request.group, request.workspace, rate
+            ),
+        )
+
     def answered(self, request: Turn, router: int, target: int) -> None:
         """Learns from the answer and continues the conversation."""
         del router
