Let a reused slot go to a request whose prefix its target holds

Cause: under overload mostly one slot is free at a time, so that the choice of the target finds few prefixes cached.

Change: when a router passes a slot on, a request of the workspace that prefers the slot's target may overtake others of its class and of about its deadline (a tenth of the time left, as requests with equal time-outs have different deadlines). No request is overtaken more than twice. The choice of the workspace and the condition for reuse are unchanged.

--- a/crowwinch/scheduling/_reuse.py
+++ b/crowwinch/scheduling/_reuse.py
@@ -1,7 +1,8 @@
 """Which waiting request may take over a slot without asking."""
 
+import itertools
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from crowwinch.configuration import EffectiveLimits, Snapshot
 from crowwinch.coordination import Clock
@@ -25,6 +26,13 @@
 # routers that serve a workspace by reuse alone never learn of each other: the
 # gap reached four times the bound of section 5.
 KNOWN_LIFETIME_S = 0.25
+# Requests of a workspace that are examined for one that prefers the target.
+_MAX_EXAMINED = 16
+# How often a request lets later ones pass.
+_MAX_OVERTAKEN = 2
+# Deadlines count as equal if they differ by at most this part of the time that
+# is left, because requests with equal time-outs have different deadlines.
+_DEADLINE_PART = 0.1
 _NO_LIMITS = EffectiveLimits(1.0, 0, 0.0)
 
 
@@ -126,20 +134,52 @@
                 limits.max_in_flight and not follows
             ):
                 continue
-            waiting = _first_usable(table.in_order(group, workspace), slot)
-            if waiting is None:
+            usable = self._usable(table.in_order(group, workspace), slot)
+            if not usable:
                 continue
-            slack = estimate(waiting.request) / limits.weight
+            slack = estimate(usable[0].request) / limits.weight
             if value <= self._floors[group] + slack:
-                return waiting
+                return _first_that_prefers(usable, slot.target)
         return None
 
+    def _usable(
+        self, order: Iterable[WaitingRequest], slot: GrantedSlot
+    ) -> list[WaitingRequest]:
+        """Returns the next request for a slot and those that may overtake it.
 
-def _first_usable(
-    order: Iterable[WaitingRequest], slot: GrantedSlot
-) -> WaitingRequest | None:
-    for waiting in order:
-        request = waiting.request
-        if not (request.exclusive or slot.target in request.excluded_targets):
+        These are of its class and of about its deadline.
+        """
+        usable: list[WaitingRequest] = []
+        latest = math.inf
+        for waiting in itertools.islice(order, _MAX_EXAMINED):
+            request = waiting.request
+            if request.exclusive or slot.target in request.excluded_targets:
+                continue
+            if not usable and request.deadline is not None:
+                left = request.deadline - self._clock.monotonic()
+                latest = request.deadline + max(left, 0.0) * _DEADLINE_PART
+            if usable and (
+                request.request_class != usable[0].request.request_class
+                or (request.deadline is None) != (latest == math.inf)
+                or (request.deadline or 0.0) > latest
+            ):
+                break
+            usable.append(waiting)
+        return usable
+
+
+def _first_that_prefers(
+    usable: Sequence[WaitingRequest], target: int
+) -> WaitingRequest:
+    """Returns the first request that prefers a target, or the first of all.
+
+    A request is overtaken at most `_MAX_OVERTAKEN` times.
+    """
+    for index, waiting in enumerate(usable):
+        if waiting.request.preferred == target:
+            for other in usable[:index]:
+                other.overtaken += 1
             return waiting
-    return None
+        if waiting.overtaken >= _MAX_OVERTAKEN:
+            break
+    return usable[0]
--- a/crowwinch/scheduling/_slots.py
+++ b/crowwinch/scheduling/_slots.py
@@ -23,7 +23,8 @@
     """A request without a slot.
 
     `number` identifies the ask to the scheduler; a repeated ask after an
-    expired grant gets a new one.
+    expired grant gets a new one. `overtaken` counts later requests that took a
+    slot before it because the slot's target holds their prompt prefix.
     """
 
     number: int
@@ -31,6 +32,7 @@
     on_slot: Callable[[Slot], None]
     on_refusal: Callable[[RefusalError], None]
     timeout: Subscription | None = None
+    overtaken: int = 0
 
     def stop_timeout(self) -> None:
         """Cancels the call at the deadline."""
--- a/crowwinch/scheduling/tests/test_parts.py
+++ b/crowwinch/scheduling/tests/test_parts.py
@@ -14,6 +14,7 @@
 )
 from crowwinch.scheduling import (
     CostEstimator,
+    RequestClass,
     SlotOutcome,
     TargetLimit,
     TargetReport,
@@ -227,6 +228,70 @@
                 chosen = view.choose(slot, table, lambda each: 10)
                 self.assertEqual(chosen is waiting, expected)
 
+    def test_reuse_prefers_a_held_prefix_of_equal_rank(self):
+        held, other = identifier("t0"), identifier("t1")
+        bulk = RequestClass.BULK
+        first = {"deadline": 10.0}
+        # (name, how often the first was overtaken, requests, chosen one)
+        cases = (
+            ("later one", 0, [{}, {"preferred": held}], 1),
+            ("other target", 0, [{}, {"preferred": other}], 0),
+            ("overtaken twice", 2, [{}, {"preferred": held}], 0),
+            (
+                "other class",
+                0,
+                [{}, {"preferred": held, "request_class": bulk}],
+                0,
+            ),
+            (
+                "deadline about equal",
+                0,
+                [first, {"preferred": held, "deadline": 10.9}],
+                1,
+            ),
+            (
+                "later deadline",
+                0,
+                [first, {"preferred": held, "deadline": 11.1}],
+                0,
+            ),
+            ("no deadline", 0, [first, {"preferred": held}], 0),
+            (
+                "not usable",
+                0,
+                [{}, {"preferred": held, "exclusive": True}],
+                0,
+            ),
+        )
+        snapshot = make_snapshot({"a": 1})
+        for name, overtaken, requests, expected in cases:
+            with self.subTest(name):
+                clock = ManualClock()
+                view = ServiceView(clock, lambda: snapshot)
+                view.update_groups([GroupStatus(GROUP, 0, 0)])
+                grant = Grant(1, 1, held, 10, 0)
+                view.update_workspace(identifier("a"), GROUP, grant)
+                table = WaitingTable()
+                waiting = [
+                    WaitingRequest(
+                        2 + index,
+                        Fleet.request(None, "a", 10, **options),
+                        print,
+                        print,
+                    )
+                    for index, options in enumerate(requests)
+                ]
+                waiting[0].overtaken = overtaken
+                for each in waiting:
+                    table.add(each)
+                ended = WaitingRequest(1, waiting[0].request, print, print)
+                slot = GrantedSlot(None, clock, ended, 1, held, 10, 9.0)
+                chosen = view.choose(slot, table, lambda each: 10)
+                self.assertIs(chosen, waiting[expected])
+                self.assertEqual(
+                    waiting[0].overtaken, overtaken + (expected == 1)
+                )
+
     def test_limit_of_waiting_entries_holds_over_all_routers(self):
         fleet = Fleet(make_snapshot({"a": 1}, 1, 1, max_waiting=5))
         fleet.ask("r0", "a", 500)
