Prefer an old target only for the turn after the one it served

Cause: with turns at random routers, a hint of an earlier turn kept a router from the target that all others prefer. Three routers of a fleet on loopback showed it: the router that served the first turn sent the fourth one back to its first target.

Change: a hint counts only if it reaches the last answer and question. measurements.affinity sends answers as messages of their own. A process test checks the cached tokens that the stand-in engine reports.

--- a/crowwinch/routing/_prefixes.py
+++ b/crowwinch/routing/_prefixes.py
@@ -61,23 +61,31 @@
 _MESSAGE = msgspec.json.Decoder(_Message)
 
 
-def conversation_opening(prompt: bytes | memoryview) -> bytes:
-    """Returns the messages up to the first one of the user.
-
-    All turns of a conversation have it in common.
+@dataclass(frozen=True, slots=True)
+class Conversation:
+    """What all turns of a conversation have in common.
 
-    Returns:
-        The messages, or nothing if the prompt is no list of messages.
+    Attributes:
+        opening: The messages up to the first one of the user.
+        earlier: Bytes before the last answer and question.
     """
-    opening = []
-    try:
-        for message in _MESSAGES.decode(prompt):
-            opening.append(bytes(message))
-            if _MESSAGE.decode(message).role == "user":
-                return b"".join(opening)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-        pass
-    return b""
+
+    opening: bytes
+    earlier: int
+
+    @classmethod
+    def parse(cls, prompt: bytes | memoryview) -> "Conversation | None":
+        """Returns the conversation, None if the prompt is no messages."""
+        try:
+            messages = _MESSAGES.decode(prompt)
+            for index, message in enumerate(messages, 1):
+                if _MESSAGE.decode(message).role == "user":
+                    opening = b"".join(map(bytes, messages[:index]))
+                    last = sum(map(len, messages[-2:]))
+                    return cls(opening, len(prompt) - last)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            pass
+        return None
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,13 +192,20 @@
     def preferred(self) -> int:
         """Returns the target that may hold a prefix, 0 for none.
 
-        Without a hint for the conversation it is the target that every router
-        of the fleet computes for it. A hint that covers less than the opening
-        is one for instructions that many conversations share.
+        A hint that ends before the last turn shows that other routers have
+        served the conversation since, and one that ends in its opening is for
+        instructions that many conversations share. The target is then the one
+        that every router of the fleet computes for the conversation.
         """
-        opening = conversation_opening(self._prompt)
         hint = self._hint = self._hints.find(self._prefixes())
-        if hint is not None and hint.length > len(opening) - BLOCK_BYTES:
+        conversation = Conversation.parse(self._prompt)
+        if conversation is None:
+            return hint.target if hint is not None else 0
+        opening = conversation.opening
+        end = max(len(opening), conversation.earlier)
+        # The table ends at whole blocks and at its longest prefix.
+        end = min(end - BLOCK_BYTES, (_MAX_BLOCKS - 1) * BLOCK_BYTES)
+        if hint is not None and hint.length > end:
             return hint.target
         if len(opening) < BLOCK_BYTES or not self._targets:
             return 0
--- a/crowwinch/routing/tests/test_prefixes.py
+++ b/crowwinch/routing/tests/test_prefixes.py
@@ -11,7 +11,7 @@
     PromptAffinity,
     prompt_prefixes,
 )
-from crowwinch.routing._prefixes import HINT_LIFETIME_S, conversation_opening
+from crowwinch.routing._prefixes import HINT_LIFETIME_S, Conversation
 from crowwinch.routing.tests.support import Router, number_of, started
 from standins.scripted_target import ScriptedTarget, stream, whole
 
@@ -101,26 +101,33 @@
             longer = [*turns, {"role": "user", "content": "y" * 2000}]
             self.assertEqual(ask(second, longer).preferred(), own)
             ask(second, longer).note_served(2, None)
-            self.assertEqual(ask(second, longer).preferred(), 2)
+            answer = {"role": "assistant", "content": "x" * 600}
+            exchange = [answer, {"role": "user", "content": "w" * 600}]
+            # The hint ends before the last turn of the second prompt, which
+            # another router must have served.
+            for count, expected in ((1, 2), (2, own)):
+                prompt = longer + exchange * count
+                self.assertEqual(ask(second, prompt).preferred(), expected)
             preferred.add(own)
         self.assertLessEqual(preferred, numbers)
         self.assertGreater(len(preferred), 1)
 
-    def test_prompts_without_an_opening(self):
+    def test_opening(self):
         user = b'{"role":"user","content":"a"}'
         cases = (
             (b"[" + user + b",1]", user),
             (b'[{"role":"system"},' + user + b"]", b'{"role":"system"}' + user),
-            (b'[{"role":"system"}]', b""),
-            (b"[1, 2]", b""),
-            (b'"text"', b""),
-            (b'[{"role":1}]', b""),
-            (b"", b""),
-            (b"[" * 5000, b""),
+            (b'[{"role":"system"}]', None),
+            (b"[1, 2]", None),
+            (b'"text"', None),
+            (b'[{"role":1}]', None),
+            (b"", None),
+            (b"[" * 5000, None),
         )
         for prompt, opening in cases:
             with self.subTest(prompt[:40]):
-                self.assertEqual(conversation_opening(prompt), opening)
+                parsed = Conversation.parse(prompt)
+                self.assertEqual(parsed and parsed.opening, opening)
 
 
 class LearningTest(unittest.IsolatedAsyncioTestCase):
--- a/measurements/affinity.py
+++ b/measurements/affinity.py
@@ -54,16 +54,16 @@
     @property
     def known(self) -> int:
         """Characters of the preceding turn, 0 for the first one."""
-        return sum(map(len, self.parts[:-1])) if self.index else 0
+        return sum(map(len, self.parts[:-2])) if self.index else 0
 
     @property
     def messages(self) -> bytes:
         """The messages as in the body of a request."""
-        roles = ["system"] + ["user"] * (len(self.parts) - 1)
+        roles = ["system"] + ["user", "assistant"] * len(self.parts)
         return json.dumps(
             [
                 {"role": role, "content": part}
-                for role, part in zip(roles, self.parts, strict=True)
+                for role, part in zip(roles, self.parts, strict=False)
             ]
         ).encode()
 
@@ -226,6 +226,9 @@
         added = self._text(
             f"{conversation}/{index}", source.randint(*_TURN_CHARACTERS)
         )
+        # The answer to the last turn precedes the next question.
+        middle = len(added) // 2 if index else 0
+        answer, added = (added[:middle],) * bool(index), added[middle:]
         cost = round(min(source.lognormvariate(4.6, pool.sigma), pool.largest))
         homes = 1 + workspace % 3
         router = source.randrange(8 if self._balanced else homes)
@@ -242,7 +245,7 @@
             idempotent=True,
             conversation=conversation,
             index=index,
-            parts=(*known, added),
+            parts=(*known, *answer, added),
         )
         self._turns.append(turn)
         if index:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -46,6 +46,24 @@
                 self.assertEqual(status, 200)
                 self.assertTrue(body.endswith(b"data: [DONE]\n\n"))
 
+    def test_engines_report_cached_tokens(self):
+        # Of three requests with one prompt, two reach the same of 2 engines.
+        prompt = [{"role": "user", "content": "cached " * 100}]
+
+        def details():
+            router = self.fleet.routers[0]
+            _, body = _ask(router.url, {**_BODY, "messages": prompt})
+            return json.loads(body)["usage"].get("prompt_tokens_details")
+
+        cached = [details()["cached_tokens"] for _ in range(3)]
+        self.assertEqual((cached[0], max(cached)), (0, 160))
+        for omit in (True, False):
+            for name in ("engine-0", "engine-1"):
+                url = f"{self.fleet.targets[name].url}/control/faults"
+                raw = json.dumps({"omit_cached_tokens": omit}).encode()
+                call("POST", url, raw)
+            self.assertEqual(details() is None, omit)
+
     def test_malformed_requests_get_stable_codes(self):
         url = self.fleet.routers[0].url
         cases = (
