Name the workspace's limit when it alone exceeds a deadline

Cause: `workspace_limit` was declared and never given. A request whose workspace was kept back by its limit of service a second waited until its deadline and got `deadline_exceeded`.

Change: the scheduler refuses it at once with 429 and the time until the limit recovers as Retry-After. Charges of requests in flight may be returned and do not count as used, and nothing is refused if an event of the workspace starts or ends before the deadline, so the statement is true unless the configuration changes. A limit of requests in flight is not concerned: the end of a request cannot be predicted.

--- a/crowwinch/scheduling/_accounts.py
+++ b/crowwinch/scheduling/_accounts.py
@@ -107,6 +107,28 @@
     return max(-account.level / rate, 0.0) + 0.001
 
 
+def limited_for(account: Account, limits: EffectiveLimits, now: float) -> float:
+    """Returns how long at least the rate limit keeps a workspace waiting.
+
+    What is charged for requests in flight may be returned at their end, so it
+    does not count as used.
+
+    Args:
+        account: The workspace's account.
+        limits: Its limits at this moment.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Seconds, 0 without a rate limit.
+    """
+    rate = limits.max_service_per_second
+    if not rate:
+        return 0.0
+    _refill(account, rate, now)
+    pending = sum(each.pending for each in account.backlogs.values())
+    return max(-(account.level + pending * limits.weight) / rate, 0.0)
+
+
 def use_rate(
     account: Account, limits: EffectiveLimits, cost: float, now: float
 ) -> None:
--- a/crowwinch/scheduling/_admission.py
+++ b/crowwinch/scheduling/_admission.py
@@ -6,6 +6,7 @@
 from crowwinch.configuration import Snapshot
 from crowwinch.coordination import Clock
 from crowwinch.errors import RefusalError, RefusalReason
+from crowwinch.scheduling._accounts import limited_for
 from crowwinch.scheduling._fair_queue import Entry, FairQueue
 from crowwinch.scheduling._interfaces import SlotRequest
 from crowwinch.scheduling._records import GroupRecord
@@ -121,6 +122,14 @@
             return RefusalReason.QUEUE_FULL
         return None
 
+    def late(self, entry: Entry, group: GroupRecord) -> RefusalReason | None:
+        """Returns why a queued entry misses its deadline, or None."""
+        if not self.can_meet_deadline(entry, group):
+            return RefusalReason.DEADLINE_UNREACHABLE
+        if self.exceeds_limit(entry):
+            return RefusalReason.WORKSPACE_LIMIT
+        return None
+
     def can_meet_deadline(self, entry: Entry, group: GroupRecord) -> bool:
         """Returns whether a queued entry may be served in time."""
         if entry.deadline == math.inf:
@@ -137,8 +146,36 @@
         wait = min(own, self._queue.waiting(entry.group)) / rate
         return now + wait <= entry.deadline
 
-    def retry_after(self, group: GroupRecord | None) -> float:
+    def limit_delay(self, entry: Entry) -> float:
+        """Returns how long at least its workspace's limit delays an entry.
+
+        Returns:
+            Seconds, 0 if an event may change the limit before the deadline.
+        """
+        account = self._queue.account(entry.workspace)
+        limits = self._queue.limits(entry.workspace)
+        now = self._clock.monotonic()
+        if account.limits_until - self._clock.time() <= entry.deadline - now:
+            return 0.0
+        return limited_for(account, limits, now)
+
+    def exceeds_limit(self, entry: Entry) -> bool:
+        """Returns whether the workspace's limit alone exceeds the deadline."""
+        if entry.deadline == math.inf:
+            return False
+        return self._clock.monotonic() + self.limit_delay(entry) > (
+            entry.deadline
+        )
+
+    def retry_after(
+        self,
+        group: GroupRecord | None,
+        entry: Entry,
+        reason: RefusalReason,
+    ) -> float:
         """Returns seconds after which a repeat may succeed."""
+        if reason == RefusalReason.WORKSPACE_LIMIT:
+            return self.limit_delay(entry)
         if group is None:
             return _UNKNOWN_FORECAST_S
         rate = group.rate.per_second(self._clock.monotonic())
--- a/crowwinch/scheduling/_domain_scheduler.py
+++ b/crowwinch/scheduling/_domain_scheduler.py
@@ -248,17 +248,18 @@
             self._refuse(router, entry, reason)
             return
         self._queue.add(entry, at_floor)
-        if is_reused or self._admission.can_meet_deadline(entry, group):
+        reason = None if is_reused else self._admission.late(entry, group)
+        if reason is None:
             router.entries[entry.request] = entry
             return
         self._queue.remove(entry)
-        self._refuse(router, entry, RefusalReason.DEADLINE_UNREACHABLE)
+        self._refuse(router, entry, reason)
 
     def _refuse(
         self, router: RouterRecord, entry: Entry, reason: RefusalReason
     ) -> None:
         group = self._pool.groups.get(entry.group)
-        wait = self._admission.retry_after(group)
+        wait = self._admission.retry_after(group, entry, reason)
         router.refused.append(
             RefusedDemand(entry.request, int(reason), round(wait * 1000))
         )
--- a/crowwinch/scheduling/tests/test_fleet.py
+++ b/crowwinch/scheduling/tests/test_fleet.py
@@ -283,6 +283,38 @@
             fleet.refusals[-1][1].reason, RefusalReason.DEADLINE_EXCEEDED
         )
 
+    def test_limit_that_alone_exceeds_the_deadline_is_named(self):
+        # A cost of 1,000 keeps a rate of 100/s, with its burst of one second,
+        # from serving for 9 s. (rate, seconds since the grant, estimate, cost,
+        # deadline, reason)
+        limit = RefusalReason.WORKSPACE_LIMIT
+        cases = (
+            ("before the recovery", 100, 2, 1000, 1000, 5, limit),
+            ("after the recovery", 100, 2, 1000, 1000, 9, None),
+            ("no limit", 0, 2, 1000, 1000, 5, None),
+            ("charge that may be returned", 100, 0.01, 1000, 50, 5, None),
+        )
+        for name, rate, since, estimate, cost, left, reason in cases:
+            with self.subTest(name):
+                limits = {"max_service_per_second": rate}
+                fleet = Fleet(make_snapshot({"a": 1}, **limits), 1)
+                fleet.ask("r0", "a", cost, estimate=estimate)
+                fleet.run(since)
+                deadline = fleet.clock.monotonic() + left
+                fleet.ask("r0", "a", 10, deadline=deadline)
+                fleet.run(0.02)
+                self.assertEqual(
+                    [error.reason for _, error in fleet.refusals],
+                    [reason] if reason else [],
+                )
+                if reason:
+                    error = fleet.refusals[0][1]
+                    self.assertEqual(error.status, 429)
+                    self.assertAlmostEqual(error.retry_after_s, 7, delta=0.1)
+                    continue
+                fleet.run(left)
+                self.assertEqual(len(fleet.starts), 2)
+
     def test_deadline_passes_while_waiting(self):
         fleet = Fleet(make_snapshot({"a": 1}, 1, 1))
         fleet.ask("r0", "a", 1000)
