Count only time with waiting entries in the rate of completions

Cause: the rate that forecasts the wait counted idle time. After an idle half minute a group's rate was near 0, so the first entry that had to wait in the next burst was refused with deadline_unreachable, although its slot was 2 s away. Change: completions and time count only while entries of the group wait. Conclusion: a burst after an idle time is admitted.

--- a/crowwinch/scheduling/_domain_scheduler.py
+++ b/crowwinch/scheduling/_domain_scheduler.py
@@ -365,6 +365,9 @@
             ]
         if self._queue.waiting(group.number):
             self._grant_waiting(group)
+        group.rate.set_waiting(
+            self._queue.waiting(group.number) > 0, self._clock.monotonic()
+        )
 
     def _grant_waiting(self, group: GroupRecord) -> None:
         while group.has_free_target:
--- a/crowwinch/scheduling/_records.py
+++ b/crowwinch/scheduling/_records.py
@@ -72,33 +72,47 @@
 
 
 class CompletionRate:
-    """Rate of completions, with exponentially decreasing weight of age."""
+    """Rate of completions with exponentially decreasing weight of age.
+
+    Only time in which entries wait counts. An idle group completes nothing,
+    but this says nothing about the wait in the burst that ends its idleness.
+    """
 
     def __init__(self) -> None:
-        """Starts without completions."""
+        """Starts without completions, with no entry waiting."""
         self._value = 0.0
-        self._started: float | None = None
-        self._changed = 0.0
+        self._counted_s = 0.0
+        self._waiting_since: float | None = None
+
+    def set_waiting(self, is_waiting: bool, now: float) -> None:
+        """Starts or stops to count time."""
+        self._advance(now)
+        if not is_waiting:
+            self._waiting_since = None
+        elif self._waiting_since is None:
+            self._waiting_since = now
 
     def add(self, now: float) -> None:
-        """Counts one completion."""
-        if self._started is None:
-            self._started = self._changed = now
-        self._decay(now)
-        self._value += 1.0 / _RATE_WINDOW_S
+        """Counts one completion if entries wait."""
+        self._advance(now)
+        if self._waiting_since is not None:
+            self._value += 1.0 / _RATE_WINDOW_S
 
     def per_second(self, now: float) -> float:
         """Returns completions a second, 0 while unknown."""
-        if self._started is None or now - self._started < 0.1:
+        self._advance(now)
+        if self._counted_s < 0.1:
             return 0.0
-        self._decay(now)
-        seen = 1.0 - math.exp(-(now - self._started) / _RATE_WINDOW_S)
+        seen = 1.0 - math.exp(-self._counted_s / _RATE_WINDOW_S)
         return self._value / seen
 
-    def _decay(self, now: float) -> None:
-        age = now - self._changed
+    def _advance(self, now: float) -> None:
+        if self._waiting_since is None:
+            return
+        age = now - self._waiting_since
         self._value *= math.exp(-age / _RATE_WINDOW_S)
-        self._changed = now
+        self._counted_s += age
+        self._waiting_since = now
 
 
 @dataclass(slots=True, eq=False)
--- a/crowwinch/scheduling/tests/test_fleet.py
+++ b/crowwinch/scheduling/tests/test_fleet.py
@@ -234,6 +234,19 @@
         self.assertEqual(len(fleet.starts), 5)
         self.assertEqual(fleet.most_running[identifier("t0")], 0)
 
+    def test_idle_time_makes_no_deadline_unreachable(self):
+        """Guards against forecasts that count idle time as slow service."""
+        fleet = Fleet(make_snapshot({"a": 1}, 1, 1))
+        for idle_s in (30, 600):
+            for _ in range(3):
+                fleet.ask("r0", "a", 100)
+            fleet.run(idle_s)
+        deadline = fleet.clock.monotonic() + 5
+        for _ in range(3):
+            fleet.ask("r0", "a", 100, deadline=deadline)
+            fleet.run(0.1)
+        self.assertEqual(fleet.refusals, [])
+
     def test_hopeless_requests_are_refused_at_once(self):
         fleet = Fleet(make_snapshot({"a": 1}, 1, 1))
         for _ in range(40):
