Hold requests in the steps granted and finished, and split the load

Change: the relay holds messages of a link and passes them on later (the grant is on its way); a frozen service whose accept queue is full keeps a slot's call from beginning (granted); a caller that does not read a 12 MB answer keeps it at the router (finished, passed on).

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -232,6 +232,7 @@
                 }
             ],
             "usage": self._usage(generation),
+            "padding": "x" * int(generation.body.get("padding", 0)),
         }
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -58,6 +58,7 @@
                 "method": request.method,
                 "path": request.path_qs,
                 "digest": hashlib.sha256(body).hexdigest(),
+                "padding": "x" * int(request.query.get("padding", 0)),
             },
             headers={"X-Service": "stand-in"},
         )
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -224,6 +224,25 @@
         cuts = {f"{a}>{b}": ["forward", "back"] for a, b in pairs}
         call("PUT", f"{self.relay.url}/cuts", json.dumps(cuts).encode())
 
+    def hold_messages(self, sender: str, receiver: str) -> None:
+        """Holds what one router sends to another until `release_messages`."""
+        assert self.relay is not None
+        holds = {
+            f"{sender}>{receiver}": ["forward"],
+            f"{receiver}>{sender}": ["back"],
+        }
+        call("PUT", f"{self.relay.url}/holds", json.dumps(holds).encode())
+
+    def holds_messages(self) -> bool:
+        """Whether any message is held."""
+        assert self.relay is not None
+        return bool(json.loads(call("GET", f"{self.relay.url}/holds")[1]))
+
+    def release_messages(self) -> None:
+        """Passes held messages on."""
+        assert self.relay is not None
+        call("PUT", f"{self.relay.url}/holds", b"{}")
+
     def start_router(
         self, name: str, zone: str, caller: int, operator: int, peer: int
     ) -> Process:
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,8 +1,9 @@
-"""A TCP relay whose two directions can be cut and healed.
+"""A TCP relay whose two directions can be cut, held and healed.
 
 A cut direction swallows the bytes, as a network does that drops packets: the
 connections stay open and neither end gets an error. Connections that were cut
-are closed when the direction heals, since bytes are missing in them.
+are closed when the direction heals, since bytes are missing in them. A held
+direction keeps the bytes and passes them on, in order, when it is released.
 """
 
 import argparse
@@ -24,12 +25,17 @@
         self._servers: dict[str, asyncio.Server] = {}
         self._cut: dict[str, frozenset[str]] = {}
         self._damaged: dict[str, set[asyncio.StreamWriter]] = {}
+        self._held: dict[str, frozenset[str]] = {}
+        self._holding: set[str] = set()
+        self._released = asyncio.Event()
 
     def application(self) -> web.Application:
         """Returns the routes."""
         application = web.Application()
         application.router.add_put("/links/{link}", self._open)
         application.router.add_put("/cuts", self._set_cuts)
+        application.router.add_put("/holds", self._set_holds)
+        application.router.add_get("/holds", self._list_holding)
         return application
 
     async def _open(self, request: web.Request) -> web.Response:
@@ -56,6 +62,20 @@
                 writers.clear()
         return web.Response(status=204)
 
+    async def _set_holds(self, request: web.Request) -> web.Response:
+        """Takes {link: ["forward", "back"]}; other links are released."""
+        holds = await request.json()
+        self._held = {link: frozenset(ways) for link, ways in holds.items()}
+        self._holding.clear()
+        self._released.set()
+        self._released = asyncio.Event()
+        return web.Response(status=204)
+
+    async def _list_holding(self, request: web.Request) -> web.Response:
+        """Returns the links that hold bytes."""
+        del request
+        return web.json_response(sorted(self._holding))
+
     async def _serve(
         self,
         link: str,
@@ -92,6 +112,11 @@
                 if way in self._cut.get(link, ()):
                     self._damaged[link].update(writers)
                     continue
+                while way in self._held.get(link, ()):
+                    self._holding.add(link)
+                    await self._released.wait()
+                if writer.is_closing():
+                    return
                 writer.write(data)
                 await writer.drain()
         except ConnectionError:
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 
+from tests import fault_load
 from tests import fault_matrix as matrix
 
 # Time in which the fleet answers through every router again after a fault's
@@ -34,7 +35,7 @@
         """
         with self.subTest(name):
             type(self).cases += 1
-            load = matrix.Load(name)
+            load = fault_load.Load(name)
             routers = [(each.name, each.url) for each in self.fleet.routers]
             try:
                 load.begin(routers)
@@ -62,7 +63,9 @@
                 for record in load.records[start:]
                 if record.outcome == "correct"
             }
-            return len(served) == len(self.fleet.routers) * len(matrix.KINDS)
+            return len(served) == len(self.fleet.routers) * len(
+                fault_load.KINDS
+            )
 
         return matrix.wait_until(is_served, timeout_s, "all routers serve")
 
--- a/tests/test_fault_partition.py
+++ b/tests/test_fault_partition.py
@@ -7,6 +7,7 @@
 import unittest
 
 from standins.processes import Fleet, call, workspace
+from tests import fault_load
 from tests import fault_matrix as matrix
 
 _SLOTS = 8
@@ -59,7 +60,9 @@
                 name, "engine", "--batch=32", "--token-seconds=0.03"
             )
         fleet.start_target("roster-0", "plain_service")
-        owners = [workspace(name, weight) for name, weight in matrix.WORKSPACES]
+        owners = [
+            workspace(name, weight) for name, weight in fault_load.WORKSPACES
+        ]
         used = [each for each in matrix.groups(fleet) if each["targets"]]
         fleet.publish(1, owners, used)
         fleet.start_routers(4, ("az-1", "az-2", "az-3"))
@@ -115,7 +118,7 @@
             for each, target in self.fleet.targets.items()
             if each.startswith("engine")
         ]
-        load = matrix.Load(name)
+        load = fault_load.Load(name)
         watch = None
         try:
             load.begin(
--- a/tests/test_fault_targets.py
+++ b/tests/test_fault_targets.py
@@ -7,6 +7,7 @@
 import unittest
 
 from standins.processes import call
+from tests import fault_load
 from tests import fault_matrix as matrix
 
 _RECOVERY_S = 10.0
@@ -31,7 +32,7 @@
         wanted = {
             (router.name, kind)
             for router in self.fleet.routers
-            for kind in matrix.KINDS
+            for kind in fault_load.KINDS
         }
 
         def is_served():
@@ -45,7 +46,7 @@
 
     def _run(self, name, inject, heal, during_s=1.5, lost_counts=False):
         type(self).cases += 1
-        load = matrix.Load(name)
+        load = fault_load.Load(name)
         try:
             load.begin([(each.name, each.url) for each in self.fleet.routers])
             self._wait_served(load)
@@ -181,7 +182,7 @@
 
     def test_leaving_target(self):
         """Nothing new after 3 s (I6) while its streams end whole (I7)."""
-        load = matrix.Load("leaving")
+        load = fault_load.Load("leaving")
         engine = self.fleet.targets["engine-0"]
         type(self).cases += 1
         try:
@@ -226,7 +227,7 @@
 
     def test_flood_of_one_workspace(self):
         """Others are served while one workspace sends 300 at once (I2)."""
-        load = matrix.Load("flood")
+        load = fault_load.Load("flood")
         type(self).cases += 1
         try:
             load.begin([(each.name, each.url) for each in self.fleet.routers])
@@ -276,7 +277,7 @@
         self.addCleanup(self.fleet.stop)
 
     def _ask_bad(self, router):
-        body = matrix.engine_body("menu-model", "bad request", 4, False)
+        body = fault_load.engine_body("menu-model", "bad request", 4, False)
         status, answer = call(
             "POST",
             f"{router.url}/v1/chat/completions",
@@ -315,7 +316,7 @@
             target=self._supervise, args=(stopping, crashes)
         )
         supervisor.start()
-        load = matrix.Load("innocent")
+        load = fault_load.Load("innocent")
         try:
             load.begin(
                 [(each.name, each.url) for each in self.fleet.routers],
