End a planned stop only when callers have received their answers

Cause: an answer counted as sent when the HTTP server had taken it, up to 64 KB (streams) or all of it (whole answers) before the kernel had it. The stop then cut it after 1 s. A caller that never read kept a stopping router alive for ever. Change: a request is active until its answer has left the process; from SIGTERM on, until the caller's kernel has acknowledged it (TIOCOUTQ).

--- a/crowwinch/api/_callers.py
+++ b/crowwinch/api/_callers.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from crowwinch.api._delivery import is_delivered
 from crowwinch.api._errors import error_event, error_response
 from crowwinch.api._parsing import (
     authenticate,
@@ -33,6 +34,8 @@
 )
 
 _LOGGER = logging.getLogger(__name__)
+# Only large answers to slow readers are polled, and all while the router stops.
+_DELIVERY_POLL_S = 0.01
 
 Parse = Callable[[web.Request, bytes, int, Snapshot, str, float], CallerRequest]
 
@@ -60,14 +63,19 @@
         self._region = region
         self._max_body_bytes = max_body_bytes
         self._request_timeout_s = request_timeout_s
+        self._stopping = False
         self._draining = False
         self._active = 0
 
     @property
     def active(self) -> int:
-        """Requests that have not been answered completely."""
+        """Requests whose callers have not received the whole answer."""
         return self._active + self._keyed.running
 
+    def begin_stop(self) -> None:
+        """Counts answers as active until their callers have received them."""
+        self._stopping = True
+
     def drain(self) -> None:
         """Refuses new requests from now on."""
         self._draining = True
@@ -159,12 +167,32 @@
         # a fetch waits while its call runs at another router.
         self._active += 1
         try:
-            return await answer
-        except RefusalError as refusal:
-            return self._refuse(refusal, new_request_id(), request)
+            try:
+                response = await answer
+            except RefusalError as refusal:
+                response = self._refuse(refusal, new_request_id(), request)
+            await self._deliver(request, response)
+            return response
         finally:
             self._active -= 1
 
+    async def _deliver(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Writes an answer and waits until a slow reader has it.
+
+        The server's own write ends with up to 64 KB in the process, which
+        would be lost when the process ends.
+        """
+        try:
+            await response.prepare(request)
+            await response.write_eof()
+        except ConnectionError:
+            self._metrics.count_reason("refusals", RefusalReason.CALLER_GONE)
+            return
+        while not is_delivered(request.transport, self._stopping):
+            await asyncio.sleep(_DELIVERY_POLL_S)
+
     async def _answer(
         self, request: web.Request, parse: Parse
     ) -> web.StreamResponse:
--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -42,6 +42,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 _DRAIN_POLL_S = 0.05
+# After the longest life of a request, for refusals at its end to arrive.
+_DRAIN_MARGIN_S = 2.0
 
 
 class Component(Protocol):
@@ -217,6 +219,7 @@
         if self._stopping:
             return
         self._stopping = True
+        self._callers.begin_stop()
         _LOGGER.info("shutdown started", extra={"active": self._callers.active})
         self._timers.call_later(self._settings.stop_grace_s, self._leave)
 
@@ -228,9 +231,12 @@
         self._spawn(self._drain())
 
     async def _drain(self) -> None:
-        while self._callers.active:
+        """Waits for all answers, or for callers that do not read at the end."""
+        end = self._clock.monotonic() + self._settings.request_timeout_s
+        end += _DRAIN_MARGIN_S
+        while self._callers.active and self._clock.monotonic() < end:
             await asyncio.sleep(_DRAIN_POLL_S)
-        _LOGGER.info("shutdown finished")
+        _LOGGER.info("shutdown finished", extra={"cut": self._callers.active})
         self._stopped.set()
 
     def _snapshot(self) -> Snapshot:
