Hold a suspect's slot until its crash is known everywhere

Cause: the slot of a failed attempt was given back before the crash was judged and reported, so the scheduler could grant the next copy of the same request at another router that did not know of the second crash. A copy that waited was refused only after a target had been drained for it, and a caller that went away during the check left the crash unnoted. Change: the slot of an attempt that ran alone is given back when the crash has been judged, 0.5 s later after a crash. Waiting copies are refused when the second report arrives. The check runs to its end. Conclusion: one suspect of a group runs at a time.

--- a/crowwinch/routing/_crashes.py
+++ b/crowwinch/routing/_crashes.py
@@ -1,9 +1,11 @@
 """Requests that are suspected of crashing targets."""
 
+import asyncio
+import contextlib
 import enum
 import hashlib
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 from crowwinch.coordination import Clock
@@ -69,6 +71,7 @@
         self._expiry_s = expiry_s
         self._suspects: OrderedDict[str, _Entry] = OrderedDict()
         self._refused: OrderedDict[str, _Entry] = OrderedDict()
+        self._waiting: dict[str, set[asyncio.Future[None]]] = {}
 
     @staticmethod
     def digest(workspace: int, body: bytes) -> str:
@@ -92,6 +95,21 @@
             return CrashVerdict.SUSPECT
         return CrashVerdict.CLEAR
 
+    @contextlib.contextmanager
+    def refusal(self, digest: str) -> Iterator[asyncio.Future[None]]:
+        """Provides a future that is done when a request becomes refused."""
+        future: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        waiting = self._waiting.setdefault(digest, set())
+        waiting.add(future)
+        try:
+            yield future
+        finally:
+            waiting.discard(future)
+            if not waiting:
+                self._waiting.pop(digest, None)
+
     def note_crash(self, digest: str, target: str, alone: bool) -> None:
         """Records a request that was in flight on a crashed target."""
         report = CrashReport(digest, target, alone, False)
@@ -136,6 +154,10 @@
         table[digest] = entry
         if len(table) > self._capacity:
             table.popitem(last=False)
+        if table is self._refused:
+            for future in self._waiting.get(digest, ()):
+                if not future.done():
+                    future.set_result(None)
 
     def _expire(self) -> None:
         now = self._clock.monotonic()
--- a/crowwinch/routing/_handler.py
+++ b/crowwinch/routing/_handler.py
@@ -111,7 +111,6 @@
             try:
                 answer = await self._serve(run, attempt)
             except TargetError as error:
-                attempt.fail()
                 await self._policy.after_error(run, attempt, error)
                 continue
             except BaseException as error:
--- a/crowwinch/routing/_retries.py
+++ b/crowwinch/routing/_retries.py
@@ -22,6 +22,10 @@
 # The first attempt and three more, each at another target where possible.
 _MAX_FAILURES = 4
 _BUDGET_RETRY_S = 1.0
+# Time for a report to reach every router, before another copy of a request that
+# crashed its target alone may start. Reports take milliseconds; a lost one is
+# repeated by its link within this time.
+REPORT_SPREAD_S = 0.5
 
 
 class RetryPolicy:
@@ -54,11 +58,16 @@
     async def after_error(
         self, run: RequestRun, attempt: Attempt, error: TargetError
     ) -> None:
-        """Returns when the next attempt may start.
+        """Gives the slot back and returns when the next attempt may start.
 
         Raises:
             RefusalError: If the request must not be repeated.
         """
+        # The slot of a suspect is held until its crash is known everywhere.
+        if not attempt.alone or isinstance(
+            error, NotSentError | AnswerTimeoutError
+        ):
+            attempt.fail()
         if isinstance(error, NotSentError):
             await self.pause(
                 run, attempt, RetryReason.CONNECTION_REFUSED, str(error)
@@ -70,12 +79,13 @@
         if isinstance(error, AnswerTimeoutError):
             raise run.refusal(RefusalReason.DEADLINE_EXCEEDED, str(error))
         if not run.is_idempotent:
-            self._check_later(run, attempt)
+            self._judge(run, attempt)
             reason = RefusalReason.OUTCOME_UNKNOWN
             if run.run_state is RunState.RAN:
                 reason = RefusalReason.STREAM_INCOMPLETE
             raise run.refusal(reason, str(error))
-        crashed = await self.check_crash(run, attempt)
+        # A caller that goes away must not keep the crash from being noted.
+        crashed = await asyncio.shield(self._judge(run, attempt))
         await self.pause(
             run,
             attempt,
@@ -149,12 +159,26 @@
                 _BUDGET_RETRY_S,
             )
 
-    def _check_later(self, run: RequestRun, attempt: Attempt) -> None:
-        """Checks for a crash without delaying the refusal."""
+    def _judge(self, run: RequestRun, attempt: Attempt) -> asyncio.Task[bool]:
+        """Checks for a crash and then gives the slot back.
+
+        After a crash of a suspect the slot is given back later, without delay
+        for its caller: the scheduler runs one suspect of a group at a time.
+        """
         task = asyncio.ensure_future(self.check_crash(run, attempt))
         self._checks.add(task)
         task.add_done_callback(self._checks.discard)
 
+        def release(task: asyncio.Task[bool]) -> None:
+            known = task.cancelled() or task.exception() or not task.result()
+            if known or not attempt.alone:
+                attempt.fail()
+                return
+            task.get_loop().call_later(REPORT_SPREAD_S, attempt.fail)
+
+        task.add_done_callback(release)
+        return task
+
     async def before_resume(
         self, run: RequestRun, attempt: Attempt, error: ConnectionLostError
     ) -> bool:
--- a/crowwinch/routing/_starter.py
+++ b/crowwinch/routing/_starter.py
@@ -11,7 +11,12 @@
 from crowwinch.errors import RefusalError, RefusalReason, RetryReason
 from crowwinch.routing._attempts import Attempt, RequestRun, with_state
 from crowwinch.routing._crashes import CrashRegistry, CrashVerdict
-from crowwinch.scheduling import Dispatcher, Slot, SlotOutcome
+from crowwinch.scheduling import (
+    Dispatcher,
+    Slot,
+    SlotOutcome,
+    SlotRequest,
+)
 from crowwinch.targets import (
     IncarnationTable,
     TargetAnswer,
@@ -120,9 +125,7 @@
             return False
         verdict = self._crashes.verdict(run.digest)
         if verdict is CrashVerdict.REFUSED:
-            raise run.refusal(
-                RefusalReason.CRASH_SUSPECT, "the request crashes targets"
-            )
+            raise _crash_refusal(run)
         return verdict is CrashVerdict.SUSPECT
 
     def _problem(
@@ -148,6 +151,8 @@
         request = run.slot_request(self._excluded(run), exclusive)
         try:
             async with asyncio.timeout(self.remaining(run)):
+                if exclusive:
+                    return await self._acquire_alone(run, request)
                 return await self._dispatcher.acquire(request)
         except TimeoutError:
             raise run.refusal(
@@ -157,6 +162,28 @@
         except RefusalError as refusal:
             raise with_state(refusal, run) from refusal
 
+    async def _acquire_alone(
+        self, run: RequestRun, request: SlotRequest
+    ) -> Slot:
+        """Waits for a target of its own while the request is a suspect.
+
+        Copies of a request wait for each other, each for a target to drain;
+        once one of them has shown that it crashes targets, all are refused.
+        """
+        slot = asyncio.ensure_future(self._dispatcher.acquire(request))
+        try:
+            with self._crashes.refusal(run.digest) as refusal:
+                await asyncio.wait(
+                    {slot, refusal}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if refusal.done():
+                    raise _crash_refusal(run)
+        except BaseException:
+            slot.cancel()
+            slot.add_done_callback(_give_back)
+            raise
+        return slot.result()
+
     def _excluded(self, run: RequestRun) -> frozenset[int]:
         unavailable = self._unavailable()
         if not run.excluded and not unavailable:
@@ -173,3 +200,15 @@
         if usable <= run.excluded:
             run.excluded.clear()
         return frozenset(run.excluded | (numbers - usable))
+
+
+def _crash_refusal(run: RequestRun) -> RefusalError:
+    return run.refusal(
+        RefusalReason.CRASH_SUSPECT, "the request crashes targets"
+    )
+
+
+def _give_back(task: asyncio.Task[Slot]) -> None:
+    """Returns a slot that came when nobody waited for it any more."""
+    if not task.cancelled() and task.exception() is None:
+        task.result().finish(0, SlotOutcome.UNUSED)
--- a/crowwinch/routing/tests/test_crashes.py
+++ b/crowwinch/routing/tests/test_crashes.py
@@ -1,9 +1,10 @@
 """Requests that crash targets."""
 
 import asyncio
+import json
 import unittest
 
-from crowwinch.coordination import ManualClock
+from crowwinch.coordination import ManualClock, identifier
 from crowwinch.errors import RetryReason
 from crowwinch.generated.peer_messages import CrashReport
 from crowwinch.routing import (
@@ -11,11 +12,13 @@
     CrashVerdict,
     TokenBucketRetryBudget,
 )
+from crowwinch.routing._retries import REPORT_SPREAD_S
 from crowwinch.routing.tests.support import (
     Router,
 )
 from standins.scripted_target import (
     ScriptedTarget,
+    hanging,
     whole,
 )
 
@@ -151,3 +154,46 @@
                         router.dispatcher.requests[1].exclusive, exclusive
                     )
                     self.assertTrue(router.crashes.is_empty)
+
+    async def test_slot_of_a_suspect_is_held_until_its_crash_is_reported(self):
+        """Guards against a copy that starts before the report reaches it."""
+
+        async def crash(seen, writer):
+            await asyncio.sleep(0.1)
+            target.incarnation += 1
+            writer.transport.abort()
+
+        target = ScriptedTarget(crash, crash)
+        await target.start()
+        settled = []
+        async with Router([target]) as router:
+            router.crashes.broadcast = lambda report: settled.append(
+                len(router.dispatcher.settled)
+            )
+            reply = await router.ask()
+            self.assertEqual(reply.status, 422)
+            self.assertEqual(settled, [1, 1])
+            self.assertEqual(len(router.dispatcher.settled), 1)
+            await asyncio.sleep(REPORT_SPREAD_S + 0.2)
+            self.assertEqual(len(router.dispatcher.settled), 2)
+
+    async def test_waiting_copy_is_refused_at_once(self):
+        target = ScriptedTarget(hanging)
+        await target.start()
+        async with Router([target], slots=1) as router:
+            other = asyncio.ensure_future(router.ask(key="beta"))
+            while not target.seen:
+                await asyncio.sleep(0.01)
+            digest = CrashRegistry.digest(
+                identifier("alpha"),
+                json.dumps({"model": "name", "stream": False}).encode(),
+            )
+            router.crashes.on_report(_crash("a", digest=digest))
+            copy = asyncio.ensure_future(router.ask())
+            while len(router.dispatcher.requests) < 2:
+                await asyncio.sleep(0.01)
+            router.crashes.on_report(_crash("b", True, digest=digest))
+            reply = await asyncio.wait_for(copy, 2)
+            self.assertEqual(reply.error, (422, "crash_suspect", "not_run"))
+            self.assertEqual(router.dispatcher.withdrawn, 1)
+            other.cancel()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -81,7 +81,7 @@
         self._waiting = 0
         self._started = 0
         self._runs: dict[str, int] = {}
-        self._faults: dict[str, object] = {}
+        self._faults: dict[str, object] = {"crash_after_s": 0}
         self._incarnation = int(time.time() * 1000)
         self._models: dict[str, str] = {}
         self._highest_fencing = 0
@@ -111,6 +111,8 @@
         attempt = _attempt_of(request) or f"local-{self._started}"
         marker = self._faults.get("crash_on")
         if marker and str(marker) in prompt:
+            self._running += 1
+            await asyncio.sleep(float(str(self._faults["crash_after_s"])))
             os._exit(1)
         count = int(
             body.get("max_completion_tokens") or body.get("max_tokens") or 16
--- a/tests/test_fault_targets.py
+++ b/tests/test_fault_targets.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from concurrent import futures
 
 from standins.processes import call
 from tests import fault_load
@@ -274,7 +275,8 @@
 
     def setUp(self):
         self.fleet = matrix.start_fleet()
-        self.addCleanup(self.fleet.stop)
+        self.addCleanup(lambda: self.fleet.stop())
+        self._crash_after_s = 0
 
     def _ask_bad(self, router):
         body = fault_load.engine_body("menu-model", "bad request", 4, False)
@@ -306,7 +308,63 @@
 
     def _arm(self, name):
         url = self.fleet.targets[name].url
-        matrix.set_faults(url, crash_on="bad request")
+        matrix.set_faults(
+            url, crash_on="bad request", crash_after_s=self._crash_after_s
+        )
+
+    def _copies(self, count):
+        """Sends copies through all routers at once; returns their answers."""
+        routers = self.fleet.routers
+        with futures.ThreadPoolExecutor(count) as pool:
+            return list(
+                pool.map(
+                    self._ask_bad,
+                    [routers[each % len(routers)] for each in range(count)],
+                )
+            )
+
+    def test_copies_at_the_same_moment(self):
+        """No copy starts beside another one once the first crash is known.
+
+        Copies that run at that moment may each crash their target.
+        """
+        cases = (
+            ("after the first crash", 1, 8, 2),
+            ("from the start", 4, 8, len(self._engines()) + 1),
+        )
+        for name, first, later, most in cases:
+            with self.subTest(name):
+                self._crash_after_s = 1.5
+                self._run_copies(name, first, later, most)
+                self.fleet.stop()
+                self.fleet = matrix.start_fleet()
+
+    def _run_copies(self, name, first, later, most):
+        stopping, crashes = threading.Event(), []
+        supervisor = threading.Thread(
+            target=self._supervise, args=(stopping, crashes)
+        )
+        for engine in self._engines():
+            self._arm(engine)
+        supervisor.start()
+        try:
+            with futures.ThreadPoolExecutor(1) as pool:
+                running = pool.submit(self._copies, first)
+                matrix.wait_until(lambda: crashes, 10, "the first crash")
+                # Reports take milliseconds; the suspect runs for 1.5 s.
+                time.sleep(0.7)
+                answers = self._copies(later)
+                answers += running.result()
+            answers += self._copies(4)
+            time.sleep(2.0)
+        finally:
+            stopping.set()
+            supervisor.join()
+        print(f"copies {name}: crashes {crashes}")
+        self.assertEqual(set(answers[-4:]), {(422, "crash_suspect")})
+        codes = {"crash_suspect", "no_target", "target_failed"}
+        self.assertLessEqual({code for _, code in answers}, codes)
+        self.assertLessEqual(len(crashes), most, crashes)
 
     def test_repeats_through_other_routers(self):
         for name in self._engines():
