--- a/standins/processes.py
+++ b/standins/processes.py
@@ -113,6 +113,8 @@
     routers: list[Process] = field(default_factory=list)
     targets: dict[str, Process] = field(default_factory=dict)
     router_command: Sequence[str] = (sys.executable, "-m", "crowwinch")
+    _machines: list[dict[str, object]] = field(default_factory=list)
+    _list_version: int = 1
 
     def start_platform(self) -> None:
         """Starts the stand-in for the platform."""
@@ -172,6 +174,7 @@
             }
             for index, (_, _, peer) in enumerate(ports)
         ]
+        self._machines = machines
         self.list_machines(1, machines)
         if self.relay is not None:
             self._list_relayed(machines)
@@ -270,6 +273,41 @@
             command,
         )
 
+    def replace_router(self, index: int, name: str) -> None:
+        """Starts a new router in place of a stopped one, not listed yet.
+
+        It has the ports for callers and operators of the old one.
+        """
+        old = self.routers[index]
+        caller, operator = (
+            int(url.rsplit(":", 1)[1]) for url in (old.url, old.operator_url)
+        )
+        peer = free_port()
+        zone = str(self._machines[index]["availability_zone"])
+        self._machines[index] = {
+            **self._machines[index],
+            "name": name,
+            "address": f"127.0.0.1:{peer}",
+        }
+        self.routers[index] = self.start_router(
+            name, zone, caller, operator, peer
+        )
+
+    def list_running(self) -> None:
+        """Publishes a VM list of the present routers."""
+        self._list_version += 1
+        self.list_machines(self._list_version, self._machines)
+
+    def restart_target(self, name: str) -> None:
+        """Starts a killed engine again at its address."""
+        old = self.targets[name]
+        if old.handle.poll() is None:
+            return
+        if old.handle.stdout is not None:
+            old.handle.stdout.close()
+        port = old.url.rsplit(":", 1)[1]
+        self.start_target(name, "engine", f"--port={port}")
+
     def restart_router(self, index: int) -> None:
         """Starts a router again with the arguments that it had."""
         old = self.routers[index]
