Do not count a caller that the router cuts off as gone

Cause: an answer that turns out to be incomplete is cut by closing the connection; writing its end then failed and counted `caller_gone` as well. Change: nothing is written to a closed connection. Conclusion: the counter shows callers that went by themselves.

--- a/crowwinch/api/_callers.py
+++ b/crowwinch/api/_callers.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from crowwinch.api._delivery import is_delivered
+from crowwinch.api._delivery import is_closed, is_delivered
 from crowwinch.api._errors import error_event, error_response
 from crowwinch.api._parsing import (
     authenticate,
@@ -184,6 +184,8 @@
         The server's own write ends with up to 64 KB in the process, which
         would be lost when the process ends.
         """
+        if is_closed(request.transport):
+            return
         try:
             await response.prepare(request)
             await response.write_eof()
--- a/crowwinch/api/_delivery.py
+++ b/crowwinch/api/_delivery.py
@@ -11,6 +11,11 @@
 _LEFT_TO_KERNEL_BYTES = 65536
 
 
+def is_closed(transport: asyncio.BaseTransport | None) -> bool:
+    """Returns whether a connection takes no more bytes."""
+    return transport is None or transport.is_closing()
+
+
 def is_delivered(
     transport: asyncio.BaseTransport | None, is_stopping: bool
 ) -> bool:
@@ -19,7 +24,7 @@
     While the process stops, the kernel of the caller must have acknowledged
     every byte as well. A caller that has gone receives nothing more.
     """
-    if transport is None or transport.is_closing():
+    if is_closed(transport):
         return True
     if transport.get_write_buffer_size():
         return False
--- a/crowwinch/api/tests/test_contract.py
+++ b/crowwinch/api/tests/test_contract.py
@@ -5,6 +5,7 @@
 import json
 import unittest
 
+from crowwinch.errors import RefusalReason
 from crowwinch.routing.tests.support import (
     MAX_BODY_BYTES,
     Router,
@@ -161,6 +162,7 @@
         targets = await started(ScriptedTarget(behaviour))
         async with Router(targets, "service") as router:
             reply = await router.send(method, path, **more)
+            self.gone = router.refusals(RefusalReason.CALLER_GONE)
             return reply, targets[0].seen[0]
 
     async def test_request(self):
@@ -281,6 +283,8 @@
             with self.subTest(name):
                 reply, _ = await self._ask(behaviour)
                 self.assertTrue(reply.body == expected)
+                # Whom the router cuts off has not gone by itself.
+                self.assertEqual(self.gone, 0)
 
     async def test_largest_body(self):
         reply, seen = await self._ask(whole(b"ok"), body=b"x" * MAX_BODY_BYTES)
