--- a/tests/test_fault_targets.py
+++ b/tests/test_fault_targets.py
@@ -5,8 +5,10 @@
 import threading
 import time
 import unittest
+from concurrent import futures
 
 from standins.processes import call
+from tests import fault_load
 from tests import fault_matrix as matrix
 
 _RECOVERY_S = 10.0
@@ -31,7 +33,7 @@
         wanted = {
             (router.name, kind)
             for router in self.fleet.routers
-            for kind in matrix.KINDS
+            for kind in fault_load.KINDS
         }
 
         def is_served():
@@ -45,7 +47,7 @@
 
     def _run(self, name, inject, heal, during_s=1.5, lost_counts=False):
         type(self).cases += 1
-        load = matrix.Load(name)
+        load = fault_load.Load(name)
         try:
             load.begin([(each.name, each.url) for each in self.fleet.routers])
             self._wait_served(load)
@@ -119,14 +121,6 @@
                     ),
                 )
 
-    def _restart_target(self, name):
-        old = self.fleet.targets[name]
-        if old.handle.poll() is None:
-            return
-        old.handle.stdout.close()
-        port = old.url.rsplit(":", 1)[1]
-        self.fleet.start_target(name, "engine", f"--port={port}")
-
     def test_engine_killed_and_restarted(self):
         def inject():
             self.fleet.targets["engine-1"].kill()
@@ -134,7 +128,7 @@
         self._run(
             "engine killed",
             inject,
-            lambda: self._restart_target("engine-1"),
+            lambda: self.fleet.restart_target("engine-1"),
             lost_counts=True,
         )
 
@@ -158,7 +152,7 @@
             self.fleet.targets["engine-2"].kill()
 
         def heal():
-            self._restart_target("engine-2")
+            self.fleet.restart_target("engine-2")
             matrix.set_faults(url, down=False)
 
         self._run(
@@ -181,7 +175,7 @@
 
     def test_leaving_target(self):
         """Nothing new after 3 s (I6) while its streams end whole (I7)."""
-        load = matrix.Load("leaving")
+        load = fault_load.Load("leaving")
         engine = self.fleet.targets["engine-0"]
         type(self).cases += 1
         try:
@@ -226,7 +220,7 @@
 
     def test_flood_of_one_workspace(self):
         """Others are served while one workspace sends 300 at once (I2)."""
-        load = matrix.Load("flood")
+        load = fault_load.Load("flood")
         type(self).cases += 1
         try:
             load.begin([(each.name, each.url) for each in self.fleet.routers])
@@ -273,10 +267,11 @@
 
     def setUp(self):
         self.fleet = matrix.start_fleet()
-        self.addCleanup(self.fleet.stop)
+        self.addCleanup(lambda: self.fleet.stop())
+        self._crash_after_s = 0
 
     def _ask_bad(self, router):
-        body = matrix.engine_body("menu-model", "bad request", 4, False)
+        body = fault_load.engine_body("menu-model", "bad request", 4, False)
         status, answer = call(
             "POST",
             f"{router.url}/v1/chat/completions",
@@ -298,14 +293,68 @@
                 old = self.fleet.targets[name]
                 if old.handle.poll() is not None:
                     crashes.append(name)
-                    old.handle.stdout.close()
-                    port = old.url.rsplit(":", 1)[1]
-                    self.fleet.start_target(name, "engine", f"--port={port}")
+                    self.fleet.restart_target(name)
                     self._arm(name)
 
     def _arm(self, name):
         url = self.fleet.targets[name].url
-        matrix.set_faults(url, crash_on="bad request")
+        matrix.set_faults(
+            url, crash_on="bad request", crash_after_s=self._crash_after_s
+        )
+
+    def _copies(self, count):
+        """Sends copies through all routers at once; returns their answers."""
+        routers = self.fleet.routers
+        with futures.ThreadPoolExecutor(count) as pool:
+            return list(
+                pool.map(
+                    self._ask_bad,
+                    [routers[each % len(routers)] for each in range(count)],
+                )
+            )
+
+    def test_copies_at_the_same_moment(self):
+        """No copy starts beside another one once the first crash is known.
+
+        Copies that run at that moment may each crash their target.
+        """
+        cases = (
+            ("after the first crash", 1, 8, 2),
+            ("from the start", 4, 8, len(self._engines()) + 1),
+        )
+        for name, first, later, most in cases:
+            with self.subTest(name):
+                self._crash_after_s = 1.5
+                self._run_copies(name, first, later, most)
+                self.fleet.stop()
+                self.fleet = matrix.start_fleet()
+
+    def _run_copies(self, name, first, later, most):
+        stopping, crashes = threading.Event(), []
+        supervisor = threading.Thread(
+            target=self._supervise, args=(stopping, crashes)
+        )
+        for engine in self._engines():
+            self._arm(engine)
+        supervisor.start()
+        try:
+            with futures.ThreadPoolExecutor(1) as pool:
+                running = pool.submit(self._copies, first)
+                matrix.wait_until(lambda: crashes, 10, "the first crash")
+                # Reports take milliseconds; the suspect runs for 1.5 s.
+                time.sleep(0.7)
+                answers = self._copies(later)
+                answers += running.result()
+            answers += self._copies(4)
+            time.sleep(2.0)
+        finally:
+            stopping.set()
+            supervisor.join()
+        print(f"copies {name}: crashes {crashes}")
+        self.assertEqual(set(answers[-4:]), {(422, "crash_suspect")})
+        codes = {"crash_suspect", "no_target", "target_failed"}
+        self.assertLessEqual({code for _, code in answers}, codes)
+        self.assertLessEqual(len(crashes), most, crashes)
 
     def test_repeats_through_other_routers(self):
         for name in self._engines():
@@ -315,7 +364,7 @@
             target=self._supervise, args=(stopping, crashes)
         )
         supervisor.start()
-        load = matrix.Load("innocent")
+        load = fault_load.Load("innocent")
         try:
             load.begin(
                 [(each.name, each.url) for each in self.fleet.routers],
