Measure the processor time of a request

The wall clock of a shared machine hides small changes. The measurement of added latency now also reads the processor time of the router from /proc and divides it by the number of requests.

--- a/measurements/latency.py
+++ b/measurements/latency.py
@@ -1,12 +1,14 @@
 """Measures the time that a router adds to a request on loopback.
 
 Asks the stand-in of an engine directly and through one router, in turn, at a
-fixed rate. Prints one JSON object with the quantiles in milliseconds.
+fixed rate. Prints one JSON object with the quantiles in milliseconds and the
+processor time of the router for each request.
 """
 
 import argparse
 import asyncio
 import json
+import pathlib
 import sys
 import time
 from collections.abc import Sequence
@@ -83,6 +85,12 @@
     return durations
 
 
+def _processor_ms(pid: int) -> float:
+    """Returns the processor time of a process with one busy thread."""
+    stat = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
+    return int(stat.split()[0]) / 1e6
+
+
 def quantile(values: Sequence[float], fraction: float) -> float:
     """Returns a quantile of some values."""
     ordered = sorted(values)
@@ -95,14 +103,20 @@
     """Returns the quantiles of both paths and their difference."""
     fleet = _start()
     try:
-        urls = [fleet.targets["engine-0"].url, fleet.routers[0].url]
+        router = fleet.routers[0]
+        urls = [fleet.targets["engine-0"].url, router.url]
+        before = _processor_ms(router.handle.pid)
         direct, routed = asyncio.run(_measure(urls, rate_per_s, seconds))
+        processor = _processor_ms(router.handle.pid) - before
     finally:
         fleet.stop()
     result: dict[str, object] = {
         "measurement": "added_latency",
         "rate_per_s": rate_per_s,
         "requests": len(routed),
+        "processor_ms_per_request": round(
+            processor / (len(routed) + _WARM_UP_REQUESTS), 3
+        ),
     }
     for name, fraction in (("p50", 0.5), ("p99", 0.99)):
         first, second = quantile(direct, fraction), quantile(routed, fraction)
