Build requests of callers in one place

CallerRequest was built three times with the same fields, and _refuse and _guard took a request that they did not use. One function now builds it with defaults for what a resumed stream lacks.

--- a/crowwinch/api/_callers.py
+++ b/crowwinch/api/_callers.py
@@ -100,10 +100,10 @@
         return await self._serve(request, resume_request)
 
     async def _issue_key(self, request: web.Request) -> web.StreamResponse:
-        return await self._guard(request, self._issue(request))
+        return await self._guard(self._issue(request))
 
     async def _fetch_answer(self, request: web.Request) -> web.StreamResponse:
-        return await self._guard(request, self._fetch(request))
+        return await self._guard(self._fetch(request))
 
     async def _issue(self, request: web.Request) -> web.Response:
         authenticate(request, self._admit())
@@ -125,11 +125,12 @@
         )
 
     async def _models(self, request: web.Request) -> web.StreamResponse:
-        return await self._guard(request, self._list_models(request))
+        return await self._guard(self._list_models(request))
 
     async def _not_found(self, request: web.Request) -> web.StreamResponse:
+        del request
         refusal = RefusalError(RefusalReason.NOT_FOUND, "no such path")
-        return self._refuse(refusal, new_request_id(), None)
+        return self._refuse(refusal, new_request_id())
 
     async def _list_models(self, request: web.Request) -> web.Response:
         snapshot = self._snapshot()
@@ -150,10 +151,10 @@
     async def _serve(
         self, request: web.Request, parse: Parse
     ) -> web.StreamResponse:
-        return await self._guard(request, self._answer(request, parse))
+        return await self._guard(self._answer(request, parse))
 
     async def _guard(
-        self, request: web.Request, answer: Awaitable[web.StreamResponse]
+        self, answer: Awaitable[web.StreamResponse]
     ) -> web.StreamResponse:
         # A planned stop waits for every request, also those without a slot:
         # a fetch waits while its call runs at another router.
@@ -161,7 +162,7 @@
         try:
             return await answer
         except RefusalError as refusal:
-            return self._refuse(refusal, new_request_id(), request)
+            return self._refuse(refusal, new_request_id())
         finally:
             self._active -= 1
 
@@ -179,7 +180,7 @@
         try:
             answer = await self._handle(request, parsed)
         except RefusalError as refusal:
-            return self._refuse(refusal, parsed.request_id, request)
+            return self._refuse(refusal, parsed.request_id)
         except asyncio.CancelledError:
             self._metrics.count_reason("refusals", RefusalReason.CALLER_GONE)
             raise
@@ -265,13 +266,7 @@
         await response.write_eof()
         return response
 
-    def _refuse(
-        self,
-        refusal: RefusalError,
-        request_id: str,
-        request: web.Request | None,
-    ) -> web.Response:
-        del request
+    def _refuse(self, refusal: RefusalError, request_id: str) -> web.Response:
         self._count_refusal(refusal, request_id)
         return error_response(refusal, request_id)
 
--- a/crowwinch/api/_parsing.py
+++ b/crowwinch/api/_parsing.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import os
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 from typing import Annotated
 
 import msgspec
@@ -32,6 +33,7 @@
         "expect",
     }
 )
+_NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 _DEADLINE_HEADER = "X-Deadline-Ms"
 _CLASS_HEADER = "X-Request-Class"
 _CLASS_NAMES = ("interactive", "bulk")
@@ -153,20 +155,19 @@
             f"the model {parsed.model!r} does not exist",
         )
     max_tokens = parsed.max_completion_tokens or parsed.max_tokens
-    return CallerRequest(
-        request_id=new_request_id(),
-        workspace=workspace,
-        groups=tuple(groups),
-        method="POST",
+    return _caller_request(
+        request,
+        workspace,
+        snapshot,
+        deadline,
+        groups=groups,
         path=request.path,
         headers=forwarded_headers(request.headers),
         body=body,
         stream=parsed.stream,
-        request_class=_request_class(request, workspace, snapshot),
         estimate=estimate_engine_cost(
             snapshot.groups[groups[0]], len(body), max_tokens
         ),
-        deadline=deadline,
         idempotency_key=_fleet_key(request),
     )
 
@@ -191,19 +192,16 @@
             RefusalReason.UNKNOWN_SERVICE,
             f"the service {name!r} does not exist",
         )
-    path = _service_path(request)
-    return CallerRequest(
-        request_id=new_request_id(),
-        workspace=workspace,
-        groups=tuple(groups),
-        method=request.method,
-        path=path,
+    return _caller_request(
+        request,
+        workspace,
+        snapshot,
+        deadline,
+        groups=groups,
+        path=_service_path(request),
         headers=forwarded_headers(request.headers),
         body=body,
-        stream=False,
-        request_class=_request_class(request, workspace, snapshot),
         estimate=_SERVICE_ESTIMATE_UNITS,
-        deadline=deadline,
         idempotency_key=_fleet_key(request),
     )
 
@@ -218,19 +216,7 @@
 ) -> CallerRequest:
     """Returns the request to resume a stream; it has no body and no group."""
     del body, region
-    return CallerRequest(
-        request_id=new_request_id(),
-        workspace=workspace,
-        groups=(),
-        method="GET",
-        path="",
-        headers={},
-        body=b"",
-        stream=True,
-        request_class=_request_class(request, workspace, snapshot),
-        estimate=1,
-        deadline=deadline,
-    )
+    return _caller_request(request, workspace, snapshot, deadline, stream=True)
 
 
 def deadline_of(request: web.Request, now: float, timeout_s: float) -> float:
@@ -269,6 +255,41 @@
     return text.isdecimal() and len(text) <= _MAX_COUNT_DIGITS
 
 
+def _caller_request(
+    request: web.Request,
+    workspace: int,
+    snapshot: Snapshot,
+    deadline: float,
+    *,
+    groups: Sequence[int] = (),
+    path: str = "",
+    headers: Mapping[str, str] = _NO_HEADERS,
+    body: bytes = b"",
+    stream: bool = False,
+    estimate: int = 1,
+    idempotency_key: str = "",
+) -> CallerRequest:
+    """Returns a request with a new identifier.
+
+    Raises:
+        RefusalError: If the class of the request is malformed.
+    """
+    return CallerRequest(
+        new_request_id(),
+        workspace,
+        tuple(groups),
+        request.method,
+        path,
+        headers,
+        body,
+        stream,
+        _request_class(request, workspace, snapshot),
+        estimate,
+        deadline,
+        idempotency_key,
+    )
+
+
 def _service_path(request: web.Request) -> str:
     """Returns path and query at the service, with its encoding unchanged."""
     raw = request.raw_path
