Name certificates and keys that cannot be used

TLS had settings but no test. New tests run a router over TLS with certificates made by openssl: callers over TLS and refused in plain text, a target with the authority of target_ca, targets of another authority and of another address.

Cause: a missing, malformed or mismatched PEM file ended the start with a traceback and exit code 1 that did not name the file (seen for a missing certificate and a missing authority). An encrypted key would have asked for a password on the terminal.

Change: both contexts are built together, and each file that cannot be used is a finding with its flag and path; exit code 2.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import signal
-import ssl
 from collections.abc import Awaitable
 from typing import Protocol
 
@@ -20,6 +19,7 @@
 from crowwinch.app._memory import MemoryKeeper
 from crowwinch.app._peer_service import PeerService
 from crowwinch.app._timer_driver import TimerDriver
+from crowwinch.app._tls import tls_contexts
 from crowwinch.configuration import ConfigurationStore, Snapshot
 from crowwinch.coordination import SystemClock, TimerService
 from crowwinch.errors import PeerRejection, RefusalReason, RetryReason
@@ -58,9 +58,14 @@
     """One router process."""
 
     def __init__(self, settings: RouterSettings) -> None:
-        """Builds all parts; nothing runs until `start`."""
+        """Builds all parts; nothing runs until `start`.
+
+        Raises:
+            SettingsError: If a certificate or a key cannot be used.
+        """
         super().__init__()
         self._settings = settings
+        self._caller_tls, target_tls = tls_contexts(settings)
         self._clock = SystemClock()
         self._timers = TimerService(self._clock)
         self._metrics = Metrics()
@@ -93,7 +98,7 @@
         self._commands = FleetCommands(
             settings, self._timers, self._snapshot, self._peers, self._metrics
         )
-        self._client = TargetClient(_target_ssl(settings))
+        self._client = TargetClient(target_tls)
         self._incarnations = IncarnationTable(self._fetch_load)
         self._monitor = TargetMonitor(self._timers, self._fetch_load)
         self._monitor.subscribe(self._observe_target)
@@ -177,7 +182,7 @@
                 self._callers.application(),
                 settings.caller_host,
                 settings.caller_port,
-                _caller_ssl(settings),
+                self._caller_tls,
             ),
             HttpServer(
                 operators.application(),
@@ -264,20 +269,6 @@
         task.add_done_callback(self._background.discard)
 
 
-def _caller_ssl(settings: RouterSettings) -> ssl.SSLContext | None:
-    if not settings.tls_certificate:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(settings.tls_certificate, settings.tls_key)
-    return context
-
-
-def _target_ssl(settings: RouterSettings) -> ssl.SSLContext | None:
-    if not settings.target_ca:
-        return None
-    return ssl.create_default_context(cafile=settings.target_ca)
-
-
 def run_router(settings: RouterSettings) -> None:
     """Runs a router until a graceful shutdown has finished."""
 
--- a/standins/scripted_target.py
+++ b/standins/scripted_target.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import ssl
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
@@ -101,16 +102,18 @@
         self.incarnation = 1
         self.closed = asyncio.Event()
         self.port = 0
+        self.scheme = "http"
 
     @property
     def url(self) -> str:
         """Base URL once started."""
-        return f"http://127.0.0.1:{self.port}"
+        return f"{self.scheme}://127.0.0.1:{self.port}"
 
-    async def start(self) -> None:
-        """Listens on a free port."""
+    async def start(self, tls: ssl.SSLContext | None = None) -> None:
+        """Listens on a free port, with TLS if there is a context."""
+        self.scheme = "https" if tls else "http"
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, limit=1 << 20
+            self._serve, "127.0.0.1", 0, limit=1 << 20, ssl=tls
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
