Arm the event loop once for several timers

Cause: each subscription cancelled and armed a timer of the event loop. The loop rounds delays to milliseconds; rounded down, the call came too early and was repeated until the time had come.

Change: a call that is armed for an earlier time stays, nothing is armed while calls run, and delays are rounded up.

strace over 60 requests: getpid (one for each timer handle) 943 to 868, epoll_pwait 581 to 580. Processor time for each request, 900 requests on old and new in turn on a busy machine: 1.98 to 1.97 ms.

Conclusion: fewer timer handles; no difference in time that can be measured.

--- a/crowwinch/app/_timer_driver.py
+++ b/crowwinch/app/_timer_driver.py
@@ -1,6 +1,7 @@
 """Runs the timer service on the event loop."""
 
 import asyncio
+import math
 
 from crowwinch.coordination import TimerService
 
@@ -13,7 +14,9 @@
     def __init__(self, timers: TimerService) -> None:
         """Attaches to a timer service."""
         self._timers = timers
-        self._handle: asyncio.TimerHandle | None = None
+        self._handle: asyncio.Handle | None = None
+        self._wake_up = 0.0
+        self._is_running = False
 
     async def start(self) -> None:
         """Starts to run due calls."""
@@ -27,16 +30,37 @@
             self._handle.cancel()
 
     def _schedule(self) -> None:
+        """Arms one call of the event loop for the next due call.
+
+        The event loop rounds delays to milliseconds. Rounded down, a call
+        comes too early and repeats without a pause until the time has come, so
+        delays are rounded up.
+        """
+        if self._is_running:
+            return
+        due = self._timers.next_due()
+        now = self._timers.clock.monotonic()
+        wake_up = now + _LONGEST_SLEEP_S if due is None else due
         if self._handle is not None:
+            # Waking up too early costs less than arming anew for each call.
+            if self._wake_up <= wake_up:
+                return
             self._handle.cancel()
-        due = self._timers.next_due()
-        delay = _LONGEST_SLEEP_S
-        if due is not None:
-            delay = max(0.0, due - self._timers.clock.monotonic())
+        self._wake_up = wake_up
         loop = asyncio.get_running_loop()
-        self._handle = loop.call_later(min(delay, _LONGEST_SLEEP_S), self._run)
+        delay = min(wake_up - now, _LONGEST_SLEEP_S)
+        if delay <= 0.0:
+            self._handle = loop.call_soon(self._run)
+        else:
+            self._handle = loop.call_later(
+                math.ceil(delay * 1000) / 1000, self._run
+            )
 
     def _run(self) -> None:
         self._handle = None
-        self._timers.run_due()
+        self._is_running = True
+        try:
+            self._timers.run_due()
+        finally:
+            self._is_running = False
         self._schedule()
