Run timers that are due at once in the same turn

Cause: a request at the scheduler's own router passes two timers without delay, the demand and the grant. With the system clock each took a turn of the event loop, with the clock of tests both ran in one.

Change: run_due repeats up to three times while calls are due.

--- a/crowwinch/coordination/_timers.py
+++ b/crowwinch/coordination/_timers.py
@@ -8,6 +8,10 @@
 from typing import Protocol
 
 _LOGGER = logging.getLogger(__name__)
+# A request at the scheduler's own router takes two calls without delay, the
+# demand and the grant. Each would cost a turn of the event loop; the bound
+# keeps calls that subscribe again at once from blocking it.
+_ROUNDS = 3
 
 
 class Clock(Protocol):
@@ -149,7 +153,15 @@
             The number of calls.
         """
         calls = 0
-        now = self._clock.monotonic()
+        for _ in range(_ROUNDS):
+            done = self._run_until(self._clock.monotonic())
+            calls += done
+            if not done:
+                break
+        return calls
+
+    def _run_until(self, now: float) -> int:
+        calls = 0
         while self._queue and self._queue[0][0] <= now:
             subscription = heapq.heappop(self._queue)[2]
             if subscription.cancelled:
