Note that an attempt is written without tracing

Cause: the client traced every call only to learn whether a byte of it may have been written. A trace builds several objects and URLs for each call and visits every chunk.

Change: a subclass of the client's request notes it when it is sent, and the middleware of the call, which keeps PUT and DELETE from being repeated, reads the note. Both come before the first byte, as the trace did.

--- a/crowwinch/targets/_client.py
+++ b/crowwinch/targets/_client.py
@@ -4,7 +4,7 @@
 import re
 import ssl
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import aiohttp
 import yarl
@@ -83,9 +83,51 @@
     reuse: bool = False
 
 
-@dataclass(slots=True)
-class _Progress:
-    written: bool = field(default=False)
+class _Request(aiohttp.ClientRequest):
+    """A request that notes when its first byte may have been written."""
+
+    is_written = False
+
+    async def send(self, conn: object) -> aiohttp.ClientResponse:
+        """Writes the request to a connection that is established."""
+        self.is_written = True
+        return await super().send(conn)
+
+
+class _Sending:
+    """Middleware that watches one attempt being sent."""
+
+    __slots__ = ("_request",)
+
+    def __init__(self) -> None:
+        """Watches an attempt that has no connection yet."""
+        self._request: _Request | None = None
+
+    @property
+    def is_written(self) -> bool:
+        """Whether a byte of the attempt may have been written."""
+        return self._request is not None and self._request.is_written
+
+    async def __call__(
+        self,
+        request: _Request,
+        handler: Callable[[_Request], Awaitable[aiohttp.ClientResponse]],
+    ) -> aiohttp.ClientResponse:
+        """Keeps the session from sending PUT or DELETE again by itself.
+
+        The session repeats methods that HTTP calls idempotent after a lost
+        connection, although the first copy may have run.
+        """
+        self._request = request
+        try:
+            return await handler(request)
+        except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError):
+            raise
+        except (
+            aiohttp.ClientOSError,
+            aiohttp.ServerDisconnectedError,
+        ) as error:
+            raise aiohttp.ClientPayloadError(str(error)) from error
 
 
 class TargetAnswer:
@@ -181,7 +223,7 @@
         assert session is not None, "the client was not started"
         if session.closed:
             raise NotSentError("the client was stopped")
-        progress = _Progress()
+        sending = _Sending()
         try:
             response = await session.request(
                 call.method,
@@ -192,10 +234,10 @@
                     total=call.timeout_s, sock_connect=_CONNECT_TIMEOUT_S
                 ),
                 allow_redirects=False,
-                trace_request_ctx=progress,
+                middlewares=(sending,),
             )
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise _failure(error, progress) from error
+            raise _failure(error, sending.is_written) from error
         _check_attempt(call, response)
         return TargetAnswer(response)
 
@@ -220,8 +262,6 @@
             return
 
     def _session(self, force_close: bool) -> aiohttp.ClientSession:
-        trace = aiohttp.TraceConfig()
-        trace.on_request_headers_sent.append(_note_written)
         return aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0,
@@ -233,42 +273,13 @@
             auto_decompress=False,
             read_bufsize=_READ_CHUNK_BYTES,
             skip_auto_headers=_AUTOMATIC_HEADERS,
-            middlewares=(_no_hidden_repeat,),
-            trace_configs=[trace],
+            request_class=_Request,
         )
 
 
-async def _note_written(
-    session: aiohttp.ClientSession,
-    context: object,
-    params: aiohttp.TraceRequestHeadersSentParams,
-) -> None:
-    del session, params
-    context.trace_request_ctx.written = True
-
-
-async def _no_hidden_repeat(
-    request: aiohttp.ClientRequest,
-    handler: Callable[
-        [aiohttp.ClientRequest], Awaitable[aiohttp.ClientResponse]
-    ],
-) -> aiohttp.ClientResponse:
-    """Keeps the session from sending PUT or DELETE again by itself.
-
-    The session repeats methods that HTTP calls idempotent after a lost
-    connection, although the first copy may have run.
-    """
-    try:
-        return await handler(request)
-    except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError):
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise aiohttp.ClientPayloadError(str(error)) from error
-
-
-def _failure(error: Exception, progress: _Progress) -> TargetError:
+def _failure(error: Exception, is_written: bool) -> TargetError:
     message = str(error) or type(error).__name__
-    if not progress.written:
+    if not is_written:
         refused = isinstance(
             getattr(error, "os_error", None), ConnectionRefusedError
         )
