Read bodies that have arrived without a time limit

Cause: each body of a caller was read under a timer of its own, although a small one arrives with its headers, and each answer of an engine went through an asynchronous generator.

Change: a body that is complete is read at once; whole answers are read in a loop.

--- a/crowwinch/api/_parsing.py
+++ b/crowwinch/api/_parsing.py
@@ -105,12 +105,12 @@
         RefusalError: If the body is malformed, larger than the limit or late.
             A body that declares its length is refused before it is read.
     """
-    too_large = RefusalError(
-        RefusalReason.BODY_TOO_LARGE, "the body is too large"
-    )
     if (request.content_length or 0) > request.client_max_size:
-        raise too_large
+        raise _too_large()
     try:
+        if request.content.is_eof():
+            # A small body arrives with its headers and needs no time limit.
+            return await request.read()
         # The server does not report a malformed chunk to a pending read, so
         # without a limit such a request would stay open.
         async with asyncio.timeout(min(timeout_s, _BODY_TIMEOUT_S)):
@@ -120,13 +120,17 @@
             RefusalReason.DEADLINE_EXCEEDED, "the body is late"
         ) from error
     except web.HTTPRequestEntityTooLarge as error:
-        raise too_large from error
+        raise _too_large() from error
     except web.RequestPayloadError as error:
         raise RefusalError(
             RefusalReason.MALFORMED_BODY, "the body is malformed"
         ) from error
 
 
+def _too_large() -> RefusalError:
+    return RefusalError(RefusalReason.BODY_TOO_LARGE, "the body is too large")
+
+
 def engine_request(
     request: web.Request,
     body: bytes,
--- a/crowwinch/targets/_client.py
+++ b/crowwinch/targets/_client.py
@@ -1,9 +1,16 @@
 """HTTP client for targets."""
 
 import asyncio
+import contextlib
 import re
 import ssl
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterator,
+    Mapping,
+)
 from dataclasses import dataclass
 
 import aiohttp
@@ -130,6 +137,17 @@
             raise aiohttp.ClientPayloadError(str(error)) from error
 
 
+@contextlib.contextmanager
+def _reading() -> Iterator[None]:
+    """Turns errors of the HTTP library into those of targets."""
+    try:
+        yield
+    except TimeoutError as error:
+        raise AnswerTimeoutError("the answer is late") from error
+    except (aiohttp.ClientError, OSError) as error:
+        raise IncompleteAnswerError(f"the connection broke: {error}") from error
+
+
 class TargetAnswer:
     """The answer to one attempt; read it once, then close it."""
 
@@ -161,10 +179,11 @@
             AnswerTimeoutError: If the time of the attempt is over.
         """
         body = bytearray()
-        async for chunk in self.chunks():
-            body += chunk
-            if len(body) > limit:
-                raise IncompleteAnswerError("the answer is too long")
+        with _reading():
+            while chunk := await self._response.content.readany():
+                body += chunk
+                if len(body) > limit:
+                    raise IncompleteAnswerError("the answer is too long")
         return bytes(body)
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -174,15 +193,9 @@
             IncompleteAnswerError: If the connection ended too early.
             AnswerTimeoutError: If the time of the attempt is over.
         """
-        try:
+        with _reading():
             async for chunk in self._response.content.iter_any():
                 yield chunk
-        except TimeoutError as error:
-            raise AnswerTimeoutError("the answer is late") from error
-        except (aiohttp.ClientError, OSError) as error:
-            raise IncompleteAnswerError(
-                f"the connection broke: {error}"
-            ) from error
 
     def close(self) -> None:
         """Drops the connection, which cancels an unfinished attempt."""
