Look for a usable target without collecting all names

Cause: the local check of each request built a set of the names of all targets of its group, also when no target is excluded.

Change: without exclusions it asks only whether there is a target.

LocalAdmission.check of one request, best of five: 1.6 to 0.6 us with 1 target, 2.4 to 0.6 us with 13, 21.8 to 0.6 us with 375.

--- a/crowwinch/scheduling/_admission.py
+++ b/crowwinch/scheduling/_admission.py
@@ -6,6 +6,7 @@
 from crowwinch.configuration import Snapshot
 from crowwinch.coordination import Clock
 from crowwinch.errors import RefusalError, RefusalReason
+from crowwinch.generated.documents import Group
 from crowwinch.scheduling._fair_queue import Entry, FairQueue
 from crowwinch.scheduling._interfaces import SlotRequest
 from crowwinch.scheduling._records import GroupRecord
@@ -56,11 +57,7 @@
         """Returns why a request is refused, or None."""
         snapshot = self._snapshot()
         group = snapshot.groups.get(request.group)
-        names = {each.name for each in group.targets} if group else set()
-        for number in request.excluded_targets:
-            if number in snapshot.targets:
-                names.discard(snapshot.targets[number].name)
-        if not names:
+        if group is None or not self._has_usable(group, request, snapshot):
             return RefusalError(
                 RefusalReason.NO_TARGET, "the group has no usable target"
             )
@@ -88,6 +85,19 @@
             )
         return None
 
+    @staticmethod
+    def _has_usable(
+        group: Group, request: SlotRequest, snapshot: Snapshot
+    ) -> bool:
+        if not request.excluded_targets:
+            return bool(group.targets)
+        excluded = {
+            snapshot.targets[number].name
+            for number in request.excluded_targets
+            if number in snapshot.targets
+        }
+        return any(each.name not in excluded for each in group.targets)
+
     def note_full(self, workspace: int, retry_after_s: float) -> None:
         """Refuses a workspace for a moment after the scheduler did."""
         pause = min(retry_after_s, _FULL_QUEUE_S)
