--- a/crowwinch/coordination/tests/test_timers.py
+++ b/crowwinch/coordination/tests/test_timers.py
@@ -41,3 +41,14 @@
         with self.assertLogs(level="ERROR"):
             self.timers.run_due()
         self.assertEqual(self.calls, ["a"])
+
+    def test_calls_due_at_once_run_in_one_turn_but_not_for_ever(self):
+        def again():
+            # Time passes between a subscription and the next look at it.
+            self.clock.move_to(self.clock.monotonic() + 0.001)
+            self.calls.append("a")
+            self.timers.call_later(0, again)
+            self.clock.move_to(self.clock.monotonic() + 0.001)
+
+        self.timers.call_later(0, again)
+        self.assertEqual(self.timers.run_due(), 3)
