Round the delay of the timer driver up to milliseconds

Cause: a profile of a router with 192 polled targets showed 1,700 runs of the timer driver a second, 8 for each poll. uvloop rounds delays to milliseconds, so a timer fired up to 0.5 ms early and was set again with a delay that rounds to 0 until it was due.

Change: the delay is rounded up. A timer may fire 1 ms late.

--- a/crowwinch/app/_timer_driver.py
+++ b/crowwinch/app/_timer_driver.py
@@ -1,6 +1,7 @@
 """Runs the timer service on the event loop."""
 
 import asyncio
+import math
 
 from crowwinch.coordination import TimerService
 
@@ -33,8 +34,11 @@
         delay = _LONGEST_SLEEP_S
         if due is not None:
             delay = max(0.0, due - self._timers.clock.monotonic())
+        # uvloop rounds to milliseconds. A call that came too early was repeated
+        # about 8 times until the timer was due.
+        delay = math.ceil(min(delay, _LONGEST_SLEEP_S) * 1e3) / 1e3
         loop = asyncio.get_running_loop()
-        self._handle = loop.call_later(min(delay, _LONGEST_SLEEP_S), self._run)
+        self._handle = loop.call_later(delay, self._run)
 
     def _run(self) -> None:
         self._handle = None
