--- a/crowwinch/api/_callers.py
+++ b/crowwinch/api/_callers.py
@@ -108,10 +108,10 @@
         return await self._serve(request, resume_request)
 
     async def _issue_key(self, request: web.Request) -> web.StreamResponse:
-        return await self._guard(self._issue(request))
+        return await self._guard(request, self._issue(request))
 
     async def _fetch_answer(self, request: web.Request) -> web.StreamResponse:
-        return await self._guard(self._fetch(request))
+        return await self._guard(request, self._fetch(request))
 
     async def _issue(self, request: web.Request) -> web.Response:
         authenticate(request, self._admit())
@@ -133,7 +133,7 @@
         )
 
     async def _models(self, request: web.Request) -> web.StreamResponse:
-        return await self._guard(self._list_models(request))
+        return await self._guard(request, self._list_models(request))
 
     async def _not_found(self, request: web.Request) -> web.StreamResponse:
         del request
@@ -159,10 +159,10 @@
     async def _serve(
         self, request: web.Request, parse: Parse
     ) -> web.StreamResponse:
-        return await self._guard(self._answer(request, parse))
+        return await self._guard(request, self._answer(request, parse))
 
     async def _guard(
-        self, answer: Awaitable[web.StreamResponse]
+        self, request: web.Request, answer: Awaitable[web.StreamResponse]
     ) -> web.StreamResponse:
         # A planned stop waits for every request, also those without a slot:
         # a fetch waits while its call runs at another router.
--- a/crowwinch/api/_parsing.py
+++ b/crowwinch/api/_parsing.py
@@ -274,6 +274,7 @@
     stream: bool = False,
     estimate: int = 1,
     idempotency_key: str = "",
+    prompt: bytes | msgspec.Raw = b"",
 ) -> CallerRequest:
     """Returns a request with a new identifier.
 
@@ -293,6 +294,7 @@
         estimate,
         deadline,
         idempotency_key,
+        prompt,
     )
 
 
--- a/crowwinch/targets/__init__.py
+++ b/crowwinch/targets/__init__.py
@@ -13,7 +13,9 @@
 )
 from crowwinch.targets._incarnations import IncarnationTable
 from crowwinch.targets._load import TargetLoad, fetch_load
+from crowwinch.targets._load_poller import LoadPoller
 from crowwinch.targets._monitor import TargetMonitor, TargetReport
+from crowwinch.targets._shared_reports import SharedReports, encode_reports
 from crowwinch.targets._sse import (
     TERMINAL_EVENT,
     EventSplitter,
@@ -27,8 +29,10 @@
     "EventSplitter",
     "IncarnationTable",
     "IncompleteAnswerError",
+    "LoadPoller",
     "MismatchedAnswerError",
     "NotSentError",
+    "SharedReports",
     "TargetAnswer",
     "TargetCall",
     "TargetClient",
@@ -36,6 +40,7 @@
     "TargetLoad",
     "TargetMonitor",
     "TargetReport",
+    "encode_reports",
     "fetch_load",
     "is_token_event",
 ]
