Read states for commands over the connections of polls

Cause: the router in charge of commands reads the states of all targets of its region every 2 s through an HTTP session of its own.

A malformed answer over a kept connection is no longer asked for again; only a broken connection is. Commands themselves keep the session. The reads now use the trust settings of targets (target_ca) like polls do.

Reading only targets whose wanted state changed would cost less, but a late command of another router would then stay longer than one pass (section 11 of design.md), so it is not done.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -33,10 +33,10 @@
 )
 from crowwinch.targets import (
     IncarnationTable,
-    LoadPoller,
     TargetClient,
     TargetLoad,
     TargetMonitor,
+    TargetPoller,
     TargetReport,
     fetch_load,
 )
@@ -91,15 +91,20 @@
             self._peers,
             self._metrics,
         )
-        self._commands = FleetCommands(
-            settings, self._timers, self._snapshot, self._peers, self._metrics
-        )
         target_ssl = _target_ssl(settings)
         self._client = TargetClient(target_ssl)
         self._incarnations = IncarnationTable(self._fetch_load)
-        self._poller = LoadPoller(
+        self._poller = TargetPoller(
             self._timers, target_ssl, lambda url: self._monitor.poll_early(url)
         )
+        self._commands = FleetCommands(
+            settings,
+            self._timers,
+            self._snapshot,
+            self._peers,
+            self._metrics,
+            self._poller,
+        )
         self._monitor = TargetMonitor(self._timers, self._poller.fetch)
         self._monitor.subscribe(self._observe_target)
         self._links = LinkTable(self._timers, self._peers, self._metrics)
--- a/crowwinch/app/_fleet_commands.py
+++ b/crowwinch/app/_fleet_commands.py
@@ -8,6 +8,7 @@
 from crowwinch.coordination import TimerService
 from crowwinch.generated.settings import RouterSettings
 from crowwinch.observability import Metrics
+from crowwinch.targets import TargetPoller
 
 
 class FleetCommands:
@@ -20,9 +21,10 @@
         snapshot: Callable[[], Snapshot],
         peers: PeerService,
         metrics: Metrics,
+        poller: TargetPoller,
     ) -> None:
         """Builds the executor and follows the membership view."""
-        self._client = CommandClient()
+        self._client = CommandClient(poller.get)
         self._executor = CommandExecutor(
             settings.name,
             settings.region,
--- a/crowwinch/targets/_load_answers.py
+++ b/crowwinch/targets/_poll_answers.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LoadAnswer:
+class PollAnswer:
     """A complete answer.
 
     Attributes:
@@ -25,7 +25,7 @@
     keeps_open: bool
 
 
-def parse_answer(data: bytes, at_end: bool) -> LoadAnswer | None:
+def parse_answer(data: bytes, at_end: bool) -> PollAnswer | None:
     """Returns the answer that the received bytes hold, None if incomplete.
 
     Args:
@@ -55,7 +55,7 @@
         body = data[start:] if at_end else None
     if body is None:
         return None
-    return LoadAnswer(
+    return PollAnswer(
         int(status[2]),
         body,
         # Bytes after the answer would be read as the next one.
--- a/crowwinch/targets/_load_poller.py
+++ b/crowwinch/targets/_poller.py
@@ -1,6 +1,7 @@
-"""Polls of loads over connections that stay open."""
+"""Reads of loads and states over connections that stay open."""
 
 import asyncio
+import functools
 import ssl
 from collections.abc import Callable
 
@@ -14,7 +15,7 @@
     NotSentError,
 )
 from crowwinch.targets._load import LOAD_TIMEOUT_S, TargetLoad, decode_load
-from crowwinch.targets._load_answers import LoadAnswer, parse_answer
+from crowwinch.targets._poll_answers import PollAnswer, parse_answer
 
 # A target may stop to listen and still serve open connections. A new
 # connection every 2 s finds it within the 3 s after which it may receive no
@@ -36,11 +37,11 @@
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
         self._data = b""
-        self._answer: asyncio.Future[LoadAnswer] | None = None
+        self._answer: asyncio.Future[PollAnswer] | None = None
         self.polls = 0
         self.used_at = 0.0
 
-    def ask(self, request: bytes) -> asyncio.Future[LoadAnswer]:
+    def ask(self, request: bytes) -> asyncio.Future[PollAnswer]:
         """Writes a request; the future gets its answer."""
         self.polls += 1
         self._data = b""
@@ -94,8 +95,8 @@
             self._answer.set_exception(ConnectionLostError(message))
 
 
-class LoadPoller:
-    """Asks targets for their load with little processor time.
+class TargetPoller:
+    """Reads loads and states of targets with little processor time.
 
     The client session of aiohttp spends most of a poll on the set-up of the
     connection and on objects that this one request does not need.
@@ -119,7 +120,6 @@
         self._ssl = ssl_context
         self._on_lost = on_lost
         self._idle: dict[str, list[_Connection]] = {}
-        self._requests: dict[str, tuple[yarl.URL, bytes]] = {}
         self._timer: Subscription | None = None
 
     async def start(self) -> None:
@@ -138,36 +138,47 @@
     async def fetch(self, base_url: str) -> TargetLoad:
         """Asks a target for its load.
 
-        A poll changes nothing at the target. If a kept connection breaks, the
-        poll is repeated once over a new one.
-
         Raises:
             TargetError: If the target does not answer or the answer is
                 malformed.
         """
-        if base_url not in self._requests:
-            self._requests[base_url] = _request(base_url)
+        answer = await self.get(base_url, "/load", LOAD_TIMEOUT_S)
+        return decode_load(answer.status, answer.body)
+
+    async def get(
+        self, base_url: str, path: str, timeout_s: float
+    ) -> PollAnswer:
+        """Reads from a target what a read does not change.
+
+        If a kept connection breaks, the read is repeated once over a new one.
+
+        Raises:
+            TargetError: If the target does not answer.
+        """
+        url, request = _request(base_url, path)
         kept = self._idle.pop(base_url, [])
         connection = kept.pop() if kept else None
         if kept:
             self._idle[base_url] = kept
         try:
-            async with asyncio.timeout(LOAD_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 if connection is not None:
                     try:
-                        return await self._poll(base_url, connection)
+                        return await self._ask(base_url, connection, request)
                     except ConnectionLostError:
                         connection = None
-                connection = await self._connect(base_url)
-                return await self._poll(base_url, connection)
+                connection = await self._connect(base_url, url)
+                return await self._ask(base_url, connection, request)
         except TimeoutError as error:
             if connection is None:
                 raise NotSentError("no connection in time") from error
             raise AnswerTimeoutError("no answer in time") from error
 
-    async def _poll(self, base_url: str, connection: _Connection) -> TargetLoad:
+    async def _ask(
+        self, base_url: str, connection: _Connection, request: bytes
+    ) -> PollAnswer:
         try:
-            answer = await connection.ask(self._requests[base_url][1])
+            answer = await connection.ask(request)
         except BaseException:
             # Its answer may still come; the connection is of no more use.
             connection.close()
@@ -177,10 +188,9 @@
             self._idle.setdefault(base_url, []).append(connection)
         else:
             connection.close()
-        return decode_load(answer.status, answer.body)
+        return answer
 
-    async def _connect(self, base_url: str) -> _Connection:
-        url = self._requests[base_url][0]
+    async def _connect(self, base_url: str, url: yarl.URL) -> _Connection:
         loop = asyncio.get_running_loop()
         context = (self._ssl or True) if url.scheme == "https" else None
         try:
@@ -214,17 +224,18 @@
             ]
             if not self._idle[base_url]:
                 del self._idle[base_url]
-                del self._requests[base_url]
 
 
-def _request(base_url: str) -> tuple[yarl.URL, bytes]:
-    """Returns the URL of a target's load and the request for it.
+# A region of the plan has 375 targets, with two paths each.
+@functools.lru_cache(1024)
+def _request(base_url: str, path: str) -> tuple[yarl.URL, bytes]:
+    """Returns a URL and the request for it.
 
     Raises:
         NotSentError: If the URL is malformed.
     """
     try:
-        url = yarl.URL(base_url.rstrip("/") + "/load", encoded=True)
+        url = yarl.URL(base_url.rstrip("/") + path, encoded=True)
         lines = [f"GET {url.raw_path_qs} HTTP/1.1", ""]
         lines[1] = f"Host: {url.host_port_subcomponent}"
         if url.user is not None:
--- a/crowwinch/targets/tests/test_load_poller.py
+++ b/crowwinch/targets/tests/test_poller.py
@@ -8,9 +8,9 @@
     AnswerTimeoutError,
     ConnectionLostError,
     IncompleteAnswerError,
-    LoadPoller,
     NotSentError,
     TargetLoad,
+    TargetPoller,
 )
 
 _BODY = b'{"running": 1, "waiting": 2}'
@@ -24,7 +24,7 @@
 _LOST, _BAD = ConnectionLostError, IncompleteAnswerError
 
 
-class LoadPollerTest(unittest.IsolatedAsyncioTestCase):
+class TargetPollerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against targets that wrongly count as lost or as alive."""
 
     async def _poll(self, script, polls):
@@ -58,7 +58,7 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         lost = []
-        poller = LoadPoller(TimerService(ManualClock()), None, lost.append)
+        poller = TargetPoller(TimerService(ManualClock()), None, lost.append)
         results = []
         for index in range(polls):
             if index == polls - 1 and not script[len(used) :]:
