--- a/tests/test_fault_partition.py
+++ b/tests/test_fault_partition.py
@@ -179,6 +179,11 @@
             ("one way", _between((0, 1), (2, 3), both_ways=False)),
             ("one link", _between((1,), (2,))),
             ("one link, one way", _between((1,), (2,), both_ways=False)),
+        )
+        self._run_all(cases)
+
+    def test_cuts_with_a_second_fault(self):
+        cases = (
             (
                 "two sides, a router killed",
                 _between((0, 1), (2, 3)),
@@ -192,6 +197,9 @@
                 _set_platform(False),
             ),
         )
+        self._run_all(cases)
+
+    def _run_all(self, cases):
         for name, *case in cases:
             with self.subTest(name):
                 type(self).cases += 1
