Keep connections over a cycle of probes and count handshakes

Cause: a connection closed after 10 s without use, so each probe of a fleet of more than a dozen opened one: 892 bytes of CURVE and ZMTP and about 17 TCP/IP headers, 1,572 bytes at both ends, 3.1 KB/s a router. No counter contained them.

Change: the first 100 connections stay open for 400 s without use, more than a cycle of probes over 340 routers; others close after 10 s. Probes go in cycles, so keeping those used last would never keep the next one. TCP keep-alive asks after 60 s instead of 15 s. The transport counts handshakes (`peer_handshake_bytes`), `measurements.idle` adds them, and the measurements take membership with handshakes from the simulated fleet in place of a constant of 400.

Failed: probing only the 16 or 32 members that rank first for a router, which would need few connections at any size.

Conclusion: fits up to about 100 routers. At 340 most of a cycle still opens connections.

--- a/crowwinch/app/_peer_service.py
+++ b/crowwinch/app/_peer_service.py
@@ -240,6 +240,7 @@
         transport, gauge = self._transport, self._metrics.gauge
         gauge("peer_sent_bytes", lambda: transport.sent_bytes)
         gauge("peer_received_bytes", lambda: transport.received_bytes)
+        gauge("peer_handshake_bytes", lambda: transport.handshake_bytes)
         gauge("peer_dropped_messages", lambda: transport.dropped)
         gauge("peer_connections", lambda: transport.connections)
         gauge("peer_opened_connections", lambda: transport.opened_connections)
--- a/crowwinch/peers/__init__.py
+++ b/crowwinch/peers/__init__.py
@@ -13,16 +13,26 @@
 from crowwinch.peers._pacing import TokenBucket
 from crowwinch.peers._transport import (
     FRAMING_BYTES,
+    HANDSHAKE_BYTES,
+    IDLE_S,
     LIFE_BYTES,
+    MOST_KEPT,
+    RETURN_S,
+    SPARE_IDLE_S,
     PeerTransport,
 )
 
 __all__ = [
     "FRAMING_BYTES",
+    "HANDSHAKE_BYTES",
+    "IDLE_S",
     "LIFE_BYTES",
     "MAX_MESSAGE_BYTES",
     "MESSAGE_TYPES",
+    "MOST_KEPT",
     "PROTOCOL_VERSION",
+    "RETURN_S",
+    "SPARE_IDLE_S",
     "CurveKeys",
     "MessageDispatcher",
     "PeerIdentity",
--- a/crowwinch/peers/_authentication.py
+++ b/crowwinch/peers/_authentication.py
@@ -28,6 +28,12 @@
         self._socket.linger = 0
         self._socket.bind(_ENDPOINT)
         self._refused = 0
+        self._asked = 0
+
+    @property
+    def asked(self) -> int:
+        """Connections that were admitted or refused."""
+        return self._asked
 
     @property
     def refused(self) -> int:
@@ -62,6 +68,7 @@
                 and question[5] == b"CURVE"
                 and question[6] == self._accepted
             )
+            self._asked += 1
             self._refused += not accepted
             status = (b"200", b"OK") if accepted else (b"400", b"unknown key")
             number = question[1] if len(question) > 1 else b""
--- a/crowwinch/peers/_transport.py
+++ b/crowwinch/peers/_transport.py
@@ -24,18 +24,26 @@
 # CURVE, ZMTP and TCP/IP headers of a message.
 FRAMING_BYTES = 33 + 2 + 40
 _RECEIVE_QUEUE = 4096
-# A connection without a message in either direction for this long is closed.
-# Connections with each of 339 peers cost 14 MB and 1,017 descriptors. Opening
-# one takes 892 bytes and about 17 segments, so it is kept between the messages
-# of a router and its scheduler.
-IDLE_S = 10.0
+# Bytes of opening and closing a CURVE connection in both directions: 892 of
+# the protocols, counted by a relay, and about 17 TCP/IP headers.
+HANDSHAKE_BYTES = 892 + 17 * 40
+# A connection without a message in either direction for this long is closed:
+# more than a cycle of probes over 340 routers. Opening one for each probe made
+# and answered takes 3.1 KB/s.
+IDLE_S = 400.0
+# Of more connections than this, those opened first are kept and others close
+# after a shorter time: connections with each of 339 peers cost 14 MB and 1,017
+# descriptors. Probes go in cycles, so those used last would be the wrong ones
+# to keep.
+MOST_KEPT = 100
+SPARE_IDLE_S = 10.0
 # An incoming connection carries messages back only this long after the last
 # message from the peer. This is well below the idle time, so the peer does not
 # close the connection while a message is on its way.
-_RETURN_S = 5.0
+RETURN_S = 5.0
 # The system asks a silent peer of an incoming connection whether it still
 # exists: a peer that was cut off cannot close the connection.
-_KEEPALIVE_IDLE_S = 15
+_KEEPALIVE_IDLE_S = 60
 _KEEPALIVE_INTERVAL_S = 5
 _KEEPALIVE_COUNT = 3
 # Prefix of a message back over a connection that the peer opened: the life of
@@ -120,6 +128,14 @@
         """Connections that this router has opened since its start."""
         return self._opened
 
+    @property
+    def handshake_bytes(self) -> int:
+        """Bytes sent and received to open and close encrypted connections."""
+        if self._authenticator is None:
+            return 0
+        connections = self._opened + self._authenticator.asked
+        return connections * HANDSHAKE_BYTES
+
     @property
     def waiting(self) -> int:
         """Messages that wait until a connection is open."""
@@ -200,12 +216,16 @@
             idle_s: Seconds without a message in either direction.
         """
         now = asyncio.get_running_loop().time()
-        for name, connection in list(self._connections.items()):
+        for index, (name, connection) in enumerate(
+            list(self._connections.items())
+        ):
             connection.expire(now)
-            if now - connection.used_at >= idle_s:
+            is_spare = index >= MOST_KEPT
+            limit = min(idle_s, SPARE_IDLE_S) if is_spare else idle_s
+            if now - connection.used_at >= limit:
                 self._close(name)
         for name, (_, heard_at) in list(self._incoming.items()):
-            if now - heard_at >= _RETURN_S:
+            if now - heard_at >= RETURN_S:
                 del self._incoming[name]
 
     def _open_router(self, context: zmq.Context) -> zmq.Socket:
@@ -267,7 +287,7 @@
         assert self._router is not None, "the transport was not started"
         loop = asyncio.get_running_loop()
         routing_id, heard_at = self._incoming.get(peer, (b"", 0.0))
-        if not routing_id or loop.time() - heard_at >= _RETURN_S:
+        if not routing_id or loop.time() - heard_at >= RETURN_S:
             return False
         life = self._identity.life.to_bytes(LIFE_BYTES, "big")
         try:
--- a/crowwinch/peers/tests/test_transport.py
+++ b/crowwinch/peers/tests/test_transport.py
@@ -191,6 +191,11 @@
                 self.assertTrue(b.transport.send("a", content))
                 await _until(lambda count=count: len(a.got) == count)
                 self.assertEqual(b.transport.opened_connections, 0)
+                for end in (a, b):
+                    # The figure of control traffic left handshakes out.
+                    self.assertEqual(
+                        end.transport.handshake_bytes, count * 1572
+                    )
                 a.transport.close_idle(60)
                 self.assertEqual(a.transport.connections, 1)
                 a.transport.close_idle(0)
--- a/measurements/_results.py
+++ b/measurements/_results.py
@@ -6,11 +6,9 @@
 
 from measurements._fleet import Crowwinch
 from measurements._scenarios import Scenario
+from measurements._slopes_fleet import membership_bytes
 from measurements._world import World
 
-# SWIM is not driven here; 4 messages of 95 bytes a second (section 4), rounded
-# up.
-MEMBERSHIP_BYTES_PER_ROUTER_S = 400
 _LARGEST_GAP_RATIO = 1.25
 _LEAST_UTILISATION_RATIO = 0.98
 _LEAST_UTILISATION_RATIO_FAULT = 0.95
@@ -51,7 +49,7 @@
         "utilisation": round(world.utilisation.utilisation, 4),
         "control_bytes_per_router_s": round(mean),
         "control_bytes_largest_router_s": round(max(rates)),
-        "membership_bytes_per_router_s": MEMBERSHIP_BYTES_PER_ROUTER_S,
+        "membership_bytes_per_router_s": membership_bytes(scenario.routers),
         "starvation_window_s": round(scenario.starvation_window, 1),
         "starved_workspaces": len(world.starvation.starved),
         "lost": world.lost,
@@ -97,7 +95,7 @@
             else _LEAST_UTILISATION_RATIO
         ),
         "control": own["control_bytes_per_router_s"]
-        + MEMBERSHIP_BYTES_PER_ROUTER_S
+        + own["membership_bytes_per_router_s"]
         <= _LARGEST_CONTROL_BYTES,
         "starved": own["starved_workspaces"] == 0,
         "lost": own["lost"] == 0,
@@ -150,7 +148,7 @@
         "messages_largest_router_s": round(max(messages), 2),
         "control_bytes_per_router_s": round(sum(rates) / scenario.routers),
         "control_bytes_largest_router_s": round(max(rates)),
-        "membership_bytes_per_router_s": MEMBERSHIP_BYTES_PER_ROUTER_S,
+        "membership_bytes_per_router_s": membership_bytes(scenario.routers),
         "decisions": decisions,
         "cpu_microseconds_per_decision": round(
             policy.scheduler_seconds / decisions * 1e6, 1
--- a/measurements/_slopes_fleet.py
+++ b/measurements/_slopes_fleet.py
@@ -2,9 +2,10 @@
 
 import functools
 import gc
+import math
 import random
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from dataclasses import replace
 from typing import Any
@@ -16,11 +17,22 @@
     Membership,
     MembershipMessage,
     MemberState,
+    MemberUpdate,
     Ping,
     PingRequest,
     TimerService,
 )
-from crowwinch.peers import FRAMING_BYTES, decode, encode
+from crowwinch.peers import (
+    FRAMING_BYTES,
+    HANDSHAKE_BYTES,
+    IDLE_S,
+    LIFE_BYTES,
+    MOST_KEPT,
+    RETURN_S,
+    SPARE_IDLE_S,
+    decode,
+    encode,
+)
 from measurements._arrivals import Request, arrivals
 from measurements._fit import slope_of
 from measurements._fleet import Crowwinch
@@ -33,6 +45,37 @@
 _REGIONS = 8
 
 
+class Connections:
+    """Open connections between members, as the transport keeps them."""
+
+    def __init__(self) -> None:
+        """Starts without connections."""
+        # Time of the last message by peer, first opened first.
+        self._used: dict[str, dict[str, float]] = defaultdict(dict)
+
+    def extra_bytes(self, sender: str, receiver: str, now: float) -> int:
+        """Returns bytes of a handshake or of a life besides a message."""
+        own, incoming = self._open(sender, now), self._open(receiver, now)
+        if receiver in own:
+            self._use(sender, receiver, now)
+            return 0
+        if now - incoming.get(sender, -math.inf) < RETURN_S:
+            self._use(receiver, sender, now)
+            return LIFE_BYTES
+        self._use(sender, receiver, now)
+        return HANDSHAKE_BYTES
+
+    def _use(self, opener: str, peer: str, now: float) -> None:
+        self._used[opener][peer] = now
+
+    def _open(self, opener: str, now: float) -> dict[str, float]:
+        used = self._used[opener]
+        for index, (peer, at) in enumerate(list(used.items())):
+            if now - at >= (SPARE_IDLE_S if index >= MOST_KEPT else IDLE_S):
+                del used[peer]
+        return used
+
+
 class SwimFleet:
     """Membership views that exchange encoded messages on a fake clock."""
 
@@ -42,6 +85,7 @@
         self.timers = TimerService(self.clock)
         self.bytes: Counter[str] = Counter()
         self.messages = 0
+        self.connections = Connections()
         self.silent: set[str] = set()
         self.side: set[str] = set()
         names = [f"router-{index}" for index in range(members)]
@@ -58,6 +102,17 @@
             self.timers.run_due()
         self.clock.move_to(end)
 
+    def introduce(self) -> None:
+        """Ends the news of first incarnations, which last 2.5 s a member."""
+        for name, view in self.views.items():
+            for other, peer in self.views.items():
+                if other != name:
+                    update = MemberUpdate(
+                        other, peer.incarnation, MemberState.ALIVE
+                    )
+                    view._merge(update)
+                    view._queue.discard(other)
+
     def rates(self, seconds: float) -> tuple[float, float, float]:
         """Runs and returns bytes/s mean and largest, and share of a core."""
         self.bytes.clear()
@@ -99,6 +154,11 @@
         self.bytes[sender] += size
         if peer in self.silent or (sender in self.side) != (peer in self.side):
             return
+        extra = self.connections.extra_bytes(
+            sender, peer, self.clock.monotonic()
+        )
+        self.bytes[sender] += extra
+        size += extra
         self.bytes[peer] += size
         self.timers.call_later(
             _LATENCY_S, lambda: self._deliver(sender, peer, raw)
@@ -126,6 +186,16 @@
             )
 
 
+@functools.cache
+def membership_bytes(routers: int) -> int:
+    """Returns the mean bytes a second of a member, handshakes included."""
+    fleet = SwimFleet(routers)
+    fleet.introduce()
+    # Connections are kept from one cycle of probes to the next.
+    fleet.run(routers + 10.0)
+    return round(fleet.rates(max(20.0, routers))[0])
+
+
 def membership() -> Iterator[dict[str, Any]]:
     """Yields traffic and processor time in a cold start and afterwards."""
     sizes = (8, 34, 102)
--- a/measurements/idle.py
+++ b/measurements/idle.py
@@ -33,9 +33,6 @@
 # Shares of a core and bytes a second that control may take.
 _TARGET_PERCENT = 2.9
 _TARGET_BYTES_PER_S = 3000.0
-# Bytes of opening and closing a CURVE connection in both directions: 892 of
-# the protocols, counted by a relay, and about 17 TCP/IP headers.
-_CONNECTION_BYTES = 892 + 17 * 40
 
 
 def _publish(fleet: Fleet, workspaces: int) -> None:
@@ -132,12 +129,13 @@
         "resident_mb": round(_resident_mb(pid), 1),
         "processor_percent": round(percent, 2),
         "control_bytes_per_s": round(
-            rate("peer_sent_bytes", "peer_received_bytes")
-        ),
-        # As many connections are accepted as opened.
-        "connection_bytes_per_s": round(
-            2 * rate("peer_opened_connections") * _CONNECTION_BYTES
+            rate(
+                "peer_sent_bytes",
+                "peer_received_bytes",
+                "peer_handshake_bytes",
+            )
         ),
+        "handshake_bytes_per_s": round(rate("peer_handshake_bytes")),
         "descriptors": len(os.listdir(f"/proc/{pid}/fd")),
         "members_alive": int(last["crowwinch_members_alive"]),
     }
