--- a/crowwinch/app/_fleet_scheduling.py
+++ b/crowwinch/app/_fleet_scheduling.py
@@ -20,9 +20,9 @@
 from crowwinch.scheduling import TargetReport as SchedulingReport
 from crowwinch.targets import TargetMonitor, TargetReport
 
-# Three seconds of the budget may be sent at once, so that a burst of requests
+# Five seconds of the budget may be sent at once, so that a burst of requests
 # after a quiet time waits for nothing.
-BURST_S = 3.0
+BURST_S = 5.0
 
 
 class ControlBudget:
--- a/measurements/_fleet.py
+++ b/measurements/_fleet.py
@@ -28,7 +28,7 @@
 SchedulingMessage = Demand | Registration | Grants | RegistrationRequest
 
 # Default of the setting `control_bytes_per_second`.
-_CONTROL_BYTES_PER_SECOND = 1100
+_CONTROL_BYTES_PER_SECOND = 1080
 # Time for a poll of a target on loopback.
 _FIRST_REPORT_DELAY = 0.005
 _ACKNOWLEDGE_DELAY = LinkOptions().acknowledge_delay_s + LATENCY
