Let entries with distant deadlines wait for other events

Cause: entries with a deadline never waited for other events, because the scheduler refuses at once what it cannot serve in time. Every request of a caller has a deadline, by default in 600 s, so no entry ever waited in the product. The measurements sent requests without deadlines and did not show it.

Change: an entry is urgent with less than 30 s left. The measurements use the default deadline of the product. The delays of entries have a module of their own.

--- a/crowwinch/routing/_retries.py
+++ b/crowwinch/routing/_retries.py
@@ -170,11 +170,11 @@
         task.add_done_callback(self._checks.discard)
 
         def release(task: asyncio.Task[bool]) -> None:
-            known = task.cancelled() or task.exception() or not task.result()
-            if known or not attempt.alone:
+            has_result = not task.cancelled() and task.exception() is None
+            if attempt.alone and has_result and task.result():
+                task.get_loop().call_later(REPORT_SPREAD_S, attempt.fail)
+            else:
                 attempt.fail()
-                return
-            task.get_loop().call_later(REPORT_SPREAD_S, attempt.fail)
 
         task.add_done_callback(release)
         return task
--- a/crowwinch/scheduling/_dispatcher.py
+++ b/crowwinch/scheduling/_dispatcher.py
@@ -18,6 +18,7 @@
 )
 from crowwinch.scheduling._admission import LocalAdmission
 from crowwinch.scheduling._echoes import EchoTracker, expiry
+from crowwinch.scheduling._entry_delay import entry_delay
 from crowwinch.scheduling._estimates import CostEstimator
 from crowwinch.scheduling._interfaces import Slot, SlotOutcome, SlotRequest
 from crowwinch.scheduling._outbox import DemandOutbox
@@ -44,14 +45,6 @@
 # their workspace, else with a message that leaves anyway.
 NEWS_DELAY_S = 0.2
 FURTHER_ENTRIES_DELAY_S = 1.0
-# Entries behind this many of their workspace and group wait for a message that
-# leaves anyway: until then the scheduler has others to grant.
-ENTRIES_AHEAD = 4
-ENTRY_DELAY_S = 0.5
-# In a group in which entries wait longer than this, a new entry waits a short
-# time for a completion, which frees a slot and must not wait for credit.
-BUSY_FORECAST_S = 0.5
-BUSY_ENTRY_DELAY_S = 0.4
 
 
 class RouterDispatcher:
@@ -401,14 +394,11 @@
     def _add(self, waiting: WaitingRequest) -> None:
         self._waiting.add(waiting)
         self._outbox.add_entry(waiting)
-        self._schedule_flush(self._entry_delay(waiting))
-
-    def _entry_delay(self, waiting: WaitingRequest) -> float:
-        """Returns how long an entry may wait for other events, in seconds."""
-        if waiting.request.deadline is not None:
-            # The scheduler refuses at once what it cannot serve in time.
-            return 0.0
-        if self._waiting.ahead(waiting, ENTRIES_AHEAD) == ENTRIES_AHEAD:
-            return ENTRY_DELAY_S
-        is_busy = self._view.forecast(waiting.request.group) > BUSY_FORECAST_S
-        return BUSY_ENTRY_DELAY_S if is_busy else 0.0
+        self._schedule_flush(
+            entry_delay(
+                waiting,
+                self._waiting,
+                self._view.forecast,
+                self._clock.monotonic(),
+            )
+        )
--- a/crowwinch/scheduling/_outbox.py
+++ b/crowwinch/scheduling/_outbox.py
@@ -39,9 +39,9 @@
 
     @property
     def events(self) -> int:
-        """Number of events that the next message takes."""
+        """Number of events that have not been sent."""
         return (
-            len(self._next_entries())
+            len(self._entries)
             + len(self._withdrawn)
             + len(self._overruns)
             + len(self._completions)
@@ -99,7 +99,7 @@
 
         All events go but for entries beyond `MAX_ENTRIES`.
         """
-        taken = self._next_entries()
+        taken = self._next_entries(now)
         for waiting in taken:
             del self._entries[waiting.number]
         message = Demand(
@@ -115,7 +115,7 @@
         self._entries = entries
         return message
 
-    def _next_entries(self) -> Sequence[WaitingRequest]:
+    def _next_entries(self, now: float) -> Sequence[WaitingRequest]:
         """Returns the next entries, those of reused slots in any case."""
         if len(self._entries) <= MAX_ENTRIES:
             return list(self._entries.values())
@@ -125,8 +125,8 @@
         for number, waiting in self._entries.items():
             key = (waiting.request.workspace, waiting.request.group)
             # The scheduler refuses at once what it cannot serve in time.
-            has_deadline = waiting.request.deadline is not None
-            least = FURTHER_ENTRIES - MAX_ENTRIES if has_deadline else 0
+            is_urgent = waiting.is_urgent(now)
+            least = FURTHER_ENTRIES - MAX_ENTRIES if is_urgent else 0
             if number not in reused and room[key] <= least:
                 continue
             room[key] -= 1
--- a/crowwinch/scheduling/_slots.py
+++ b/crowwinch/scheduling/_slots.py
@@ -18,6 +18,10 @@
 GRANT_LIFETIME_S = 2.0
 
 
+# A caller with less time left is told at once what cannot be served.
+_URGENT_S = 30.0
+
+
 @dataclass(slots=True, eq=False)
 class WaitingRequest:
     """A request without a slot.
@@ -39,6 +43,11 @@
         if self.timeout is not None:
             self.timeout.cancel()
 
+    def is_urgent(self, now: float) -> bool:
+        """Whether a late refusal would leave its caller little time."""
+        deadline = self.request.deadline
+        return deadline is not None and deadline - now < _URGENT_S
+
     def to_entry(self, now: float) -> DemandEntry:
         """Returns the entry of a message at a monotonic time."""
         request = self.request
--- a/crowwinch/scheduling/tests/test_parts.py
+++ b/crowwinch/scheduling/tests/test_parts.py
@@ -17,11 +17,13 @@
     CostEstimator,
     RequestClass,
     SlotOutcome,
+    SlotRequest,
     TargetLimit,
     TargetReport,
 )
 from crowwinch.scheduling._answers import AnswerSender
 from crowwinch.scheduling._echoes import EchoTracker
+from crowwinch.scheduling._entry_delay import entry_delay
 from crowwinch.scheduling._outbox import DemandOutbox
 from crowwinch.scheduling._records import RouterRecord
 from crowwinch.scheduling._reuse import ServiceView
@@ -163,6 +165,28 @@
 class DispatcherPartsTest(unittest.TestCase):
     """Guards against messages that contradict what the router did."""
 
+    def test_only_urgent_entries_never_wait_for_other_events(self):
+        # Every request of a caller has a deadline, by default in 600 s. With
+        # all of them urgent, a flood of entries used up the control budget.
+        cases = (
+            ("no deadline", None, 1, 1.0, 0.4),
+            ("far", 600.0, 1, 1.0, 0.4),
+            ("far, others ahead", 600.0, 5, 0.0, 0.5),
+            ("far, nothing waits", 600.0, 1, 0.0, 0.0),
+            ("near", 20.0, 5, 1.0, 0.0),
+        )
+        for name, deadline, count, forecast, expected in cases:
+            with self.subTest(name):
+                table = WaitingTable()
+                request = SlotRequest(1, 2, deadline=deadline)
+                for number in range(count):
+                    last = WaitingRequest(number, request, print, print)
+                    table.add(last)
+                delay = entry_delay(
+                    last, table, lambda _, wait=forecast: wait, 0.0
+                )
+                self.assertEqual(delay, expected)
+
     def test_overrun_of_an_unsent_reuse_is_part_of_it(self):
         outbox = DemandOutbox(WaitingTable())
         outbox.reuse(ReusedSlot(1, 10, 5, 10))
--- a/measurements/_world.py
+++ b/measurements/_world.py
@@ -23,6 +23,8 @@
 from measurements._scenarios import Fault, Pool, Scenario
 from measurements._targets import Attempt, FakeTarget
 
+# Default of the setting `request_timeout_s`.
+_REQUEST_TIMEOUT = 600.0
 # A streaming target reports what it served at this interval.
 _PROGRESS_PERIOD = 0.5
 # A caller whose connection broke sends its request again after this time.
@@ -188,6 +190,7 @@
             request.workspace,
             request.group,
             estimate=request.hint,
+            deadline=self.now + _REQUEST_TIMEOUT,
             excluded_targets=failed,
         )
 
