Tell the exit code of a router that is not ready

Cause: a start of 8 routers failed in a run of all tests with no sign of why. Change: the error has the exit code.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -339,7 +339,10 @@
         for router in self.routers:
             while not _is_ready(router):
                 if time.monotonic() > end or router.handle.poll() is not None:
-                    raise RuntimeError(f"{router.name} is not ready")
+                    code = router.handle.poll()
+                    raise RuntimeError(
+                        f"{router.name} is not ready, exit code {code}"
+                    )
                 time.sleep(0.05)
 
     def stop(self) -> None:
