Poll targets through the HTTP library again

Cause: polls and reads for commands went through a client that wrote its requests and parsed the answers itself. The house style leaves HTTP to the library on both sides, and a second parser of HTTP is a second place for faults at the border to targets.

The division of polls over the routers, the batches and the cached list of routers stay. Polls at once after a lost kept connection, and their test, are gone with the client; a crash is found by the next poll.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -36,7 +36,6 @@
     TargetClient,
     TargetLoad,
     TargetMonitor,
-    TargetPoller,
     TargetReport,
     fetch_load,
 )
@@ -100,18 +99,10 @@
         )
         self._client = TargetClient(target_tls)
         self._incarnations = IncarnationTable(self._fetch_load)
-        self._poller = TargetPoller(
-            self._timers, target_tls, lambda url: self._monitor.poll_early(url)
-        )
         self._commands = FleetCommands(
-            settings,
-            self._timers,
-            self._snapshot,
-            self._peers,
-            self._metrics,
-            self._poller,
+            settings, self._timers, self._snapshot, self._peers, self._metrics
         )
-        self._monitor = TargetMonitor(self._timers, self._poller.fetch)
+        self._monitor = TargetMonitor(self._timers, self._fetch_load)
         self._monitor.subscribe(self._observe_target)
         self._links = LinkTable(self._timers, self._peers, self._metrics)
         self._scheduling = FleetScheduling(
@@ -188,7 +179,6 @@
             self._crashes,
             self._commands,
             self._client,
-            self._poller,
             self._scheduling,
             HttpServer(
                 self._callers.application(),
--- a/crowwinch/app/_fleet_commands.py
+++ b/crowwinch/app/_fleet_commands.py
@@ -8,7 +8,6 @@
 from crowwinch.coordination import TimerService
 from crowwinch.generated.settings import RouterSettings
 from crowwinch.observability import Metrics
-from crowwinch.targets import TargetPoller
 
 
 class FleetCommands:
@@ -21,10 +20,9 @@
         snapshot: Callable[[], Snapshot],
         peers: PeerService,
         metrics: Metrics,
-        poller: TargetPoller,
     ) -> None:
         """Builds the executor and follows the membership view."""
-        self._client = CommandClient(poller.get)
+        self._client = CommandClient()
         self._executor = CommandExecutor(
             settings.name,
             settings.region,
--- a/crowwinch/commands/_client.py
+++ b/crowwinch/commands/_client.py
@@ -1,8 +1,5 @@
 """Sends commands to engines over HTTP."""
 
-from collections.abc import Awaitable, Callable
-from typing import Protocol
-
 import aiohttp
 import msgspec
 
@@ -16,18 +13,6 @@
     """A target did not answer a command or a read of its state."""
 
 
-class Answer(Protocol):
-    """Answer to a read."""
-
-    @property
-    def status(self) -> int:
-        """HTTP status."""
-
-    @property
-    def body(self) -> bytes:
-        """Whole body."""
-
-
 class _Report(msgspec.Struct):
     models: dict[str, str]
     role: str = "mixed"
@@ -36,16 +21,8 @@
 class CommandClient:
     """Reads states of engines and sends commands."""
 
-    def __init__(
-        self, get: Callable[[str, str, float], Awaitable[Answer]]
-    ) -> None:
-        """Creates a client; call `start` inside the event loop.
-
-        Args:
-            get: Reads from a target, given its URL, the path and the longest
-                duration in seconds; raises CrowwinchError.
-        """
-        self._get = get
+    def __init__(self) -> None:
+        """Creates a client; call `start` inside the event loop."""
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -65,14 +42,13 @@
         Raises:
             CommandError: If the target does not answer or answers nonsense.
         """
+        status, body = await self._call(
+            "GET", url.rstrip("/") + "/models", None
+        )
+        if status != 200:
+            raise CommandError(f"{url}: status {status}")
         try:
-            answer = await self._get(url, "/models", _TIMEOUT_S)
-        except CrowwinchError as error:
-            raise CommandError(f"{url}: {error}") from error
-        if answer.status != 200:
-            raise CommandError(f"{url}: status {answer.status}")
-        try:
-            report = msgspec.json.decode(answer.body, type=_Report)
+            report = msgspec.json.decode(body, type=_Report)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise CommandError(f"{url}: {error}") from error
         return TargetState(report.models, report.role)
@@ -94,10 +70,19 @@
             "version": command.version,
             "role": command.role,
         }
+        status, _ = await self._call(
+            "POST", command.url.rstrip("/") + "/orders", order
+        )
+        return status == 200
+
+    async def _call(
+        self, method: str, url: str, body: object
+    ) -> tuple[int, bytes]:
         assert self._session is not None, "the client was not started"
-        url = command.url.rstrip("/") + "/orders"
         try:
-            async with self._session.post(url, json=order) as response:
-                return response.status == 200
+            async with self._session.request(
+                method, url, json=body
+            ) as response:
+                return response.status, await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise CommandError(f"{url}: {error}") from error
--- a/crowwinch/commands/_executor.py
+++ b/crowwinch/commands/_executor.py
@@ -29,9 +29,6 @@
 _PLAN_LIFETIME_S = 3.0
 # A load may take minutes until the target reports the model.
 _REPEAT_AFTER_S = 120.0
-# Reads at the same time. Without a limit, 375 connections opened in one turn of
-# the event loop would hold up streams for tens of milliseconds.
-_READS = 16
 _PACED = frozenset((Action.LOAD, Action.VERSION))
 
 
@@ -216,15 +213,11 @@
         return accepted
 
     async def _read_states(self, snapshot: Snapshot) -> dict[str, TargetState]:
-        limit = asyncio.Semaphore(_READS)
-
         async def read(target: Target) -> tuple[str, TargetState | None]:
-            async with limit:
-                try:
-                    state = await self._client.read_state(target.url)
-                except CommandError:
-                    state = None
-            return target.name, state
+            try:
+                return target.name, await self._client.read_state(target.url)
+            except CommandError:
+                return target.name, None
 
         results = await asyncio.gather(
             *(
--- a/crowwinch/targets/__init__.py
+++ b/crowwinch/targets/__init__.py
@@ -14,7 +14,6 @@
 from crowwinch.targets._incarnations import IncarnationTable
 from crowwinch.targets._load import TargetLoad, fetch_load
 from crowwinch.targets._monitor import TargetMonitor, TargetReport
-from crowwinch.targets._poller import TargetPoller
 from crowwinch.targets._shared_reports import SharedReports, encode_reports
 from crowwinch.targets._sse import (
     TERMINAL_EVENT,
@@ -38,7 +37,6 @@
     "TargetError",
     "TargetLoad",
     "TargetMonitor",
-    "TargetPoller",
     "TargetReport",
     "encode_reports",
     "fetch_load",
--- a/crowwinch/targets/_load.py
+++ b/crowwinch/targets/_load.py
@@ -10,7 +10,7 @@
     TargetClient,
 )
 
-LOAD_TIMEOUT_S = 1.0
+_LOAD_TIMEOUT_S = 1.0
 _Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
@@ -42,7 +42,7 @@
         TargetError: If the target does not answer or the answer is malformed.
     """
     answer = await client.open(
-        TargetCall("load", base_url, "GET", "/load", {}, b"", LOAD_TIMEOUT_S)
+        TargetCall("load", base_url, "GET", "/load", {}, b"", _LOAD_TIMEOUT_S)
     )
     try:
         return decode_load(answer.status, await answer.read())
--- a/crowwinch/targets/_monitor.py
+++ b/crowwinch/targets/_monitor.py
@@ -47,7 +47,6 @@
     answered_at: float
     poll: asyncio.Task[None] | None = None
     is_reachable: bool = True
-    had_early_poll: bool = False
 
 
 class TargetMonitor:
@@ -106,17 +105,6 @@
                 self._period_s, lambda: self._poll_all(tuple(self._watched))
             )
 
-    def poll_early(self, base_url: str) -> None:
-        """Polls a target at once, at most once between two regular polls.
-
-        Without this limit, a target that closes its connection after each
-        answer would be polled in a loop.
-        """
-        for target, watched in self._watched.items():
-            if watched.base_url == base_url and not watched.had_early_poll:
-                watched.had_early_poll = True
-                self._start_poll(target, watched)
-
     def stop(self) -> None:
         """Ends all polls."""
         for target in list(self._watched):
@@ -138,7 +126,6 @@
         for target in targets:
             watched = self._watched.get(target)
             if watched is not None:
-                watched.had_early_poll = False
                 self._start_poll(target, watched)
 
     def _drop(self, target: int) -> None:
