Say once what a demand holds and how a load is read

Cause: a read of the whole change found two copies of the list of parts of a Demand that are content, two copies of the entries of the message slopes, and a function for decoding a load that had one caller since the poll client went. A doc comment named only one of two reasons to poll all targets at once.

Change: one function each; behaviour is unchanged.

Tests of app, targets, commands, of slopes, fleet and meters, and tests.test_whole_path pass.

--- a/crowwinch/app/_fleet_polling.py
+++ b/crowwinch/app/_fleet_polling.py
@@ -79,7 +79,7 @@
         self._monitor.stop()
 
     def restart(self) -> None:
-        """Polls all targets at once for a scheduler that has just started."""
+        """Polls all targets at once, for a new scheduler or after a loss."""
         self._monitor.stop()
         self._shared.reset()
         self.update()
@@ -103,14 +103,8 @@
     def attach(self, peer: str, message: Demand) -> Demand:
         """Returns a message with the reports that wait, if any may go along."""
         # A message without content is a keep-alive, which has to be answered.
-        has_content = (
-            message.entries
-            or message.withdrawn
-            or message.overruns
-            or message.completions
-            or message.reused
-        )
-        if not (self._pending and has_content and peer == self._scheduler()):
+        may_attach = _has_content(message) and peer == self._scheduler()
+        if not (self._pending and may_attach):
             return message
         return msgspec.structs.replace(message, loads=self._take())
 
@@ -193,7 +187,11 @@
 
 def is_bare(message: Demand) -> bool:
     """Returns whether a message holds nothing but reports."""
-    return bool(message.loads) and not (
+    return bool(message.loads) and not _has_content(message)
+
+
+def _has_content(message: Demand) -> bool:
+    return bool(
         message.entries
         or message.withdrawn
         or message.overruns
--- a/crowwinch/targets/_load.py
+++ b/crowwinch/targets/_load.py
@@ -45,20 +45,10 @@
         TargetCall("load", base_url, "GET", "/load", {}, b"", _LOAD_TIMEOUT_S)
     )
     try:
-        return decode_load(answer.status, await answer.read())
-    finally:
-        answer.close()
-
-
-def decode_load(status: int, body: bytes) -> TargetLoad:
-    """Returns the load in an answer to `GET /load`.
-
-    Raises:
-        IncompleteAnswerError: If the answer is malformed.
-    """
-    if status != 200:
-        raise IncompleteAnswerError(f"/load has status {status}")
-    try:
-        return _DECODER.decode(body)
+        if answer.status != 200:
+            raise IncompleteAnswerError(f"/load has status {answer.status}")
+        return _DECODER.decode(await answer.read())
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise IncompleteAnswerError(f"/load is malformed: {error}") from error
+    finally:
+        answer.close()
--- a/crowwinch/targets/_shared_reports.py
+++ b/crowwinch/targets/_shared_reports.py
@@ -81,7 +81,7 @@
         return self._has_unreachable
 
     def reset(self) -> None:
-        """Forgets all reports, for a new scheduler."""
+        """Forgets all reports, so that every target is polled here."""
         self._reported.clear()
         self._accepted.clear()
 
--- a/measurements/_slopes_messages.py
+++ b/measurements/_slopes_messages.py
@@ -43,23 +43,20 @@
     ]
 
 
+def _entries(count: int) -> list[messages.DemandEntry]:
+    return [
+        messages.DemandEntry(
+            _GRANT + index, _NUMBER, _NUMBER, 0, 500, 60_000, False, _NUMBER
+        )
+        for index in range(count)
+    ]
+
+
 def _demand(requests: int) -> int:
     return linked_size(
         messages.Demand(
             10_000_000,
-            [
-                messages.DemandEntry(
-                    _GRANT + index,
-                    _NUMBER,
-                    _NUMBER,
-                    0,
-                    500,
-                    60_000,
-                    False,
-                    _NUMBER,
-                )
-                for index in range(requests)
-            ],
+            _entries(requests),
             [],
             [],
             [
@@ -90,19 +87,7 @@
     return linked_size(
         messages.Registration(
             10_000_000,
-            [
-                messages.DemandEntry(
-                    _GRANT + index,
-                    _NUMBER,
-                    _NUMBER,
-                    0,
-                    500,
-                    60_000,
-                    False,
-                    _NUMBER,
-                )
-                for index in range(requests)
-            ],
+            _entries(requests),
             [
                 messages.InFlight(
                     _GRANT, _GRANT + index, _NUMBER, _NUMBER, _NUMBER, 400
