--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -18,14 +18,12 @@
 from crowwinch.app._links import LinkTable
 from crowwinch.app._memory import MemoryKeeper
 from crowwinch.app._peer_service import PeerService
-from crowwinch.app._timer_driver import TimerDriver
 from crowwinch.app._tls import tls_contexts
-from crowwinch.configuration import ConfigurationStore, Snapshot
-from crowwinch.coordination import SystemClock, TimerService
+from crowwinch.configuration import ConfigurationStore, ServiceClient, Snapshot
+from crowwinch.coordination import SystemClock, TimerDriver, TimerService
 from crowwinch.errors import PeerRejection, RefusalReason, RetryReason
 from crowwinch.generated.settings import RouterSettings
 from crowwinch.observability import Metrics
-from crowwinch.platform import PlatformClient
 from crowwinch.routing import (
     KeyedRequestHandler,
     RequestHandler,
@@ -76,7 +74,7 @@
         self._metrics.declare_reasons("peer_rejections", PeerRejection)
         self._store = ConfigurationStore(self._metrics.count)
         self._store.subscribe(MemoryKeeper().on_change)
-        self._platform = PlatformClient(
+        self._platform = ServiceClient(
             settings.configuration_url, settings.vm_list_url
         )
         self._peers = PeerService(
--- a/crowwinch/app/_fleet_configuration.py
+++ b/crowwinch/app/_fleet_configuration.py
@@ -5,6 +5,7 @@
     ConfigurationSpread,
     ConfigurationStore,
     EventClock,
+    ServiceClient,
     Snapshot,
 )
 from crowwinch.coordination import TimerService
@@ -15,7 +16,6 @@
 )
 from crowwinch.generated.settings import RouterSettings
 from crowwinch.observability import Metrics
-from crowwinch.platform import PlatformClient
 
 
 class FleetConfiguration:
@@ -26,7 +26,7 @@
         settings: RouterSettings,
         timers: TimerService,
         store: ConfigurationStore,
-        platform: PlatformClient,
+        platform: ServiceClient,
         peers: PeerService,
         metrics: Metrics,
     ) -> None:
--- a/crowwinch/app/_peer_service.py
+++ b/crowwinch/app/_peer_service.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from crowwinch.app._peer_messages import from_wire_updates, to_wire
+from crowwinch.configuration import ServiceClient
 from crowwinch.coordination import (
     Ack,
     Membership,
@@ -29,7 +30,6 @@
     PeerTransport,
     encode,
 )
-from crowwinch.platform import PlatformClient
 
 _LOGGER = logging.getLogger(__name__)
 # 340 routers read the list 170 times a second, and a VM that starts to leave
@@ -53,7 +53,7 @@
         self,
         settings: RouterSettings,
         timers: TimerService,
-        platform: PlatformClient,
+        platform: ServiceClient,
         metrics: Metrics,
         version: Callable[[], tuple[int, str]],
     ) -> None:
--- a/crowwinch/app/tests/test_timer_driver.py
+++ b/crowwinch/app/tests/test_timer_driver.py
@@ -5,8 +5,7 @@
 
 import uvloop
 
-from crowwinch.app._timer_driver import TimerDriver
-from crowwinch.coordination import SystemClock, TimerService
+from crowwinch.coordination import SystemClock, TimerDriver, TimerService
 
 
 class TimerDriverTest(unittest.TestCase):
--- a/crowwinch/cli/_main.py
+++ b/crowwinch/cli/_main.py
@@ -7,6 +7,7 @@
 from crowwinch import __version__
 from crowwinch.cli._commands import Command
 from crowwinch.cli._config import ConfigCommand
+from crowwinch.cli._gateway import GatewayCommand
 from crowwinch.cli._router import RouterCommand
 from crowwinch.cli._status import StatusCommand
 from crowwinch.errors import FindingsError
@@ -19,12 +20,14 @@
 
 examples:
   crowwinch router --name router-1 --availability-zone az-1 --region midlands
+  CROWWINCH_BOOT=boot.toml crowwinch gateway
   crowwinch config check table
   crowwinch status http://127.0.0.1:8081
   crowwinch router --help
 """
 _COMMANDS: tuple[type[Command], ...] = (
     RouterCommand,
+    GatewayCommand,
     ConfigCommand,
     StatusCommand,
 )
--- a/crowwinch/configuration/__init__.py
+++ b/crowwinch/configuration/__init__.py
@@ -24,6 +24,7 @@
     format_models,
     parse_models,
 )
+from crowwinch.configuration._service_client import ServiceClient
 from crowwinch.configuration._snapshot import (
     EffectiveLimits,
     Snapshot,
@@ -45,6 +46,7 @@
     "EffectiveLimits",
     "EventChange",
     "EventClock",
+    "ServiceClient",
     "Snapshot",
     "Table",
     "WantedModel",
--- a/crowwinch/platform/_services.py
+++ b/crowwinch/configuration/_service_client.py
@@ -13,7 +13,7 @@
 _MAX_VALUE_BYTES = 1_000_000
 
 
-class PlatformClient:
+class ServiceClient:
     """Reads the platform's services; nothing is ever written to them."""
 
     def __init__(self, configuration_url: str, vm_list_url: str) -> None:
--- a/crowwinch/coordination/__init__.py
+++ b/crowwinch/coordination/__init__.py
@@ -29,6 +29,7 @@
 )
 from crowwinch.coordination._membership import Membership
 from crowwinch.coordination._placement import identifier, owner, rank
+from crowwinch.coordination._timer_driver import TimerDriver
 from crowwinch.coordination._timers import (
     Clock,
     ManualClock,
@@ -63,6 +64,7 @@
     "ReliableLink",
     "Subscription",
     "SystemClock",
+    "TimerDriver",
     "TimerService",
     "Version",
     "identifier",
--- a/crowwinch/app/_timer_driver.py
+++ b/crowwinch/coordination/_timer_driver.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 
-from crowwinch.coordination import TimerService
+from crowwinch.coordination._timers import TimerService
 
 _LONGEST_SLEEP_S = 60.0
 
--- /dev/null
+++ b/crowwinch/directory/__init__.py
@@ -0,0 +1,29 @@
+"""What the platform's store says of configuration and targets."""
+
+from crowwinch.directory._model import (
+    Changes,
+    DocumentDecoder,
+    HistoryLostError,
+    Item,
+    Listing,
+    Store,
+    StoreError,
+    TargetEntry,
+    TargetState,
+)
+from crowwinch.directory._state import DirectoryState
+from crowwinch.directory._watcher import DirectoryWatcher
+
+__all__ = [
+    "Changes",
+    "DirectoryState",
+    "DirectoryWatcher",
+    "DocumentDecoder",
+    "HistoryLostError",
+    "Item",
+    "Listing",
+    "Store",
+    "StoreError",
+    "TargetEntry",
+    "TargetState",
+]
--- /dev/null
+++ b/crowwinch/fleet/_peer_table.py
@@ -0,0 +1,110 @@
+"""Which other routers there are and what they said last."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from crowwinch.coordination import Clock
+from crowwinch.generated.fleet_messages import FleetUpdate
+
+# A router that was not heard for this long gets an update only now and then.
+_SILENCE_S = 3.0
+_PROBE_PERIOD_S = 1.0
+# A router that was not heard for this long is forgotten, unless it is a seed.
+_EXPIRY_S = 60.0
+# Updates sent in one period; larger fleets are served in turn.
+_FAN_OUT = 12
+# Addresses told in one update.
+_MEMBERS_TOLD = 16
+
+
+@dataclass(slots=True)
+class _Peer:
+    control: str
+    heard: float = float("-inf")
+    sent: float = float("-inf")
+    router: str = ""
+    life: int = 0
+    sequence: int = -1
+    is_leaving: bool = False
+
+
+class PeerTable:
+    """Other routers by their control address."""
+
+    def __init__(
+        self, clock: Clock, own_control: str, seeds: Iterable[str]
+    ) -> None:
+        """Creates a table that knows only the seeds.
+
+        Args:
+            clock: Monotonic time.
+            own_control: Control address of this router.
+            seeds: Control addresses, possibly stale or its own.
+        """
+        self._clock = clock
+        self._own_control = own_control
+        self._seeds = frozenset(seeds) - {own_control}
+        self._peers = {control: _Peer(control) for control in self._seeds}
+        self._turn = 0
+
+    @property
+    def live(self) -> list[str]:
+        """Control addresses of routers that were heard a moment ago."""
+        oldest = self._clock.monotonic() - _SILENCE_S
+        return [
+            peer.control
+            for peer in self._peers.values()
+            if peer.heard >= oldest and not peer.is_leaving
+        ]
+
+    def accept(self, update: FleetUpdate) -> bool:
+        """Records an update.
+
+        Returns:
+            Whether it is newer than what is known of its sender.
+        """
+        if update.control == self._own_control:
+            return False
+        now = self._clock.monotonic()
+        peer = self._peers.setdefault(update.control, _Peer(update.control))
+        if (update.life, update.sequence) <= (peer.life, peer.sequence):
+            return False
+        peer.heard = now
+        peer.router = update.router
+        peer.life, peer.sequence = update.life, update.sequence
+        peer.is_leaving = update.is_leaving
+        for control in update.members:
+            if control != self._own_control:
+                self._peers.setdefault(control, _Peer(control, heard=now))
+        return True
+
+    def destinations(self) -> list[str]:
+        """Returns the routers to which an update is to be sent now."""
+        now = self._clock.monotonic()
+        self._expire(now)
+        due = []
+        for peer in self._peers.values():
+            is_silent = now - peer.heard > _SILENCE_S
+            if not is_silent or now - peer.sent >= _PROBE_PERIOD_S:
+                due.append(peer)
+        if len(due) > _FAN_OUT:
+            self._turn = (self._turn + _FAN_OUT) % len(due)
+            due = (due + due)[self._turn : self._turn + _FAN_OUT]
+        for peer in due:
+            peer.sent = now
+        return [peer.control for peer in due]
+
+    def members_to_tell(self) -> list[str]:
+        """Returns addresses of live routers for a newcomer."""
+        live = self.live
+        start = self._turn % max(len(live), 1)
+        return (live + live)[start : start + min(_MEMBERS_TOLD, len(live))]
+
+    def _expire(self, now: float) -> None:
+        expired = [
+            control
+            for control, peer in self._peers.items()
+            if control not in self._seeds and now - peer.heard > _EXPIRY_S
+        ]
+        for control in expired:
+            del self._peers[control]
--- /dev/null
+++ b/crowwinch/fleet/_service.py
@@ -0,0 +1,141 @@
+"""Tells the other routers what this one does, and hears them."""
+
+import itertools
+from collections.abc import Callable
+
+from crowwinch.coordination import Subscription, TimerService
+from crowwinch.directory import DirectoryState
+from crowwinch.errors import PeerRejection
+from crowwinch.fleet._directory_pull import DirectoryPull
+from crowwinch.fleet._endpoint import FleetEndpoint
+from crowwinch.fleet._peer_table import PeerTable
+from crowwinch.forwarding import GatewaySettings, SharingState
+from crowwinch.generated.fleet_messages import (
+    CrashReport,
+    FleetUpdate,
+    TargetReport,
+    WorkspaceReport,
+)
+from crowwinch.sharing import TargetUse, WorkspaceUse
+
+# Two routers that choose a target within one period do not see each other.
+_PERIOD_S = 0.05
+# Counts are summed up a little after the updates of a period have arrived.
+_MOST_CRASHES = 32
+
+
+class FleetService:
+    """Exchanges updates with all other routers."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        settings: GatewaySettings,
+        state: DirectoryState,
+        sharing: SharingState,
+        is_leaving: Callable[[], bool],
+        count_rejection: Callable[[PeerRejection], None],
+    ) -> None:
+        """Stores the parts; nothing is sent until `start`."""
+        self._timers = timers
+        self._settings = settings
+        self._state = state
+        self._sharing = sharing
+        self._is_leaving = is_leaving
+        self._life = int(timers.clock.time() * 1000)
+        self._sequence = itertools.count()
+        self._table = PeerTable(
+            timers.clock,
+            str(settings.control),
+            (str(seed) for seed in settings.seeds),
+        )
+        self._endpoint = FleetEndpoint(
+            settings.address,
+            settings.peer_port,
+            self._receive,
+            count_rejection,
+        )
+        self._pull = DirectoryPull(timers.clock, state, settings.control)
+        self._subscription: Subscription | None = None
+
+    @property
+    def live_peers(self) -> int:
+        """Other routers that were heard a moment ago."""
+        return len(self._table.live)
+
+    async def start(self) -> None:
+        """Starts to listen and to send."""
+        await self._pull.start()
+        await self._endpoint.start()
+        self._subscription = self._timers.call_every(_PERIOD_S, self._tick)
+        self._tick()
+
+    async def stop(self) -> None:
+        """Closes all ports."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+        await self._endpoint.stop()
+        await self._pull.stop()
+
+    def _tick(self) -> None:
+        sharing = self._sharing
+        sharing.loads.refresh()
+        sharing.shares.refresh()
+        sharing.admission.poll()
+        destinations = self._table.destinations()
+        if destinations:
+            hosts = [control.rpartition(":")[0] for control in destinations]
+            self._endpoint.send(self._build_update(), hosts)
+
+    def _build_update(self) -> FleetUpdate:
+        sharing = self._sharing
+        return FleetUpdate(
+            router=self._settings.name,
+            life=self._life,
+            sequence=next(self._sequence),
+            control=str(self._settings.control),
+            version=self._state.version,
+            revision=self._state.revision,
+            is_leaving=self._is_leaving(),
+            targets=[
+                TargetReport(use.target, use.active, use.unread_tokens)
+                for use in sharing.loads.own_use()
+            ],
+            workspaces=[
+                WorkspaceReport(
+                    use.workspace, round(use.asked), round(use.served)
+                )
+                for use in sharing.shares.own_use()
+            ],
+            members=self._table.members_to_tell(),
+            crashes=[
+                CrashReport(digest, count)
+                for digest, count in sharing.crashes.own_counts()[
+                    -_MOST_CRASHES:
+                ]
+            ],
+        )
+
+    def _receive(self, update: FleetUpdate) -> None:
+        if not self._table.accept(update):
+            return
+        sharing = self._sharing
+        peer = update.control
+        sharing.loads.note_peer(
+            peer,
+            [
+                TargetUse(report.target, report.active, report.unread_tokens)
+                for report in update.targets
+            ],
+        )
+        sharing.shares.note_peer(
+            peer,
+            [
+                WorkspaceUse(report.workspace, report.asked, report.served)
+                for report in update.workspaces
+            ],
+        )
+        sharing.crashes.note_peer(
+            peer, [(report.digest, report.count) for report in update.crashes]
+        )
+        self._pull.note_revision(peer, update.revision, update.version)
--- /dev/null
+++ b/crowwinch/forwarding/__init__.py
@@ -0,0 +1,59 @@
+"""Forwards plain HTTP requests and event streams to targets."""
+
+from crowwinch.forwarding._call import Call
+from crowwinch.forwarding._events import EventSplitter
+from crowwinch.forwarding._exchange import (
+    AttemptError,
+    Exchange,
+    TargetAnswer,
+)
+from crowwinch.forwarding._forwarder import Forwarder, SharingState
+from crowwinch.forwarding._messages import (
+    AnswerHead,
+    AttemptHead,
+    RequestHead,
+    WireCodec,
+)
+from crowwinch.forwarding._model import (
+    Engine,
+    GatewaySettings,
+    RequestLimits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    SocketAddress,
+    Workspace,
+)
+from crowwinch.forwarding._server import CallerServer
+from crowwinch.forwarding._target_client import TargetClient
+from crowwinch.forwarding._target_set import Target, TargetSet
+from crowwinch.sharing import PromptPart
+
+__all__ = [
+    "AnswerHead",
+    "AttemptError",
+    "AttemptHead",
+    "Call",
+    "CallerServer",
+    "Engine",
+    "EventSplitter",
+    "Exchange",
+    "Forwarder",
+    "GatewaySettings",
+    "PromptPart",
+    "RequestHead",
+    "RequestLimits",
+    "Route",
+    "RouteKind",
+    "RoutingTable",
+    "Service",
+    "SharingState",
+    "SocketAddress",
+    "Target",
+    "TargetAnswer",
+    "TargetClient",
+    "TargetSet",
+    "WireCodec",
+    "Workspace",
+]
--- /dev/null
+++ b/crowwinch/forwarding/_call.py
@@ -0,0 +1,194 @@
+"""The callers' side of one request."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+import msgspec
+from aiohttp import web
+from multidict import CIMultiDict
+
+from crowwinch.errors import RefusalError
+from crowwinch.forwarding._messages import RequestHead
+
+_JSON = "application/json"
+
+
+class Call:
+    """A request whose body was read, and its answer."""
+
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        head: RequestHead,
+        body: bytes,
+        arrived: float,
+        closes: Callable[[], bool],
+    ) -> None:
+        """Stores the request.
+
+        Args:
+            request: The request.
+            head: What the caller says of it.
+            body: The whole body.
+            arrived: Monotonic time at which its head was read.
+            closes: Returns whether the connection is to be closed after the
+                answer.
+        """
+        self._request = request
+        self._head = head
+        self._body = body
+        self._arrived = arrived
+        self._closes = closes
+        self._response: web.StreamResponse | None = None
+        self._status = 0
+
+    @property
+    def head(self) -> RequestHead:
+        """What the caller says of the request."""
+        return self._head
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return self._body
+
+    @property
+    def arrived(self) -> float:
+        """Monotonic time at which the head was read."""
+        return self._arrived
+
+    @property
+    def method(self) -> str:
+        """Method of the request."""
+        return self._request.method
+
+    @property
+    def raw_path(self) -> str:
+        """Path and query as the caller sent them."""
+        return self._request.raw_path
+
+    @property
+    def host(self) -> str:
+        """Value of the Host header."""
+        return self._request.headers.get("Host", "")
+
+    @property
+    def headers(self) -> Iterable[tuple[str, str]]:
+        """All headers."""
+        return self._request.headers.items()
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """The answer, once it was started."""
+        assert self._response is not None, "there is no answer"
+        return self._response
+
+    @property
+    def is_started(self) -> bool:
+        """Whether a part of the answer was sent."""
+        return self._response is not None
+
+    @property
+    def status(self) -> int:
+        """Status of the answer, 0 before it."""
+        return self._status
+
+    async def start(
+        self, status: int, reason: str, headers: Iterable[tuple[str, str]]
+    ) -> None:
+        """Starts an answer of unknown length."""
+        response = web.StreamResponse(
+            status=status, reason=reason, headers=CIMultiDict(headers)
+        )
+        self._prepare(response)
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the answer."""
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """Ends the answer as complete."""
+        await self.response.write_eof()
+
+    async def answer(
+        self,
+        status: int,
+        reason: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        """Sends a whole answer."""
+        response = web.Response(
+            status=status,
+            reason=reason,
+            headers=CIMultiDict(headers),
+            body=body,
+        )
+        self._prepare(response)
+        await response.prepare(self._request)
+        await response.write_eof()
+
+    async def refuse(self, refusal: RefusalError) -> None:
+        """Sends a refusal with its reason and whether the request ran."""
+        headers = CIMultiDict({"Content-Type": _JSON})
+        if refusal.retry_after_s is not None:
+            headers["Retry-After"] = f"{refusal.retry_after_s:.2f}"
+        document = {
+            "error": {
+                "message": str(refusal),
+                "type": "crowwinch_error",
+                "code": refusal.code,
+                "run_state": refusal.run_state.name.lower(),
+                "request_id": self._head.attempt_id,
+            }
+        }
+        await self.answer(
+            refusal.status,
+            "",
+            headers.items(),
+            msgspec.json.encode(document),
+        )
+
+    def abort(self) -> None:
+        """Closes the connection, so that the answer cannot look complete."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.close()
+
+    def _prepare(self, response: web.StreamResponse) -> None:
+        if self._closes():
+            response.force_close()
+        self._response = response
+        self._status = response.status
+
+
+async def read_body(
+    request: web.BaseRequest, limit: int, timeout_s: float
+) -> bytes | None:
+    """Reads a whole body.
+
+    Args:
+        request: The request.
+        limit: Most bytes.
+        timeout_s: Longest time.
+
+    Returns:
+        The body, or None if it is over the limit.
+
+    Raises:
+        TimeoutError: If the body takes too long.
+    """
+    if request.content_length is not None and request.content_length > limit:
+        return None
+    if not request.can_read_body:
+        return b""
+    parts: list[bytes] = []
+    size = 0
+    async with asyncio.timeout(timeout_s):
+        while data := await request.content.readany():
+            size += len(data)
+            if size > limit:
+                return None
+            parts.append(data)
+    return b"".join(parts)
--- /dev/null
+++ b/crowwinch/forwarding/_server.py
@@ -0,0 +1,177 @@
+"""HTTP server for callers."""
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from crowwinch.coordination import Clock
+from crowwinch.errors import RefusalError, RefusalReason
+from crowwinch.forwarding._call import Call, read_body
+from crowwinch.forwarding._forwarder import Forwarder
+from crowwinch.forwarding._messages import WireCodec
+from crowwinch.forwarding._model import RequestLimits, SocketAddress
+
+_LOGGER = logging.getLogger(__name__)
+
+# A body arrives within this time, or its connection is as good as dead.
+_BODY_TIMEOUT_S = 15.0
+# Connections are kept a little longer than callers may stay idle.
+_IDLE_MARGIN_S = 2.0
+_SHUTDOWN_TIMEOUT_S = 0.2
+_BACKLOG = 1024
+_MAX_HEADERS = 128
+# Part of the process's memory that bodies of requests may take.
+_BODY_MEMORY_SHARE = 0.2
+_MEMORY_RETRY_S = 0.5
+# Never sent: the caller has left before its answer.
+_CALLER_GONE_STATUS = 499
+
+
+class _CallerProtocolFactory(web.Server):
+    """Makes connections with the limits that are in force."""
+
+    def __init__(
+        self, handler: Any, limits: Callable[[], RequestLimits]
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._limits = limits
+
+    def __call__(self) -> RequestHandler:
+        limits = self._limits()
+        return RequestHandler(
+            self,
+            loop=self._loop,
+            access_log=None,
+            keepalive_timeout=limits.idle_timeout_s + _IDLE_MARGIN_S,
+            max_line_size=limits.max_header_bytes,
+            max_field_size=limits.max_header_bytes,
+            max_headers=_MAX_HEADERS,
+            auto_decompress=False,
+            lingering_time=1.0,
+        )
+
+
+class CallerServer:
+    """Reads requests of callers and hands them to the forwarder."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        address: SocketAddress,
+        codec: WireCodec,
+        forwarder: Forwarder,
+        limits: Callable[[], RequestLimits],
+        memory_bytes: int,
+    ) -> None:
+        """Stores the parts; call `start` inside the event loop."""
+        self._clock = clock
+        self._address = address
+        self._codec = codec
+        self._forwarder = forwarder
+        self._limits = limits
+        self._body_capacity = int(memory_bytes * _BODY_MEMORY_SHARE)
+        self._body_bytes = 0
+        self._active = 0
+        self._closes = False
+        self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
+
+    @property
+    def active(self) -> int:
+        """Requests that are not answered yet."""
+        return self._active
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        factory = _CallerProtocolFactory(self._handle, self._limits)
+        self._runner = web.ServerRunner(
+            factory,
+            handle_signals=False,
+            shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+        )
+        await self._runner.setup()
+        self._site = web.TCPSite(
+            self._runner,
+            self._address.host,
+            self._address.port,
+            backlog=_BACKLOG,
+        )
+        await self._site.start()
+
+    async def stop(self) -> None:
+        """Closes the port and all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def close_after_answers(self) -> None:
+        """Ends each connection with its next answer."""
+        self._closes = True
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived = self._clock.monotonic()
+        self._active += 1
+        size = request.content_length or 0
+        self._body_bytes += size
+        try:
+            return await self._serve(request, arrived)
+        finally:
+            self._body_bytes -= size
+            self._active -= 1
+
+    async def _serve(
+        self, request: web.BaseRequest, arrived: float
+    ) -> web.StreamResponse:
+        head = self._codec.decode_request(request.headers)
+        call = Call(request, head, b"", arrived, lambda: self._closes)
+        if self._body_bytes > self._body_capacity:
+            return await self._refuse(
+                call,
+                RefusalError(
+                    RefusalReason.QUEUE_FULL,
+                    "too many bodies in memory",
+                    retry_after_s=_MEMORY_RETRY_S,
+                ),
+            )
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            request.writer.output_size = 0
+        limit = self._limits().max_body_bytes
+        try:
+            body = await read_body(request, limit, _BODY_TIMEOUT_S)
+        except TimeoutError:
+            return await self._refuse(
+                call,
+                RefusalError(
+                    RefusalReason.MALFORMED_BODY, "the body is incomplete"
+                ),
+            )
+        if body is None:
+            return await self._refuse(
+                call,
+                RefusalError(
+                    RefusalReason.BODY_TOO_LARGE, f"over {limit} bytes"
+                ),
+            )
+        call = Call(request, head, body, arrived, lambda: self._closes)
+        await self._forwarder.serve(call)
+        if not call.is_started:
+            return web.Response(status=_CALLER_GONE_STATUS)
+        return call.response
+
+    async def _refuse(
+        self, call: Call, refusal: RefusalError
+    ) -> web.StreamResponse:
+        _LOGGER.info(
+            "request",
+            extra={
+                "request_id": call.head.attempt_id,
+                "code": refusal.code,
+                "status": refusal.status,
+            },
+        )
+        await call.refuse(refusal)
+        call.response.force_close()
+        return call.response
--- a/crowwinch/observability/_logs.py
+++ b/crowwinch/observability/_logs.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from crowwinch.observability._bounded_handler import BoundedHandler
+
 _STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "taskName"}
 
 
@@ -40,3 +42,16 @@
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
+
+
+def configure_bounded_logs(level: str) -> None:
+    """Sends all logs as JSON lines to standard output without blocking.
+
+    Args:
+        level: Least severity, for instance "info".
+    """
+    handler = BoundedHandler(sys.stdout.fileno())
+    handler.setFormatter(JsonLineFormatter())
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level.upper())
--- a/crowwinch/platform/__init__.py
+++ b/crowwinch/platform/__init__.py
@@ -1,5 +1,19 @@
-"""Clients of the platform's services."""
+"""The operators' platform: its names, formats and calls."""
 
-from crowwinch.platform._services import PlatformClient
+from crowwinch.platform._documents import DocumentCodec
+from crowwinch.platform._headers import HeaderCodec
+from crowwinch.platform._settings import (
+    SETTINGS_VARIABLE,
+    decode_boot_settings,
+    load_boot_settings,
+)
+from crowwinch.platform._store import StoreClient
 
-__all__ = ["PlatformClient"]
+__all__ = [
+    "SETTINGS_VARIABLE",
+    "DocumentCodec",
+    "HeaderCodec",
+    "StoreClient",
+    "decode_boot_settings",
+    "load_boot_settings",
+]
--- /dev/null
+++ b/crowwinch/platform/_headers.py
@@ -0,0 +1,179 @@
+"""Headers of requests and answers as the platform names them."""
+
+from collections.abc import Iterable, Mapping
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from crowwinch.forwarding import (
+    AnswerHead,
+    AttemptHead,
+    PromptPart,
+    RequestHead,
+)
+
+ATTEMPT_ID = "X-Crowwinch-Attempt-Id"
+_DEADLINE_MS = "X-Crowwinch-Deadline-Ms"
+_API_KEY = "X-Api-Key"
+# Prompt tokens and the largest number of output tokens.
+_TOKEN_COUNT = "X-Crowwinch-Token-Count"
+# Not a hash: the parts of the prompt in order, as ID:TOKENS entries.
+_PROMPT_PARTS = "X-Crowwinch-Prefix-Hash"
+_LENGTH_HINT = "X-Crowwinch-Length-Hint"
+_MODEL = "X-Crowwinch-Model"
+_LAST_EVENT_ID = "Last-Event-Id"
+# The identifier of the target that must run the request.
+_EXPECT_TARGET = "X-Crowwinch-Expect-Instance"
+_TENANT = "X-Crowwinch-Tenant"
+# The target's proof that an answer is its own.
+_SEAL = "X-Crowwinch-Server-Seal"
+_NOT_EXECUTED = "X-Crowwinch-Not-Executed"
+_MISDIRECTED_STATUS = 421
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "http2-settings",
+        "expect",
+    }
+)
+# A caller must not control placement, leases, copies of memory or its own
+# workspace; only the routers set these.
+_SET_BY_ROUTERS = frozenset(
+    {
+        "content-length",
+        "kv-fetch",
+        "kv-from",
+        "wait-ms",
+        _API_KEY.lower(),
+        _DEADLINE_MS.lower(),
+        _EXPECT_TARGET.lower(),
+        _TENANT.lower(),
+        "x-crowwinch-expect-version",
+        "x-crowwinch-hold",
+        "x-crowwinch-kv-backup",
+        "x-crowwinch-pin-ms",
+        "x-crowwinch-not-executed",
+        "x-crowwinch-server-seal",
+    }
+)
+_NOT_FORWARDED = _HOP_BY_HOP | _SET_BY_ROUTERS
+_MAX_PROMPT_PARTS = 256
+
+
+class HeaderCodec:
+    """Translates between headers and the types of the forwarding package."""
+
+    @property
+    def attempt_header(self) -> str:
+        """Name of the header that identifies an attempt in both directions."""
+        return ATTEMPT_ID
+
+    def decode_request(self, headers: Mapping[str, str]) -> RequestHead:
+        """Reads what a caller says of its request.
+
+        Malformed values count as absent: they only serve for estimates.
+        """
+        prompt, output = _decode_pair(headers.get(_TOKEN_COUNT, ""))
+        hint = _decode_count(headers.get(_LENGTH_HINT, ""))
+        deadline = _decode_count(headers.get(_DEADLINE_MS, ""))
+        return RequestHead(
+            attempt_id=headers.get(ATTEMPT_ID, ""),
+            key=headers.get(_API_KEY, ""),
+            deadline_s=None if deadline is None else deadline / 1000,
+            model=headers.get(_MODEL, ""),
+            prompt_tokens=prompt,
+            output_tokens=min(hint, output) if hint and output else output,
+            parts=_decode_parts(headers.get(_PROMPT_PARTS, "")),
+            last_event_id=headers.get(_LAST_EVENT_ID),
+        )
+
+    def encode_attempt(
+        self, headers: Iterable[tuple[str, str]], attempt: AttemptHead
+    ) -> CIMultiDict[str]:
+        """Returns the headers of an attempt at a target.
+
+        Args:
+            headers: Headers of the caller.
+            attempt: What the router adds.
+        """
+        pairs = list(headers)
+        excluded = _NOT_FORWARDED | _named_by_connection(pairs)
+        encoded = CIMultiDict(
+            (name, value)
+            for name, value in pairs
+            if name.lower() not in excluded
+        )
+        encoded[_DEADLINE_MS] = str(max(int(attempt.remaining_s * 1000), 1))
+        encoded[_EXPECT_TARGET] = attempt.target_id
+        if attempt.workspace is not None:
+            encoded[_TENANT] = attempt.workspace
+        if attempt.last_event_id is not None:
+            encoded[_LAST_EVENT_ID] = attempt.last_event_id
+        return encoded
+
+    def decode_answer(
+        self, status: int, headers: CIMultiDictProxy[str]
+    ) -> AnswerHead:
+        """Reads what a target says of its answer."""
+        return AnswerHead(
+            attempt_id=headers.get(ATTEMPT_ID, ""),
+            is_sealed=_SEAL in headers,
+            not_run=_NOT_EXECUTED in headers or status == _MISDIRECTED_STATUS,
+            is_other_target=status == _MISDIRECTED_STATUS,
+        )
+
+    def passed_on(
+        self, headers: CIMultiDictProxy[str]
+    ) -> list[tuple[str, str]]:
+        """Returns the headers of an answer that concern the caller."""
+        pairs = list(headers.items())
+        excluded = _HOP_BY_HOP | {"content-length"}
+        excluded |= _named_by_connection(pairs)
+        return [pair for pair in pairs if pair[0].lower() not in excluded]
+
+
+def _named_by_connection(pairs: Iterable[tuple[str, str]]) -> set[str]:
+    """Returns the headers that `Connection` names as hop-by-hop."""
+    return {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for token in value.split(",")
+    } - {ATTEMPT_ID.lower(), "host"}
+
+
+def _decode_count(text: str) -> int | None:
+    try:
+        value = int(text) if len(text) <= 12 else -1
+    except ValueError:
+        return None
+    return value if value >= 0 else None
+
+
+def _decode_pair(text: str) -> tuple[int, int]:
+    first, _, second = text.partition(",")
+    return _decode_count(first) or 0, _decode_count(second) or 0
+
+
+def _decode_parts(text: str) -> tuple[PromptPart, ...]:
+    if not text:
+        return ()
+    entries = text.split(",")
+    if len(entries) > _MAX_PROMPT_PARTS:
+        return ()
+    parts = []
+    for entry in entries:
+        identifier, _, tokens = entry.strip().partition(":")
+        count = _decode_count(tokens)
+        if not identifier or count is None:
+            return ()
+        parts.append(PromptPart(identifier, count))
+    return tuple(parts)
--- /dev/null
+++ b/crowwinch/platform/_settings.py
@@ -0,0 +1,175 @@
+"""Settings of a process as the platform writes them."""
+
+import ipaddress
+import tomllib
+from collections.abc import Mapping
+from typing import Annotated
+
+import msgspec
+
+from crowwinch.errors import Finding, SettingsError
+from crowwinch.forwarding import GatewaySettings, SocketAddress
+
+# Names the variable that holds the path of the settings file.
+SETTINGS_VARIABLE = "CROWWINCH_BOOT"
+_MILLISECONDS = 1000.0
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+
+
+class _Listen(msgspec.Struct):
+    Frontend: str
+    Readiness: str
+    Control: str
+
+
+class _Limits(msgspec.Struct):
+    MemoryMb: _Positive
+    MaxFds: Annotated[int, msgspec.Meta(gt=0)]
+
+
+class _Bounds(msgspec.Struct):
+    DrainMs: _NotNegative
+    GraceS: _Positive
+    ReuseAfterS: _NotNegative
+    RetryBudgetRatio: _NotNegative
+    BudgetWindowS: _Positive
+    QuotaWindowS: _Positive = 4.0
+
+
+class _Platform(msgspec.Struct):
+    Address: str
+
+
+class _Boot(msgspec.Struct):
+    """The parts of the settings file that a router uses."""
+
+    NodeName: Annotated[str, msgspec.Meta(min_length=1)]
+    Ip: str
+    Zone: Annotated[str, msgspec.Meta(min_length=1)]
+    # First and last port that routers may use among themselves.
+    PortRange: tuple[_Port, _Port]
+    Seeds: list[str]
+    Listen: _Listen
+    Limits: _Limits
+    Bounds: _Bounds
+    Platform: _Platform
+
+
+def load_boot_settings(path: str) -> GatewaySettings:
+    """Reads the settings file of the platform.
+
+    Args:
+        path: Where the file is.
+
+    Raises:
+        SettingsError: With one finding for each wrong or missing field.
+    """
+    try:
+        with open(path, "rb") as file:
+            values = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError([Finding(path, str(error))]) from error
+    return decode_boot_settings(values)
+
+
+def decode_boot_settings(values: Mapping[str, object]) -> GatewaySettings:
+    """Checks the fields of a settings file; unknown fields are ignored.
+
+    Raises:
+        SettingsError: With one finding for each wrong or missing field.
+    """
+    findings: list[Finding] = []
+    boot = _convert(values, _Boot, "", findings)
+    if boot is None:
+        raise SettingsError(findings)
+    addresses = {
+        "Listen.Frontend": boot.Listen.Frontend,
+        "Listen.Readiness": boot.Listen.Readiness,
+        "Listen.Control": boot.Listen.Control,
+        "Platform.Address": boot.Platform.Address,
+    } | {f"Seeds.{index}": seed for index, seed in enumerate(boot.Seeds)}
+    parsed = {
+        place: _parse_address(text, place, findings)
+        for place, text in addresses.items()
+    }
+    if findings:
+        raise SettingsError(findings)
+    bounds = boot.Bounds
+    return GatewaySettings(
+        name=boot.NodeName,
+        address=boot.Ip,
+        availability_zone=boot.Zone,
+        caller=parsed["Listen.Frontend"],
+        readiness=parsed["Listen.Readiness"],
+        control=parsed["Listen.Control"],
+        peer_port=boot.PortRange[0],
+        metrics_port=boot.PortRange[1],
+        seeds=tuple(parsed[f"Seeds.{i}"] for i in range(len(boot.Seeds))),
+        store=parsed["Platform.Address"],
+        memory_bytes=int(boot.Limits.MemoryMb * 1_000_000),
+        max_descriptors=boot.Limits.MaxFds,
+        drain_s=bounds.DrainMs / _MILLISECONDS,
+        stop_grace_s=bounds.GraceS,
+        address_reuse_s=bounds.ReuseAfterS,
+        retry_ratio=bounds.RetryBudgetRatio,
+        retry_window_s=bounds.BudgetWindowS,
+        share_window_s=bounds.QuotaWindowS,
+    )
+
+
+def _convert(
+    values: Mapping[str, object],
+    model: type[msgspec.Struct],
+    prefix: str,
+    findings: list[Finding],
+) -> msgspec.Struct | None:
+    """Converts a table field by field, so that all findings are reported."""
+    converted: dict[str, object] = {}
+    before = len(findings)
+    for field in msgspec.structs.fields(model):
+        place = f"{prefix}{field.name}"
+        if field.name not in values:
+            if field.required:
+                findings.append(Finding(place, "is required"))
+            continue
+        value = values[field.name]
+        nested = isinstance(field.type, type) and issubclass(
+            field.type, msgspec.Struct
+        )
+        if nested and isinstance(value, Mapping):
+            converted[field.name] = _convert(
+                value, field.type, f"{place}.", findings
+            )
+            continue
+        try:
+            converted[field.name] = msgspec.convert(value, field.type)
+        except msgspec.ValidationError as error:
+            findings.append(Finding(place, f"{error}, got {value!r}"))
+    return model(**converted) if len(findings) == before else None
+
+
+def _parse_address(
+    text: str, place: str, findings: list[Finding]
+) -> SocketAddress | None:
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        findings.append(Finding(place, str(error)))
+        return None
+
+
+def parse_address(text: str) -> SocketAddress:
+    """Parses `IP:PORT`.
+
+    Raises:
+        ValueError: If the text is not an IPv4 address and a port.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isascii() or not port.isdigit():
+        raise ValueError(f"{text!r} is not IP:PORT")
+    ipaddress.IPv4Address(host)
+    if not 1 <= int(port) <= 65535:
+        raise ValueError(f"{text!r} has a port out of range")
+    return SocketAddress(host, int(port))
--- /dev/null
+++ b/crowwinch/platform/_store.py
@@ -0,0 +1,157 @@
+"""Client of the platform's metadata store, which can only be read."""
+
+import base64
+import binascii
+from collections.abc import Sequence
+
+import aiohttp
+import msgspec
+
+from crowwinch.directory import (
+    Changes,
+    HistoryLostError,
+    Item,
+    Listing,
+    StoreError,
+)
+from crowwinch.forwarding import SocketAddress
+
+# Configuration and targets are the only items, so one watch covers both.
+_ALL_ITEMS = ""
+# The store answers in 4 ms; a store that is slowed 100 times still answers.
+_CALL_TIMEOUT_S = 1.0
+_CONNECT_TIMEOUT_S = 0.5
+_GONE_STATUS = 410
+
+
+class _Item(msgspec.Struct):
+    Key: str
+    Revision: int
+    Value: str = ""
+    Deleted: bool = False
+
+
+class _Range(msgspec.Struct):
+    CurrentRev: int
+    Items: list[_Item] = []
+    Truncated: bool = False
+
+
+class _Watch(msgspec.Struct):
+    CurrentRev: int
+    events: list[_Item] = []
+
+
+class StoreClient:
+    """Reads items and waits for their changes."""
+
+    def __init__(self, address: SocketAddress) -> None:
+        """Stores the address; connections are made by calls."""
+        self._base = f"http://{address}"
+        self._session: aiohttp.ClientSession | None = None
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Calls made so far; a waiting watch counts as one."""
+        return self._calls
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def list_items(self) -> Listing:
+        """Returns all items.
+
+        The pages are not one snapshot: the revision is that of the first page,
+        and changes after it are to be read with `watch`.
+
+        Raises:
+            StoreError: If the store is down, refuses or answers nonsense.
+        """
+        items: list[Item] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            query = {"Prefix": _ALL_ITEMS}
+            if after:
+                query["After"] = after
+            page = await self._get("/kv-range", query, _Range, 0.0)
+            revision = page.CurrentRev if revision is None else revision
+            items.extend(_decode_items(page.Items))
+            if not page.Truncated or not page.Items:
+                return Listing(revision, tuple(items))
+            after = page.Items[-1].Key
+
+    async def watch(self, revision: int, wait_s: float) -> Changes:
+        """Waits for changes after a revision.
+
+        Args:
+            revision: Changes up to here are known.
+            wait_s: Longest wait in seconds.
+
+        Raises:
+            HistoryLostError: If the store no longer has these changes.
+            StoreError: If the store is down, refuses or answers nonsense.
+        """
+        query = {
+            "Prefix": _ALL_ITEMS,
+            "After": str(revision),
+            "WaitMs": str(int(wait_s * 1000)),
+        }
+        answer = await self._get("/kv-watch", query, _Watch, wait_s)
+        return Changes(answer.CurrentRev, tuple(_decode_items(answer.events)))
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, str],
+        model: type[msgspec.Struct],
+        wait_s: float,
+    ) -> msgspec.Struct:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        self._calls += 1
+        try:
+            async with self._session.get(
+                self._base + path,
+                params=query,
+                timeout=aiohttp.ClientTimeout(
+                    total=wait_s + _CALL_TIMEOUT_S,
+                    sock_connect=_CONNECT_TIMEOUT_S,
+                ),
+            ) as answer:
+                body = await answer.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            # The connection on which an answer was lost returns nothing more.
+            await self.stop()
+            raise StoreError(f"{path}: {error!r}") from error
+        if answer.status == _GONE_STATUS:
+            raise HistoryLostError(f"{path}: history is gone")
+        if answer.status != 200:
+            raise StoreError(f"{path}: status {answer.status}")
+        try:
+            return msgspec.json.decode(body, type=model)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise StoreError(f"{path}: {error}") from error
+
+
+def _decode_items(items: Sequence[_Item]) -> list[Item]:
+    return [
+        Item(
+            item.Key,
+            item.Revision,
+            None if item.Deleted else _decode_value(item.Value),
+        )
+        for item in items
+    ]
+
+
+def _decode_value(text: str) -> bytes:
+    """Decodes base64; other text stays as bytes that no decoder accepts."""
+    try:
+        return base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError):
+        return b""
--- /dev/null
+++ b/crowwinch/sharing/__init__.py
@@ -0,0 +1,47 @@
+"""Decisions on shares, placing, waiting and refusing.
+
+The package holds no sockets and reads time only from a clock.
+"""
+
+from crowwinch.sharing._admission import Admission, Ticket
+from crowwinch.sharing._health import TargetHealth
+from crowwinch.sharing._loads import Reservation, TargetLoads, TargetUse
+from crowwinch.sharing._model import (
+    Decision,
+    PromptPart,
+    TargetView,
+    Verdict,
+    Work,
+)
+from crowwinch.sharing._placer import Candidate, Placer
+from crowwinch.sharing._prefixes import KeptPrefixes
+from crowwinch.sharing._repeats import CrashCounts, RepeatBudget
+from crowwinch.sharing._shares import (
+    WorkspaceShares,
+    WorkspaceUse,
+    max_min_shares,
+)
+from crowwinch.sharing._speeds import EngineSpeeds
+
+__all__ = [
+    "Admission",
+    "Candidate",
+    "CrashCounts",
+    "Decision",
+    "EngineSpeeds",
+    "KeptPrefixes",
+    "Placer",
+    "PromptPart",
+    "RepeatBudget",
+    "Reservation",
+    "TargetHealth",
+    "TargetLoads",
+    "TargetUse",
+    "TargetView",
+    "Ticket",
+    "Verdict",
+    "Work",
+    "WorkspaceShares",
+    "WorkspaceUse",
+    "max_min_shares",
+]
--- /dev/null
+++ b/crowwinch/sharing/_admission.py
@@ -0,0 +1,224 @@
+"""Decides whose request goes next, who waits and who is refused.
+
+Answers overload: what is sent to an engine can no longer be ordered, so
+requests wait here, where small workspaces go before large ones, and those that
+would be answered too late are refused at once.
+"""
+
+import itertools
+import math
+from collections import deque
+from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from crowwinch.coordination import Clock
+from crowwinch.sharing._model import Decision, TargetView, Verdict, Work
+from crowwinch.sharing._placer import Candidate, Placer
+from crowwinch.sharing._shares import WorkspaceShares
+
+# Time to the first event that is assumed to be wanted if a route does not say.
+_DEFAULT_LATENCY_S = 1.0
+# A request within its workspace's share waits this many times its target
+# latency; later answers are still worth a part.
+_PATIENCE = 1.5
+# One beyond the share is refused before its wait matters to its caller.
+_OVER_SHARE_PATIENCE = 0.125
+# Requests beyond the share leave this part of each batch to the others.
+_OVER_SHARE_USE = 0.75
+_OVER_SHARE_LATENCY = 0.7
+# An engine with less unread work takes a request even if it will be late.
+_IDLE_WAIT_S = 0.15
+# Repeats of refused requests are spread over this part of their wait.
+_RETRY_SPREAD = 0.5
+_SHORTEST_RETRY_S = 0.2
+_LONGEST_RETRY_S = 2.5
+# A service without targets gets them again by a restart or a new entry.
+_NO_TARGET_PATIENCE_S = 0.3
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request that waits for a target.
+
+    Attributes:
+        work: What it asks.
+        arrived: Monotonic time of its arrival.
+        deadline: Monotonic time after which no answer helps.
+        on_decision: Called once with the end of the wait.
+        excluded: Targets that are not to be used.
+    """
+
+    work: Work
+    arrived: float
+    deadline: float
+    on_decision: Callable[[Decision], None]
+    excluded: Collection[str] = ()
+    is_done: bool = field(default=False, init=False)
+
+
+class Admission:
+    """Waiting requests of one router, by service and workspace."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        placer: Placer,
+        shares: WorkspaceShares,
+        targets: Callable[[str], Sequence[TargetView]],
+        random: Callable[[], float],
+    ) -> None:
+        """Creates an empty queue.
+
+        Args:
+            clock: Monotonic time.
+            placer: Forecasts for targets.
+            shares: Use of workspaces over the fleet.
+            targets: Returns the targets of a service.
+            random: Returns a number from 0 to 1, to spread repeats.
+        """
+        self._clock = clock
+        self._placer = placer
+        self._shares = shares
+        self._targets = targets
+        self._random = random
+        self._queues: dict[str, dict[str, deque[Ticket]]] = {}
+        self._waiting = 0
+        self._order = itertools.count()
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return self._waiting
+
+    def submit(self, ticket: Ticket) -> None:
+        """Decides at once or lets a request wait."""
+        queues = self._queues.setdefault(ticket.work.service, {})
+        if not any(queues.values()):
+            decision = self._decide(ticket, self._clock.monotonic())
+            if decision is not None:
+                self._finish(ticket, decision)
+                return
+        queue = queues.setdefault(ticket.work.workspace, deque())
+        queue.append(ticket)
+        self._waiting += 1
+        if len(queue) > 1 or len(queues) > 1:
+            self.poll()
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Removes a request whose caller has left."""
+        if ticket.is_done:
+            return
+        ticket.is_done = True
+        queue = self._queues.get(ticket.work.service, {}).get(
+            ticket.work.workspace
+        )
+        if queue is not None and ticket in queue:
+            queue.remove(ticket)
+            self._waiting -= 1
+
+    def poll(self) -> None:
+        """Decides all waiting requests that can be decided now."""
+        if not self._waiting:
+            return
+        now = self._clock.monotonic()
+        for queues in self._queues.values():
+            for workspace in self._fair_order(queues):
+                self._poll_workspace(queues[workspace], now)
+            for workspace in [name for name, q in queues.items() if not q]:
+                del queues[workspace]
+
+    def _fair_order(self, queues: Mapping[str, deque[Ticket]]) -> Sequence[str]:
+        """Returns the workspaces, those that got least first."""
+        return sorted(queues, key=self._shares.served)
+
+    def _poll_workspace(self, queue: deque[Ticket], now: float) -> None:
+        for ticket in list(queue):
+            decision = self._decide(ticket, now)
+            if decision is None:
+                continue
+            queue.remove(ticket)
+            self._waiting -= 1
+            self._finish(ticket, decision)
+
+    def _finish(self, ticket: Ticket, decision: Decision) -> None:
+        ticket.is_done = True
+        ticket.on_decision(decision)
+
+    def _decide(self, ticket: Ticket, now: float) -> Decision | None:
+        """Returns the end of a wait, or None while the request is to wait."""
+        work = ticket.work
+        targets = self._targets(work.service)
+        candidates = [
+            candidate
+            for candidate in self._placer.candidates(
+                work, targets, ticket.excluded
+            )
+            if self._placer.has_connection(candidate.target)
+        ]
+        waited = now - ticket.arrived
+        if not candidates:
+            if waited < min(
+                _NO_TARGET_PATIENCE_S, ticket.deadline - ticket.arrived
+            ):
+                return None
+            return Decision(
+                Verdict.REFUSE_NO_TARGET, retry_after_s=self._spread(0.5)
+            )
+        latency = work.target_latency_s or _DEFAULT_LATENCY_S
+        is_within = self._shares.is_within(work.workspace, work.cost)
+        chosen = next(
+            (
+                candidate
+                for candidate in candidates
+                if _has_room(candidate, is_within, latency, waited)
+            ),
+            None,
+        )
+        if chosen is not None:
+            return Decision(
+                Verdict.SEND,
+                target=chosen.target.identifier,
+                unread_tokens=chosen.unread_tokens,
+                expected_s=chosen.expected_s,
+            )
+        patience = latency * (_PATIENCE if is_within else _OVER_SHARE_PATIENCE)
+        if waited < min(patience, ticket.deadline - ticket.arrived):
+            return None
+        if is_within:
+            return Decision(
+                Verdict.REFUSE_OVERLOAD,
+                retry_after_s=self._spread(candidates[0].expected_s),
+            )
+        return Decision(
+            Verdict.REFUSE_OVER_SHARE,
+            retry_after_s=self._spread(self._until_within(work)),
+        )
+
+    def _until_within(self, work: Work) -> float:
+        """Returns seconds until the share has room again without new work."""
+        level = max(self._shares.level - work.cost / 2, 1.0)
+        ratio = self._shares.served(work.workspace) / level
+        return self._shares.window_s * math.log(max(ratio, 1.0))
+
+    def _spread(self, seconds: float) -> float:
+        base = min(max(seconds, _SHORTEST_RETRY_S), _LONGEST_RETRY_S)
+        return base * (1 + _RETRY_SPREAD * self._random())
+
+
+def _has_room(
+    candidate: Candidate, is_within: bool, latency: float, waited: float
+) -> bool:
+    """Returns whether a target may take a request now."""
+    if candidate.use >= 1.0:
+        return False
+    if not candidate.target.is_engine:
+        return True
+    if not is_within:
+        return (
+            candidate.use < _OVER_SHARE_USE
+            and candidate.expected_s + waited <= latency * _OVER_SHARE_LATENCY
+        )
+    return (
+        candidate.expected_s + waited <= latency
+        or candidate.waiting_s <= _IDLE_WAIT_S
+    )
--- /dev/null
+++ b/crowwinch/sharing/_model.py
@@ -0,0 +1,101 @@
+"""What the decisions of the sharing package are about."""
+
+import enum
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that requests may share.
+
+    Attributes:
+        identifier: Same for equal parts.
+        tokens: Size of the part.
+    """
+
+    identifier: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What a request asks of a target.
+
+    Attributes:
+        service: Service that runs the request.
+        workspace: Workspace that is charged, empty if none.
+        model: Model that reads the prompt.
+        parts: Parts of the prompt in order; the last is not shared.
+        prompt_tokens: Size of the prompt.
+        output_tokens: Expected size of the answer.
+        target_latency_s: Time in which the answer is worth most, 0 if unknown.
+        priority: Rank, 0 is the most urgent.
+    """
+
+    service: str
+    workspace: str = ""
+    model: str = ""
+    parts: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    target_latency_s: float = 0.0
+    priority: int = 0
+
+    @property
+    def cost(self) -> int:
+        """Service units: a token read counts once, a token written twice."""
+        return max(self.prompt_tokens + 2 * self.output_tokens, 1)
+
+
+@dataclass(frozen=True, slots=True)
+class TargetView:
+    """A target that may be used.
+
+    Attributes:
+        identifier: Identifies the target.
+        life: Start of the target; a restart forgets all it kept.
+        service: Service that it belongs to.
+        is_local: Whether it is in this router's availability zone.
+        slots: Requests that it runs at once.
+        memory_tokens: Tokens that it keeps, 0 for a plain service.
+        max_connections: Connections that it accepts of all routers, 0 if
+            unknown.
+        is_engine: Whether it is a model engine.
+    """
+
+    identifier: str
+    life: int
+    service: str
+    is_local: bool
+    slots: int
+    memory_tokens: float = 0.0
+    max_connections: int = 0
+    is_engine: bool = False
+
+
+class Verdict(enum.Enum):
+    """What becomes of a waiting request."""
+
+    SEND = "send"
+    REFUSE_OVERLOAD = "refuse_overload"
+    REFUSE_OVER_SHARE = "refuse_over_share"
+    REFUSE_NO_TARGET = "refuse_no_target"
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """The end of a wait.
+
+    Attributes:
+        verdict: What to do.
+        target: Where to send, empty for a refusal.
+        unread_tokens: Prompt tokens that the target is expected to read.
+        expected_s: Forecast of the time to the first event.
+        retry_after_s: When a refused caller may return.
+    """
+
+    verdict: Verdict
+    target: str = ""
+    unread_tokens: int = 0
+    expected_s: float = 0.0
+    retry_after_s: float = 0.0
--- /dev/null
+++ b/crowwinch/sharing/_repeats.py
@@ -0,0 +1,123 @@
+"""Limits of repeats: a budget, and requests that crash targets."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+
+from crowwinch.coordination import Clock
+
+# Part of the fleet's budget that routers use; the rest covers requests that
+# were counted in another window than their repeats.
+_USED_SHARE = 0.6
+# Repeats that are always allowed in a window, so that a router with little
+# traffic can leave a target that went away.
+_FREE_REPEATS = 2
+# A request that was in flight at so many crashes is refused.
+_CRASHES_TO_REFUSE = 3
+_CRASH_EXPIRY_S = 120.0
+_CRASH_CAPACITY = 4096
+
+
+class RepeatBudget:
+    """Repeats of one service at one router.
+
+    Every router allows a part of its own requests, so the sum over the fleet
+    stays within the same part of all requests without any exchange.
+    """
+
+    def __init__(self, clock: Clock, ratio: float, window_s: float) -> None:
+        """Creates an unused budget.
+
+        Args:
+            clock: Monotonic time.
+            ratio: Repeats allowed for each request.
+            window_s: Time over which both are counted.
+        """
+        self._clock = clock
+        self._ratio = ratio * _USED_SHARE
+        self._window_s = window_s
+        self._requests: dict[str, deque[float]] = {}
+        self._repeats: dict[str, deque[float]] = {}
+
+    def note_request(self, service: str) -> None:
+        """Counts a request of a caller."""
+        self._recent(self._requests, service).append(self._clock.monotonic())
+
+    def has_room(self, service: str) -> bool:
+        """Returns whether the budget allows a repeat."""
+        repeats = self._recent(self._repeats, service)
+        requests = self._recent(self._requests, service)
+        return len(repeats) < self._ratio * len(requests) + _FREE_REPEATS
+
+    def take(self, service: str) -> bool:
+        """Counts a repeat; returns whether the budget allows it."""
+        if not self.has_room(service):
+            return False
+        self._recent(self._repeats, service).append(self._clock.monotonic())
+        return True
+
+    def _recent(
+        self, counts: dict[str, deque[float]], service: str
+    ) -> deque[float]:
+        times = counts.setdefault(service, deque())
+        oldest = self._clock.monotonic() - self._window_s
+        while times and times[0] < oldest:
+            times.popleft()
+        return times
+
+
+class CrashCounts:
+    """Counts the crashes at which a request was in flight.
+
+    Counts of other routers are merged by maximum of each router's own count,
+    so a repeated report changes nothing.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Creates empty counts."""
+        self._clock = clock
+        self._own: OrderedDict[str, tuple[float, int]] = OrderedDict()
+        self._peers: OrderedDict[str, tuple[float, dict[str, int]]] = (
+            OrderedDict()
+        )
+
+    def note_crash(self, digest: str) -> None:
+        """Counts a crash with a request in flight from this router."""
+        _, count = self._own.pop(digest, (0.0, 0))
+        self._own[digest] = (self._clock.monotonic(), count + 1)
+        if len(self._own) > _CRASH_CAPACITY:
+            self._own.popitem(last=False)
+
+    def own_counts(self) -> list[tuple[str, int]]:
+        """Returns the counts of this router for the others."""
+        self._expire()
+        return [(digest, count) for digest, (_, count) in self._own.items()]
+
+    def note_peer(self, peer: str, counts: Iterable[tuple[str, int]]) -> None:
+        """Merges the counts of another router."""
+        now = self._clock.monotonic()
+        for digest, count in counts:
+            _, known = self._peers.pop(digest, (0.0, {}))
+            known[peer] = max(known.get(peer, 0), count)
+            self._peers[digest] = (now, known)
+            if len(self._peers) > _CRASH_CAPACITY:
+                self._peers.popitem(last=False)
+
+    def is_refused(self, digest: str) -> bool:
+        """Returns whether a request crashed too many targets."""
+        if not self._own and not self._peers:
+            return False
+        self._expire()
+        own = self._own.get(digest, (0.0, 0))[1]
+        peers = self._peers.get(digest, (0.0, {}))[1]
+        return own + sum(peers.values()) >= _CRASHES_TO_REFUSE
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no request was in flight at a crash."""
+        return not self._own and not self._peers
+
+    def _expire(self) -> None:
+        oldest = self._clock.monotonic() - _CRASH_EXPIRY_S
+        for table in (self._own, self._peers):
+            while table and next(iter(table.values()))[0] < oldest:
+                table.popitem(last=False)
--- /dev/null
+++ b/crowwinch/sharing/_shares.py
@@ -0,0 +1,206 @@
+"""Shares of workspaces in the capacity of all targets."""
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from crowwinch.coordination import Clock
+
+# Below this, a count is as good as none.
+_NEGLIGIBLE = 1.0
+# A router that has been silent this long no longer counts.
+_PEER_EXPIRY_S = 10.0
+
+
+class DecayingCount:
+    """A count in which each addition fades with a time constant.
+
+    At a steady rate the value approaches the rate times the time constant, so
+    it stands for the amount in a sliding window of that length.
+    """
+
+    __slots__ = ("_at", "_value")
+
+    def __init__(self) -> None:
+        """Starts at zero."""
+        self._value = 0.0
+        self._at = 0.0
+
+    def add(self, amount: float, now: float, window_s: float) -> None:
+        """Adds an amount at a time."""
+        self._value = self.value(now, window_s) + amount
+        self._at = now
+
+    def set(self, value: float, now: float) -> None:
+        """Replaces the value."""
+        self._value = value
+        self._at = now
+
+    def value(self, now: float, window_s: float) -> float:
+        """Returns the faded value at a time."""
+        return self._value * math.exp(-max(now - self._at, 0.0) / window_s)
+
+
+@dataclass(slots=True)
+class _Use:
+    asked: DecayingCount
+    served: DecayingCount
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceUse:
+    """Service units of a workspace at one router.
+
+    Attributes:
+        workspace: Name of the workspace.
+        asked: Units asked for in the window.
+        served: Units given out in the window.
+    """
+
+    workspace: str
+    asked: float
+    served: float
+
+
+def max_min_shares(
+    asked: Mapping[str, float], capacity: float
+) -> dict[str, float]:
+    """Divides a capacity so that the smallest shares are as large as possible.
+
+    Args:
+        asked: Amount that each workspace asks for.
+        capacity: Amount to divide.
+
+    Returns:
+        The share of each workspace: what it asks, or the common level.
+    """
+    shares: dict[str, float] = {}
+    left = capacity
+    waiting = sorted(asked.items(), key=lambda entry: entry[1])
+    for index, (workspace, amount) in enumerate(waiting):
+        level = max(left, 0.0) / (len(waiting) - index)
+        shares[workspace] = min(amount, level)
+        left -= shares[workspace]
+    return shares
+
+
+class WorkspaceShares:
+    """Counts what workspaces ask and get over the fleet.
+
+    Every router counts its own requests and hears the counts of the others.
+    The max-min level is what a workspace may use while others wait.
+    """
+
+    def __init__(self, clock: Clock, window_s: float) -> None:
+        """Creates empty counts.
+
+        Args:
+            clock: Decides how far counts have faded.
+            window_s: Time constant of all counts.
+        """
+        self._clock = clock
+        self._window_s = window_s
+        self._own: dict[str, _Use] = {}
+        self._peers: dict[str, tuple[float, dict[str, _Use]]] = {}
+        self._capacity_per_s: float | None = None
+        self._level = math.inf
+        self._totals: dict[str, float] = {}
+
+    @property
+    def window_s(self) -> float:
+        """Time constant of all counts in seconds."""
+        return self._window_s
+
+    @property
+    def level(self) -> float:
+        """Units that a workspace may use in a window, inf without a limit."""
+        return self._level
+
+    def set_capacity(self, units_per_s: float | None) -> None:
+        """Sets what all targets serve a second, None if unknown."""
+        self._capacity_per_s = units_per_s
+
+    def note_asked(self, workspace: str, units: float) -> None:
+        """Counts a request that arrived here."""
+        self._add(workspace, units, 0.0)
+
+    def note_served(self, workspace: str, units: float) -> None:
+        """Counts a request that was sent to a target."""
+        self._add(workspace, 0.0, units)
+        if workspace in self._totals:
+            self._totals[workspace] += units
+
+    def note_returned(self, workspace: str, units: float) -> None:
+        """Takes back a count of a request that did not run."""
+        self.note_served(workspace, -units)
+
+    def own_use(self) -> list[WorkspaceUse]:
+        """Returns the counts of this router for the others."""
+        now = self._clock.monotonic()
+        uses = []
+        for workspace, use in list(self._own.items()):
+            asked = use.asked.value(now, self._window_s)
+            served = use.served.value(now, self._window_s)
+            if max(asked, served) < _NEGLIGIBLE:
+                del self._own[workspace]
+                continue
+            uses.append(WorkspaceUse(workspace, asked, max(served, 0.0)))
+        return uses
+
+    def note_peer(self, peer: str, uses: Sequence[WorkspaceUse]) -> None:
+        """Replaces the counts of another router."""
+        now = self._clock.monotonic()
+        counts = {}
+        for use in uses:
+            counts[use.workspace] = _Use(DecayingCount(), DecayingCount())
+            counts[use.workspace].asked.set(use.asked, now)
+            counts[use.workspace].served.set(use.served, now)
+        self._peers[peer] = (now, counts)
+
+    def refresh(self) -> None:
+        """Computes totals and the max-min level from all counts."""
+        now = self._clock.monotonic()
+        for peer, (heard, _) in list(self._peers.items()):
+            if now - heard > _PEER_EXPIRY_S:
+                del self._peers[peer]
+        asked: dict[str, float] = {}
+        self._totals = {}
+        for counts in (self._own, *(each for _, each in self._peers.values())):
+            for workspace, use in counts.items():
+                asked[workspace] = asked.get(workspace, 0.0) + use.asked.value(
+                    now, self._window_s
+                )
+                self._totals[workspace] = self._totals.get(
+                    workspace, 0.0
+                ) + use.served.value(now, self._window_s)
+        if self._capacity_per_s is None:
+            self._level = math.inf
+            return
+        capacity = self._capacity_per_s * self._window_s
+        if sum(asked.values()) <= capacity:
+            self._level = math.inf
+            return
+        self._level = max(max_min_shares(asked, capacity).values())
+
+    def served(self, workspace: str) -> float:
+        """Returns the units that a workspace got in the window."""
+        return self._totals.get(workspace, 0.0)
+
+    def is_within(self, workspace: str, units: float) -> bool:
+        """Returns whether a request fits into its workspace's share.
+
+        Half of a request may exceed the share, so that large requests are not
+        kept out of small shares.
+        """
+        return self.served(workspace) + units / 2 <= self._level
+
+    def _add(self, workspace: str, asked: float, served: float) -> None:
+        now = self._clock.monotonic()
+        use = self._own.get(workspace)
+        if use is None:
+            use = _Use(DecayingCount(), DecayingCount())
+            self._own[workspace] = use
+        if asked:
+            use.asked.add(asked, now, self._window_s)
+        if served:
+            use.served.add(served, now, self._window_s)
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -1,8 +1,9 @@
 """Builds the one-file program: a zip archive that Python runs.
 
-The archive unpacks itself once into a folder on a memory-backed file system,
-since extension modules cannot be loaded from an archive. The folder is
-/dev/shm/crowwinch unless SHIV_ROOT names another one. The program then runs in
+The archive unpacks itself once into a folder, since extension modules cannot be
+loaded from an archive. The folder is /tmp/crowwinch, the only place that the
+platform lets a process write to and which it keeps in memory, unless SHIV_ROOT
+names another one. The program then runs in
 the same process: it starts no other.
 """
 
@@ -14,7 +15,7 @@
 import tempfile
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
-UNPACK_FOLDER = "/dev/shm/crowwinch"
+UNPACK_FOLDER = "/tmp/crowwinch"
 
 
 def build(output: pathlib.Path) -> None:
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -14,9 +14,10 @@
 }
 # Defaults are always present, so UnsetType is not part of the types.
 generate peer_messages crowwinch.generated.bases.MessageStruct
+generate fleet_messages crowwinch.generated.bases.MessageStruct
 generate documents crowwinch.generated.bases.DocumentStruct
 generate settings crowwinch.generated.bases.DocumentStruct
-for name in peer_messages documents settings; do
+for name in peer_messages fleet_messages documents settings; do
   "$python" - "crowwinch/generated/$name.py" <<'PY'
 import pathlib, re, sys
 path = pathlib.Path(sys.argv[1])
