Place requests by modelled reading time and expected loss

Cause: the time to the first event was forecast from tokens at one learned speed; the samples mixed prompts and the speed ran away (58,000 tokens ahead, 0.08 s forecast, 1.77 s seen), and shared parts were read at several engines.

Change: prompts are modelled with a time for each token and for each pair of tokens, one ratio is learned from prompts read alone, and a target is chosen by the expected loss of a late answer and of parts that are read again.

--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -98,7 +98,9 @@
             revision=self._state.revision,
             is_leaving=self._is_leaving(),
             targets=[
-                TargetReport(use.target, use.active, use.unread_tokens)
+                TargetReport(
+                    use.target, use.active, round(use.reading_s * 1000)
+                )
                 for use in sharing.loads.own_use()
             ],
             workspaces=[
@@ -124,7 +126,9 @@
         sharing.loads.note_peer(
             peer,
             [
-                TargetUse(report.target, report.active, report.unread_tokens)
+                TargetUse(
+                    report.target, report.active, report.reading_ms / 1000
+                )
                 for report in update.targets
             ],
         )
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -54,6 +54,9 @@
 # caused by its crash.
 _CRASH_WINDOW_S = 1.5
 _CRASH_RETRY_S = 5.0
+# A prompt with less to read before it than this part of its own counts as read
+# alone, so that its time says how fast the engine reads.
+_READ_ALONE_SHARE = 0.1
 
 _REFUSALS = {
     Verdict.REFUSE_OVERLOAD: RefusalReason.DEADLINE_UNREACHABLE,
@@ -290,9 +293,8 @@
             raise AttemptError("the target is gone", may_have_run=False)
         call, work = run.call, run.work
         started = self._clock.monotonic()
-        pending = self._sharing.loads.unread(decision.target)
         reservation = self._sharing.loads.reserve(
-            decision.target, decision.unread_tokens
+            decision.target, decision.reading_s
         )
         self._sharing.shares.note_served(work.workspace, work.cost)
         self._note_prefix(run, decision.target)
@@ -301,7 +303,7 @@
             {
                 "target": decision.target,
                 "unread_tokens": decision.unread_tokens,
-                "pending_tokens": round(pending),
+                "ahead_s": round(decision.waiting_s, 3),
                 "expected_s": round(decision.expected_s, 3),
                 "waited_s": round(started - call.arrived, 3),
             }
@@ -332,7 +334,7 @@
                 raise AttemptError(
                     f"target answered {answer.status}", may_have_run=True
                 )
-            progress = _Progress(self, run, reservation, started, pending)
+            progress = _Progress(self, run, reservation, started, decision)
             await self._pass_on(run, exchange, answer, progress)
             self._sharing.health.note_answer(
                 decision.target, answer.status < 500
@@ -497,14 +499,16 @@
             self._metrics.count("callers_gone")
 
     def note_first_event(
-        self, run: "_Run", seconds: float, tokens: float
+        self, run: "_Run", decision: Decision, seconds: float
     ) -> None:
         """Learns from the first event of an engine's answer."""
-        if run.work.parts or run.work.prompt_tokens:
+        if not run.work.prompt_tokens:
+            return
+        self._metrics.observe("first_event", seconds)
+        if decision.waiting_s < decision.reading_s * _READ_ALONE_SHARE:
             self._sharing.speeds.note_first_event(
-                run.work.service, tokens, seconds
+                run.work.service, decision.reading_s, seconds
             )
-            self._metrics.observe("first_event", seconds)
 
     def _log(self, call: Call, run: _Run | None, code: str) -> None:
         elapsed = self._clock.monotonic() - call.arrived
@@ -541,13 +545,13 @@
         run: _Run,
         reservation: Reservation,
         started: float,
-        pending: float,
+        decision: Decision,
     ) -> None:
         self._forwarder = forwarder
         self._run = run
         self._reservation = reservation
         self._started = started
-        self._tokens = pending + reservation.unread_tokens
+        self._decision = decision
         self._is_first = True
 
     def note_event(self) -> None:
@@ -556,10 +560,9 @@
             return
         self._is_first = False
         self._reservation.note_first_event()
-        clock = self._forwarder.clock
-        self._forwarder.note_first_event(
-            self._run, clock.monotonic() - self._started, self._tokens
-        )
+        seconds = self._forwarder.clock.monotonic() - self._started
+        self._run.attempts[-1]["first_event_s"] = round(seconds, 3)
+        self._forwarder.note_first_event(self._run, self._decision, seconds)
         self._forwarder.poll()
 
 
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -179,6 +179,8 @@
                 Verdict.SEND,
                 target=chosen.target.identifier,
                 unread_tokens=chosen.unread_tokens,
+                reading_s=chosen.reading_s,
+                waiting_s=chosen.waiting_s,
                 expected_s=chosen.expected_s,
             )
         patience = latency * (_PATIENCE if is_within else _OVER_SHARE_PATIENCE)
--- a/crowwinch/sharing/_loads.py
+++ b/crowwinch/sharing/_loads.py
@@ -18,36 +18,31 @@
     Attributes:
         target: Identifier of the target.
         active: Requests sent and not finished.
-        unread_tokens: Prompt tokens sent and not yet read.
+        reading_s: Modelled time of prompts sent and not yet read.
     """
 
     target: str
     active: int
-    unread_tokens: int
+    reading_s: float
 
 
 class Reservation:
     """Work of one attempt at a target."""
 
-    __slots__ = ("_is_finished", "_load", "_unread")
+    __slots__ = ("_is_finished", "_load", "_reading_s")
 
-    def __init__(self, load: "_OwnLoad", unread_tokens: int) -> None:
+    def __init__(self, load: "_OwnLoad", reading_s: float) -> None:
         """Counts the work."""
         self._load = load
-        self._unread = unread_tokens
+        self._reading_s = reading_s
         self._is_finished = False
         load.active += 1
-        load.unread += unread_tokens
-
-    @property
-    def unread_tokens(self) -> int:
-        """Prompt tokens that the target still has to read."""
-        return self._unread
+        load.reading_s += reading_s
 
     def note_first_event(self) -> None:
         """Records that the prompt was read."""
-        self._load.unread -= self._unread
-        self._unread = 0
+        self._load.reading_s -= self._reading_s
+        self._reading_s = 0.0
 
     def finish(self) -> None:
         """Ends the work; further calls change nothing."""
@@ -60,7 +55,7 @@
 @dataclass(slots=True)
 class _OwnLoad:
     active: int = 0
-    unread: int = 0
+    reading_s: float = 0.0
 
 
 class TargetLoads:
@@ -78,10 +73,10 @@
         """Other routers whose reports count."""
         return len(self._peers)
 
-    def reserve(self, target: str, unread_tokens: int) -> Reservation:
+    def reserve(self, target: str, reading_s: float) -> Reservation:
         """Counts an attempt at a target."""
         load = self._own.setdefault(target, _OwnLoad())
-        return Reservation(load, unread_tokens)
+        return Reservation(load, reading_s)
 
     def note_peer(self, peer: str, uses: Sequence[TargetUse]) -> None:
         """Replaces the report of another router."""
@@ -104,17 +99,17 @@
             if age > _FRESH_S:
                 weight = (_EXPIRY_S - age) / (_EXPIRY_S - _FRESH_S)
             for use in uses:
-                active, unread = remote.get(use.target, (0.0, 0.0))
+                active, reading_s = remote.get(use.target, (0.0, 0.0))
                 remote[use.target] = (
                     active + weight * use.active,
-                    unread + weight * use.unread_tokens,
+                    reading_s + weight * use.reading_s,
                 )
         self._remote = remote
 
     def own_use(self) -> list[TargetUse]:
         """Returns the work of this router for the others."""
         return [
-            TargetUse(target, load.active, load.unread)
+            TargetUse(target, load.active, max(load.reading_s, 0.0))
             for target, load in self._own.items()
             if load.active
         ]
@@ -128,11 +123,11 @@
         """Returns the requests at a target."""
         return self.own_active(target) + self._remote.get(target, (0.0, 0))[0]
 
-    def unread(self, target: str) -> float:
-        """Returns the prompt tokens that a target has still to read."""
+    def reading_s(self, target: str) -> float:
+        """Returns the modelled time of prompts that a target has to read."""
         load = self._own.get(target)
-        own = load.unread if load else 0
-        return own + self._remote.get(target, (0, 0.0))[1]
+        own = load.reading_s if load else 0.0
+        return own + self._remote.get(target, (0.0, 0.0))[1]
 
     def forget_target(self, target: str) -> None:
         """Forgets a target that is gone, unless attempts still run."""
--- a/crowwinch/sharing/_model.py
+++ b/crowwinch/sharing/_model.py
@@ -90,6 +90,8 @@
         verdict: What to do.
         target: Where to send, empty for a refusal.
         unread_tokens: Prompt tokens that the target is expected to read.
+        reading_s: Modelled time to read them.
+        waiting_s: Modelled time of the prompts before them.
         expected_s: Forecast of the time to the first event.
         retry_after_s: When a refused caller may return.
     """
@@ -97,5 +99,7 @@
     verdict: Verdict
     target: str = ""
     unread_tokens: int = 0
+    reading_s: float = 0.0
+    waiting_s: float = 0.0
     expected_s: float = 0.0
     retry_after_s: float = 0.0
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -13,7 +13,7 @@
 from crowwinch.sharing._loads import TargetLoads
 from crowwinch.sharing._model import TargetView, Work
 from crowwinch.sharing._prefixes import KeptPrefixes, home_key
-from crowwinch.sharing._speeds import EngineSpeeds
+from crowwinch.sharing._speeds import EngineSpeeds, read_seconds
 
 # A request waits about half of a typical request for a place in a full batch.
 _FULL_BATCH_S = 0.5
@@ -24,6 +24,17 @@
 _REMOTE_ZONE_REQUESTS = 0.5
 # A router leaves this part of a target's connections to the others.
 _CONNECTION_SHARE = 0.9
+# Value of a request that is lost when it is late, as part of its cost.
+_LATE_LOSS = 0.7
+# An answer is rarely late below the first forecast, as part of the wanted
+# time, and nearly always above the second.
+_LATE_FROM = 0.6
+_LATE_UP_TO = 1.4
+# Value of an answer that comes early; spreads load among equal targets.
+_EARLY_VALUE = 0.1
+# Price of a shared token that is read again, in service units.
+_READ_AGAIN_PRICE = 0.8
+_DEFAULT_LATENCY_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,16 +44,20 @@
     Attributes:
         target: The target.
         unread_tokens: Prompt tokens that it would have to read.
-        waiting_s: Time until it begins to read them.
+        reading_s: Modelled time to read them.
+        waiting_s: Modelled time of the prompts before them.
         expected_s: Time to the first event.
         use: Requests at the target as part of its slots.
+        loss: Expected loss of value by choosing this target.
     """
 
     target: TargetView
     unread_tokens: int
+    reading_s: float
     waiting_s: float
     expected_s: float
     use: float
+    loss: float
 
 
 class Placer:
@@ -81,7 +96,7 @@
             if not self._health.is_blocked(target.identifier)
         ]
         forecasts = self._forecast(work, reachable or usable)
-        return sorted(forecasts, key=lambda candidate: candidate.expected_s)
+        return sorted(forecasts, key=lambda candidate: candidate.loss)
 
     def has_connection(self, target: TargetView) -> bool:
         """Returns whether this router may open a connection more."""
@@ -111,19 +126,28 @@
         self, work: Work, target: TargetView, is_home: bool
     ) -> Candidate:
         identifier = target.identifier
+        shared = sum(part.tokens for part in work.parts[:-1])
         kept = self._prefixes.kept_tokens(identifier, work.model, work.parts)
         if is_home:
             # Other routers send the same prefix here.
-            kept = max(kept, sum(part.tokens for part in work.parts[:-1]))
+            kept = max(kept, shared)
         unread = max(work.prompt_tokens - kept, 1)
-        speed = self._speeds.read_tokens_per_s(work.service)
-        waiting = self._loads.unread(identifier) / speed
+        reading = read_seconds(unread, kept)
+        waiting = self._loads.reading_s(identifier)
         use = self._loads.active(identifier) / max(target.slots, 1)
-        expected = self._speeds.base_s(work.service) + waiting + unread / speed
+        expected = self._speeds.first_event_s(work.service, waiting + reading)
         if use >= 1.0:
             expected += _FULL_BATCH_S * use
         expected += _FAILURE_S * self._health.failing_share(identifier)
-        return Candidate(target, unread, waiting, expected, use)
+        return Candidate(
+            target=target,
+            unread_tokens=unread,
+            reading_s=reading,
+            waiting_s=waiting,
+            expected_s=expected,
+            use=use,
+            loss=_engine_loss(work, expected, max(shared - kept, 0)),
+        )
 
     def _plain(self, target: TargetView) -> Candidate:
         identifier = target.identifier
@@ -132,4 +156,23 @@
         load = active + (0.0 if target.is_local else _REMOTE_ZONE_REQUESTS)
         expected = load / slots
         expected += _FAILURE_S * self._health.failing_share(identifier)
-        return Candidate(target, 0, 0.0, expected, active / slots)
+        return Candidate(
+            target=target,
+            unread_tokens=0,
+            reading_s=0.0,
+            waiting_s=0.0,
+            expected_s=expected,
+            use=active / slots,
+            loss=expected,
+        )
+
+
+def _engine_loss(work: Work, expected_s: float, read_again: int) -> float:
+    """Returns the expected loss in service units."""
+    ratio = expected_s / (work.target_latency_s or _DEFAULT_LATENCY_S)
+    late = (ratio - _LATE_FROM) / (_LATE_UP_TO - _LATE_FROM)
+    late = min(max(late, 0.0), 1.0)
+    return (
+        work.cost * (_LATE_LOSS * late + _EARLY_VALUE * ratio)
+        + _READ_AGAIN_PRICE * read_again
+    )
