Grade service beyond the shares and refuse late requests while stopping

Change: the part of a batch and of the wanted time that a request may use shrinks with its workspace's use of its share. A stopping router refuses requests from 2.5 s after SIGTERM, with a short Retry-After.

The tests play a load of 5 and 3 workspaces on modelled engines against a baseline without a queue.

--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -26,6 +26,8 @@
 # Part of the process's memory that bodies of requests may take.
 _BODY_MEMORY_SHARE = 0.2
 _MEMORY_RETRY_S = 0.5
+# Another router takes the request at once.
+_STOPPING_RETRY_S = 0.05
 # Never sent: the caller has left before its answer.
 _CALLER_GONE_STATUS = 499
 
@@ -76,6 +78,7 @@
         self._body_bytes = 0
         self._active = 0
         self._closes = False
+        self._refuses = False
         self._runner: web.ServerRunner | None = None
         self._site: web.TCPSite | None = None
 
@@ -110,6 +113,10 @@
         """Ends each connection with its next answer."""
         self._closes = True
 
+    def refuse_new(self) -> None:
+        """Refuses requests that arrive from now on."""
+        self._refuses = True
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = self._clock.monotonic()
         self._active += 1
@@ -126,6 +133,15 @@
     ) -> web.StreamResponse:
         head = self._codec.decode_request(request.headers)
         call = Call(request, head, b"", arrived, lambda: self._closes)
+        if self._refuses:
+            return await self._refuse(
+                call,
+                RefusalError(
+                    RefusalReason.SHUTTING_DOWN,
+                    "the router is stopping",
+                    retry_after_s=_STOPPING_RETRY_S,
+                ),
+            )
         if self._body_bytes > self._body_capacity:
             return await self._refuse(
                 call,
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -45,7 +45,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# The balancer takes a router out after two questions, asked once a second.
+# The balancer takes a router out after two questions, asked once a second. If
+# too few others are in rotation it goes on to send; a stream that starts later
+# would often be cut at the end of the grace time, so it is refused.
 _OUT_OF_ROTATION_S = 2.5
 # The process ends this long before it would be killed.
 _STOP_MARGIN_S = 0.4
@@ -206,8 +208,10 @@
         earliest = now + _OUT_OF_ROTATION_S
         latest = now + self._settings.stop_grace_s - _STOP_MARGIN_S
         while (now := self._clock.monotonic()) < latest:
-            if now >= earliest and not self._callers.active:
-                break
+            if now >= earliest:
+                self._callers.refuse_new()
+                if not self._callers.active:
+                    break
             await asyncio.sleep(_DRAIN_POLL_S)
         _LOGGER.info("shutdown finished", extra={"cut": self._callers.active})
         self._stopped.set()
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -23,9 +23,12 @@
 _PATIENCE = 1.5
 # One beyond the share is refused before its wait matters to its caller.
 _OVER_SHARE_PATIENCE = 0.125
-# Requests beyond the share leave this part of each batch to the others.
-_OVER_SHARE_USE = 0.75
-_OVER_SHARE_LATENCY = 0.7
+# A request just beyond the share may use this part of a batch and of its target
+# latency. Both shrink with the use of the share, so that workspaces beyond it
+# get about equal amounts of what is left over.
+_OVER_SHARE_USE = 0.8
+_OVER_SHARE_LATENCY = 0.8
+_OVER_SHARE_EXPONENT = 0.7
 # An engine with less unread work takes a request even if it will be late.
 _IDLE_WAIT_S = 0.15
 # Repeats of refused requests are spread over this part of their wait.
@@ -165,12 +168,13 @@
                 Verdict.REFUSE_NO_TARGET, retry_after_s=self._spread(0.5)
             )
         latency = work.target_latency_s or _DEFAULT_LATENCY_S
-        is_within = self._shares.is_within(work.workspace, work.cost)
+        share_use = self._shares.use_of_share(work.workspace, work.cost)
+        is_within = share_use <= 1.0
         chosen = next(
             (
                 candidate
                 for candidate in candidates
-                if _has_room(candidate, is_within, latency, waited)
+                if _has_room(candidate, share_use, latency, waited)
             ),
             None,
         )
@@ -208,17 +212,19 @@
 
 
 def _has_room(
-    candidate: Candidate, is_within: bool, latency: float, waited: float
+    candidate: Candidate, share_use: float, latency: float, waited: float
 ) -> bool:
     """Returns whether a target may take a request now."""
     if candidate.use >= 1.0:
         return False
     if not candidate.target.is_engine:
         return True
-    if not is_within:
+    if share_use > 1.0:
+        part = share_use**-_OVER_SHARE_EXPONENT
         return (
-            candidate.use < _OVER_SHARE_USE
-            and candidate.expected_s + waited <= latency * _OVER_SHARE_LATENCY
+            candidate.use < _OVER_SHARE_USE * part
+            and candidate.expected_s + waited
+            <= latency * _OVER_SHARE_LATENCY * part
         )
     return (
         candidate.expected_s + waited <= latency
--- a/crowwinch/sharing/_shares.py
+++ b/crowwinch/sharing/_shares.py
@@ -186,13 +186,15 @@
         """Returns the units that a workspace got in the window."""
         return self._totals.get(workspace, 0.0)
 
-    def is_within(self, workspace: str, units: float) -> bool:
-        """Returns whether a request fits into its workspace's share.
+    def use_of_share(self, workspace: str, units: float) -> float:
+        """Returns what a workspace uses with a request, as part of its share.
 
-        Half of a request may exceed the share, so that large requests are not
-        kept out of small shares.
+        Half of the request counts, so that large requests are not kept out of
+        small shares. Without contention it is 0.
         """
-        return self.served(workspace) + units / 2 <= self._level
+        if math.isinf(self._level):
+            return 0.0
+        return (self.served(workspace) + units / 2) / max(self._level, 1.0)
 
     def _add(self, workspace: str, asked: float, served: float) -> None:
         now = self._clock.monotonic()
--- /dev/null
+++ b/crowwinch/sharing/tests/engine_model.py
@@ -0,0 +1,154 @@
+"""Engines on a fake clock, for tests that play a load.
+
+An engine admits requests in order of arrival, reads one prompt at a time and
+writes the tokens of all running requests in common steps.
+"""
+
+import heapq
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from crowwinch.coordination import ManualClock
+from crowwinch.sharing import PromptPart, Reservation, Work
+from crowwinch.sharing._speeds import read_seconds
+
+STEP_S = 0.006
+
+
+@dataclass(eq=False)
+class Job:
+    """A request of the played load and what its caller got."""
+
+    work: Work
+    arrived: float
+    deadline: float
+    first_event: float | None = None
+    refused: float | None = None
+    reservation: Reservation | None = None
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether the first event came within the wanted time."""
+        return (
+            self.first_event is not None
+            and self.first_event - self.arrived <= self.work.target_latency_s
+        )
+
+
+class Events:
+    """Runs calls in order of time."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def at(self, time: float, call: Callable[[], None]) -> None:
+        """Plans a call."""
+        heapq.heappush(self._queue, (time, next(self._order), call))
+
+    def run(self) -> None:
+        """Runs all calls."""
+        while self._queue:
+            time, _, call = heapq.heappop(self._queue)
+            self._clock.move_to(max(time, self._clock.monotonic()))
+            call()
+
+
+@dataclass(eq=False)
+class EngineModel:
+    """One engine."""
+
+    events: Events
+    clock: ManualClock
+    slots: int
+    on_progress: Callable[[], None]
+    kept: set[str] = field(default_factory=set)
+    active: int = 0
+    tokens_read: int = 0
+    waiting: deque[Job] = field(default_factory=deque)
+    reading: Job | None = None
+
+    def send(self, job: Job) -> None:
+        """Takes a request."""
+        self.waiting.append(job)
+        self._start()
+
+    def _start(self) -> None:
+        if self.reading is not None or self.active >= self.slots:
+            return
+        while self.waiting and self.waiting[0].deadline < (
+            self.clock.monotonic()
+        ):
+            self._end(self.waiting.popleft())
+        if not self.waiting:
+            return
+        job = self.reading = self.waiting.popleft()
+        self.active += 1
+        kept = 0
+        for part in job.work.parts:
+            if part.identifier not in self.kept:
+                break
+            kept += part.tokens
+        self.kept.update(part.identifier for part in job.work.parts[:-1])
+        unread = job.work.prompt_tokens - kept
+        self.tokens_read += unread
+        self.events.at(
+            self.clock.monotonic() + 1.2 * read_seconds(unread, kept),
+            lambda: self._read(job),
+        )
+
+    def _read(self, job: Job) -> None:
+        self.reading = None
+        job.first_event = self.clock.monotonic() + 6 * STEP_S
+        if job.reservation is not None:
+            job.reservation.note_first_event()
+        end = self.clock.monotonic() + job.work.output_tokens * STEP_S
+        self.events.at(end, lambda: self._finish(job))
+        self._start()
+        self.on_progress()
+
+    def _finish(self, job: Job) -> None:
+        self.active -= 1
+        self._end(job)
+        self._start()
+
+    def _end(self, job: Job) -> None:
+        if job.reservation is not None:
+            job.reservation.finish()
+        self.on_progress()
+
+
+def arrivals(
+    rates: dict[str, float], seconds: float, seed: int
+) -> list[tuple[float, Work]]:
+    """Returns requests of workspaces at the given rates a second."""
+    rng = random.Random(seed)
+    load = []
+    for workspace, rate in rates.items():
+        time = rng.expovariate(rate)
+        while time < seconds:
+            load.append((time, _work(rng, workspace)))
+            time += rng.expovariate(rate)
+    return sorted(load, key=lambda entry: entry[0])
+
+
+def _work(rng: random.Random, workspace: str) -> Work:
+    own = int(min(rng.lognormvariate(7.5, 1.0), 40_000))
+    shared = rng.randrange(30)
+    parts = (
+        PromptPart(f"{workspace}-{shared}", 4_000),
+        PromptPart(f"own-{rng.random()}", own),
+    )
+    return Work(
+        service="llm",
+        workspace=workspace,
+        model="m",
+        parts=parts,
+        prompt_tokens=4_000 + own,
+        output_tokens=rng.randrange(50, 500),
+        target_latency_s=0.8,
+    )
--- /dev/null
+++ b/crowwinch/sharing/tests/test_admission.py
@@ -0,0 +1,243 @@
+"""Waiting and refusing, alone and under a played load."""
+
+import random
+import unittest
+
+from crowwinch.coordination import ManualClock
+from crowwinch.sharing import (
+    Admission,
+    EngineSpeeds,
+    KeptPrefixes,
+    Placer,
+    TargetHealth,
+    TargetLoads,
+    TargetView,
+    Ticket,
+    Verdict,
+    Work,
+    WorkspaceShares,
+)
+from crowwinch.sharing.tests.engine_model import (
+    EngineModel,
+    Events,
+    Job,
+    arrivals,
+)
+
+_SLOTS = 32
+_WINDOW_S = 4.0
+
+
+class _Player:
+    """Plays a load against engines through the admission."""
+
+    def __init__(self, engines, capacity):
+        self.clock = ManualClock()
+        self.events = Events(self.clock)
+        self.loads = TargetLoads(self.clock)
+        self.prefixes = KeptPrefixes()
+        self.shares = WorkspaceShares(self.clock, _WINDOW_S)
+        self.shares.set_capacity(capacity)
+        self.views = [
+            TargetView(
+                f"e{number}",
+                0,
+                "llm",
+                False,
+                _SLOTS,
+                memory_tokens=500_000,
+                is_engine=True,
+            )
+            for number in range(engines)
+        ]
+        self.admission = Admission(
+            self.clock,
+            Placer(
+                self.loads,
+                self.prefixes,
+                EngineSpeeds(),
+                TargetHealth(self.clock),
+            ),
+            self.shares,
+            lambda service: self.views,
+            random.Random(1).random,
+        )
+        self.engines = {
+            view.identifier: EngineModel(
+                self.events, self.clock, _SLOTS, self.admission.poll
+            )
+            for view in self.views
+        }
+        self.jobs = []
+
+    def play(self, load, seconds):
+        for time, work in load:
+            self.events.at(time, lambda work=work: self._arrive(work))
+        for tick in range(int((seconds + 5) / 0.05)):
+            self.events.at(tick * 0.05, self._tick)
+        self.events.run()
+        return self.jobs
+
+    def _tick(self):
+        self.loads.refresh()
+        self.shares.refresh()
+        self.admission.poll()
+
+    def _arrive(self, work):
+        now = self.clock.monotonic()
+        job = Job(work, now, now + 15.0)
+        self.jobs.append(job)
+        self.shares.note_asked(work.workspace, work.cost)
+        self.admission.submit(
+            Ticket(
+                work,
+                now,
+                job.deadline,
+                lambda decision: self.end(job, decision),
+            )
+        )
+
+    def end(self, job, decision):
+        if decision.verdict is not Verdict.SEND:
+            job.refused = self.clock.monotonic()
+            return
+        work = job.work
+        job.reservation = self.loads.reserve(
+            decision.target, decision.reading_s
+        )
+        self.shares.note_served(work.workspace, work.cost)
+        self.prefixes.note_read(
+            decision.target, work.model, work.parts, 500_000
+        )
+        self.engines[decision.target].send(job)
+
+
+def _play_baseline(load, engines):
+    """Sends each request to the engine with the fewest in flight."""
+    clock = ManualClock()
+    events = Events(clock)
+    models = [
+        EngineModel(events, clock, _SLOTS, lambda: None) for _ in range(engines)
+    ]
+    jobs = []
+
+    def arrive(work):
+        job = Job(work, clock.monotonic(), clock.monotonic() + 15.0)
+        jobs.append(job)
+        model = min(models, key=lambda each: each.active + len(each.waiting))
+        model.send(job)
+
+    for time, work in load:
+        events.at(time, lambda work=work: arrive(work))
+    events.run()
+    return jobs
+
+
+def _in_time(jobs, workspace=None):
+    chosen = [
+        job
+        for job in jobs
+        if workspace is None or job.work.workspace == workspace
+    ]
+    return sum(job.is_in_time for job in chosen) / max(len(chosen), 1)
+
+
+def _cost_in_time(jobs):
+    return sum(job.work.cost for job in jobs if job.is_in_time)
+
+
+class OverloadTest(unittest.TestCase):
+    """Guards against a large workspace that crowds out small ones.
+
+    Two thirds more than the engines can do is asked, most of it by one
+    workspace. The baseline sends each request to the engine with the fewest
+    in flight and has no queue.
+    """
+
+    _RATES = {"large": 50.0, "a": 2.0, "b": 2.0, "c": 4.0, "d": 4.0}
+    _SECONDS = 20.0
+
+    def test_small_workspaces_are_served_in_time(self):
+        for seed in (1, 2, 3):
+            load = arrivals(self._RATES, self._SECONDS, seed)
+            jobs = _Player(4, 100_000.0).play(load, self._SECONDS)
+            baseline = _play_baseline(load, 4)
+            for workspace in "abcd":
+                with self.subTest(seed=seed, workspace=workspace):
+                    served = _in_time(jobs, workspace)
+                    self.assertGreater(served, 0.85)
+                    self.assertGreater(served, _in_time(baseline, workspace))
+
+    def test_capacity_is_used(self):
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                load = arrivals(self._RATES, self._SECONDS, seed)
+                jobs = _Player(4, 100_000.0).play(load, self._SECONDS)
+                baseline = _play_baseline(load, 4)
+                self.assertGreater(_cost_in_time(jobs), _cost_in_time(baseline))
+
+    def test_twice_the_load_serves_no_less(self):
+        once = arrivals(self._RATES, self._SECONDS, 1)
+        rates = {name: 2 * rate for name, rate in self._RATES.items()}
+        twice = arrivals(rates, self._SECONDS, 1)
+        served = [
+            _cost_in_time(_Player(4, 100_000.0).play(load, self._SECONDS))
+            for load in (once, twice)
+        ]
+        self.assertGreaterEqual(served[1], 0.98 * served[0])
+
+    def test_refusals_come_early(self):
+        load = arrivals(self._RATES, self._SECONDS, 1)
+        jobs = _Player(4, 100_000.0).play(load, self._SECONDS)
+        waits = [
+            job.refused - job.arrived for job in jobs if job.refused is not None
+        ]
+        self.assertGreater(len(waits), 50)
+        self.assertLess(sum(waits) / len(waits), 0.3)
+        self.assertLess(max(waits), 1.5)
+
+
+class EqualWorkspacesTest(unittest.TestCase):
+    """Guards against workspaces beyond their shares that get unequal rests."""
+
+    def test_backlogged_workspaces_get_similar_service(self):
+        rates = {"a": 60.0, "b": 30.0, "c": 15.0}
+        load = arrivals(rates, 20.0, 4)
+        jobs = _Player(2, 20_000.0).play(load, 20.0)
+        served = {
+            name: sum(
+                job.work.cost
+                for job in jobs
+                if job.work.workspace == name and job.first_event is not None
+            )
+            for name in rates
+        }
+        self.assertGreater(min(served.values()), 0.5 * max(served.values()))
+
+
+class NoTargetTest(unittest.TestCase):
+    """Guards against requests that wait for a service that has no target."""
+
+    def test_refused_after_a_short_wait(self):
+        player = _Player(0, None)
+        decisions = []
+        player.admission.submit(
+            Ticket(Work("llm"), 0.0, 15.0, decisions.append)
+        )
+        self.assertEqual(decisions, [])
+        player.clock.move_to(0.31)
+        player.admission.poll()
+        self.assertEqual(decisions[0].verdict, Verdict.REFUSE_NO_TARGET)
+        self.assertGreater(decisions[0].retry_after_s, 0.0)
+        self.assertEqual(player.admission.waiting, 0)
+
+    def test_withdrawn_requests_are_not_decided(self):
+        player = _Player(0, None)
+        decisions = []
+        ticket = Ticket(Work("llm"), 0.0, 15.0, decisions.append)
+        player.admission.submit(ticket)
+        player.admission.withdraw(ticket)
+        player.clock.move_to(1.0)
+        player.admission.poll()
+        self.assertEqual(decisions, [])
+        self.assertEqual(player.admission.waiting, 0)
--- /dev/null
+++ b/crowwinch/sharing/tests/test_placing.py
@@ -0,0 +1,184 @@
+"""Placing by kept prefixes, reading time and health."""
+
+import unittest
+
+from crowwinch.coordination import ManualClock
+from crowwinch.sharing import (
+    EngineSpeeds,
+    KeptPrefixes,
+    Placer,
+    PromptPart,
+    TargetHealth,
+    TargetLoads,
+    TargetUse,
+    TargetView,
+    Work,
+)
+from crowwinch.sharing._speeds import read_seconds
+
+
+def engine(name, slots=32, connections=0):
+    """Returns an engine."""
+    return TargetView(
+        name,
+        0,
+        "llm",
+        False,
+        slots,
+        memory_tokens=500_000,
+        max_connections=connections,
+        is_engine=True,
+    )
+
+
+def prompt(shared, own=1_000, tokens=5_000):
+    """Returns work whose first part may be shared."""
+    return Work(
+        service="llm",
+        workspace="w",
+        model="m",
+        parts=(PromptPart(shared, tokens), PromptPart("own" + shared, own)),
+        prompt_tokens=tokens + own,
+        output_tokens=100,
+        target_latency_s=0.8,
+    )
+
+
+class PlacerTest(unittest.TestCase):
+    """Guards against prompts read again and engines that are overrun."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.loads = TargetLoads(self.clock)
+        self.health = TargetHealth(self.clock)
+        self.prefixes = KeptPrefixes()
+        self.placer = Placer(
+            self.loads, self.prefixes, EngineSpeeds(), self.health
+        )
+        self.engines = [engine(f"e{number}") for number in range(6)]
+
+    def best(self, work, **options):
+        """Returns the first choice."""
+        return self.placer.candidates(work, self.engines, **options)[0]
+
+    def test_equal_prefixes_meet_at_one_engine(self):
+        homes = {
+            self.best(prompt("p", own)).target.identifier
+            for own in range(100, 3_000, 100)
+        }
+        self.assertEqual(len(homes), 1)
+
+    def test_prefixes_spread_over_engines(self):
+        homes = [
+            self.best(prompt(f"p{number}")).target.identifier
+            for number in range(60)
+        ]
+        most = max(homes.count(name) for name in homes)
+        self.assertEqual(len(set(homes)), 6)
+        self.assertLess(most, 25)
+
+    def test_a_busy_home_is_left_when_the_answer_would_be_late(self):
+        home = self.best(prompt("p")).target.identifier
+        self.loads.reserve(home, 0.1)
+        self.assertEqual(self.best(prompt("p")).target.identifier, home)
+        self.loads.reserve(home, 2.0)
+        self.assertNotEqual(self.best(prompt("p")).target.identifier, home)
+
+    def test_work_of_other_routers_counts(self):
+        home = self.best(prompt("p")).target.identifier
+        self.loads.note_peer("peer", [TargetUse(home, 3, 2.0)])
+        self.loads.refresh()
+        self.assertNotEqual(self.best(prompt("p")).target.identifier, home)
+        self.clock.move_to(2.6)
+        self.loads.refresh()
+        self.assertEqual(self.best(prompt("p")).target.identifier, home)
+
+    def test_a_failing_home_is_left(self):
+        home = self.best(prompt("p")).target.identifier
+        for _ in range(4):
+            self.health.note_answer(home, is_good=False)
+        self.assertNotEqual(self.best(prompt("p")).target.identifier, home)
+
+    def test_an_unreachable_target_is_used_when_it_is_the_only_one(self):
+        for target in self.engines:
+            self.health.note_unreachable(target.identifier)
+        self.assertEqual(
+            len(self.placer.candidates(prompt("p"), self.engines)), 6
+        )
+
+    def test_excluded_targets_are_not_offered(self):
+        home = self.best(prompt("p")).target.identifier
+        offered = self.placer.candidates(
+            prompt("p"), self.engines, excluded={home}
+        )
+        self.assertNotIn(home, [each.target.identifier for each in offered])
+
+    def test_connections_are_shared_with_other_routers(self):
+        target = engine("e", connections=10)
+        self.loads.note_peer("peer", [])
+        for _ in range(4):
+            self.assertTrue(self.placer.has_connection(target))
+            self.loads.reserve("e", 0.0)
+        self.loads.reserve("e", 0.0)
+        self.assertFalse(self.placer.has_connection(target))
+
+    def test_plain_targets_with_fewer_requests_go_first(self):
+        desks = [
+            TargetView(name, 0, "desk", local, 6)
+            for name, local in (("near", True), ("far", False))
+        ]
+        work = Work("desk")
+
+        def first():
+            return self.placer.candidates(work, desks)[0].target.identifier
+
+        self.assertEqual(first(), "near")
+        self.loads.reserve("near", 0.0)
+        self.assertEqual(first(), "far")
+
+
+class KeptPrefixesTest(unittest.TestCase):
+    """Guards against parts that are believed to be kept without need."""
+
+    def test_a_part_counts_only_after_all_before_it(self):
+        kept = KeptPrefixes()
+        first, second = PromptPart("a", 10), PromptPart("b", 20)
+        kept.note_read("t", "m", [first, second], 1_000)
+        self.assertEqual(kept.kept_tokens("t", "m", [first, second]), 30)
+        self.assertEqual(kept.kept_tokens("t", "m", [second, first]), 0)
+        self.assertEqual(kept.kept_tokens("t", "other", [first]), 0)
+
+    def test_parts_used_longest_ago_yield(self):
+        kept = KeptPrefixes()
+        for name in ("a", "b", "a", "c"):
+            kept.note_read("t", "m", [PromptPart(name, 200)], 1_000)
+        sizes = {
+            name: kept.kept_tokens("t", "m", [PromptPart(name, 200)])
+            for name in "abc"
+        }
+        kept.note_read("t", "m", [PromptPart("d", 200)], 1_000)
+        self.assertEqual(sizes, {"a": 200, "b": 200, "c": 200})
+        self.assertEqual(kept.kept_tokens("t", "m", [PromptPart("b", 200)]), 0)
+
+    def test_a_restarted_target_keeps_nothing(self):
+        kept = KeptPrefixes()
+        part = PromptPart("a", 10)
+        kept.note_read("t", "m", [part], 1_000)
+        kept.forget("t")
+        self.assertEqual(kept.kept_tokens("t", "m", [part]), 0)
+
+
+class SpeedsTest(unittest.TestCase):
+    """Guards against a forecast that runs away from what is seen."""
+
+    def test_long_prompts_take_more_than_their_tokens(self):
+        self.assertGreater(read_seconds(50_000), 6 * read_seconds(10_000))
+        self.assertGreater(read_seconds(1_000, 50_000), read_seconds(1_000))
+
+    def test_the_ratio_follows_what_is_seen(self):
+        speeds = EngineSpeeds()
+        for _ in range(300):
+            speeds.note_first_event("llm", 0.1, 0.06 + 0.3)
+        self.assertAlmostEqual(speeds.ratio("llm"), 3.0, delta=0.1)
+        speeds.note_first_event("llm", 0.001, 9.0)
+        self.assertAlmostEqual(speeds.ratio("llm"), 3.0, delta=0.1)
--- /dev/null
+++ b/crowwinch/sharing/tests/test_shares.py
@@ -0,0 +1,84 @@
+"""Shares of workspaces."""
+
+import unittest
+
+from crowwinch.coordination import ManualClock
+from crowwinch.sharing import WorkspaceShares, WorkspaceUse, max_min_shares
+
+_WINDOW_S = 4.0
+
+
+class MaxMinTest(unittest.TestCase):
+    """Guards against a share above the common level or below what is asked."""
+
+    def test_shares(self):
+        cases = {
+            "all fit": ({"a": 1.0, "b": 2.0}, 10.0, {"a": 1.0, "b": 2.0}),
+            "equal": ({"a": 9.0, "b": 9.0}, 10.0, {"a": 5.0, "b": 5.0}),
+            "one small": ({"a": 1.0, "b": 9.0}, 6.0, {"a": 1.0, "b": 5.0}),
+            "rest is divided again": (
+                {"a": 1.0, "b": 3.0, "c": 9.0},
+                9.0,
+                {"a": 1.0, "b": 3.0, "c": 5.0},
+            ),
+            "nothing to divide": ({"a": 1.0}, 0.0, {"a": 0.0}),
+        }
+        for name, (asked, capacity, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(max_min_shares(asked, capacity), expected)
+
+
+class WorkspaceSharesTest(unittest.TestCase):
+    """Guards against use that is counted at one router only."""
+
+    def setUp(self):
+        self.clock = ManualClock(100.0)
+        self.shares = WorkspaceShares(self.clock, _WINDOW_S)
+        self.shares.set_capacity(100.0)
+
+    def test_without_contention_nothing_is_beyond_a_share(self):
+        self.shares.note_asked("a", 300.0)
+        self.shares.note_served("a", 300.0)
+        self.shares.refresh()
+        self.assertEqual(self.shares.use_of_share("a", 50.0), 0.0)
+
+    def test_use_at_other_routers_counts(self):
+        self.shares.note_asked("a", 300.0)
+        self.shares.note_asked("b", 300.0)
+        self.shares.note_peer("peer", [WorkspaceUse("a", 300.0, 400.0)])
+        self.shares.refresh()
+        self.assertEqual(self.shares.level, 200.0)
+        self.assertGreater(self.shares.use_of_share("a", 1.0), 1.0)
+        self.assertLess(self.shares.use_of_share("b", 1.0), 1.0)
+
+    def test_a_later_report_replaces_the_earlier(self):
+        for served in (400.0, 10.0):
+            self.shares.note_peer("peer", [WorkspaceUse("a", 0.0, served)])
+        self.shares.refresh()
+        self.assertAlmostEqual(self.shares.served("a"), 10.0)
+
+    def test_use_fades(self):
+        self.shares.note_served("a", 400.0)
+        self.clock.move_to(100.0 + 3 * _WINDOW_S)
+        self.shares.refresh()
+        self.assertLess(self.shares.served("a"), 400.0 * 0.06)
+
+    def test_a_silent_router_is_forgotten(self):
+        self.shares.note_peer("peer", [WorkspaceUse("a", 0.0, 1e9)])
+        self.clock.move_to(111.0)
+        self.shares.refresh()
+        self.assertEqual(self.shares.served("a"), 0.0)
+
+    def test_half_of_a_large_request_may_exceed_the_share(self):
+        for workspace in ("a", "b"):
+            self.shares.note_asked(workspace, 400.0)
+        self.shares.refresh()
+        self.assertLessEqual(self.shares.use_of_share("a", 400.0), 1.0)
+        self.assertGreater(self.shares.use_of_share("a", 401.0), 1.0)
+
+    def test_a_request_that_did_not_run_is_taken_back(self):
+        self.shares.note_served("a", 50.0)
+        self.shares.note_returned("a", 50.0)
+        self.shares.refresh()
+        self.assertAlmostEqual(self.shares.served("a"), 0.0)
+        self.assertEqual(self.shares.own_use(), [])
