Test forwarding, sharing, directory and the platform's formats

Change: tests of the decision classes, of the directory under outages and rewinds, of settings, entries and headers with malformed inputs, and of requests to targets with scripted bytes. Test modules of processes run several at a time, each with a slice of the ports of its own. Crash suspects are refused with 503, since a 4xx status would blame the caller.

--- a/crowwinch/forwarding/_call.py
+++ b/crowwinch/forwarding/_call.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from crowwinch.errors import RefusalError
+from crowwinch.errors import RefusalError, RefusalReason, RunState
 from crowwinch.forwarding._messages import RequestHead
 
 _JSON = "application/json"
@@ -144,7 +144,7 @@
             }
         }
         await self.answer(
-            refusal.status,
+            _status_of(refusal),
             "",
             headers.items(),
             msgspec.json.encode(document),
@@ -163,6 +163,17 @@
         self._status = response.status
 
 
+def _status_of(refusal: RefusalError) -> int:
+    """Returns the status of a refusal.
+
+    A crash suspect is no mistake of its caller, so it gets no 4xx status; 503
+    promises that the request did not run.
+    """
+    if refusal.reason is RefusalReason.CRASH_SUSPECT:
+        return 503 if refusal.run_state is RunState.NOT_RUN else 502
+    return refusal.status
+
+
 async def read_body(
     request: web.BaseRequest, limit: int, timeout_s: float
 ) -> bytes | None:
--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -87,8 +87,14 @@
         """Requests that are not answered yet."""
         return self._active
 
+    @property
+    def port(self) -> int:
+        """The port in use once started."""
+        assert self._runner is not None, "the server was not started"
+        return self._runner.addresses[0][1]
+
     async def start(self) -> None:
-        """Starts to listen."""
+        """Starts to listen; port 0 takes a free one."""
         factory = _CallerProtocolFactory(self._handle, self._limits)
         self._runner = web.ServerRunner(
             factory,
--- /dev/null
+++ b/crowwinch/forwarding/tests/support.py
@@ -0,0 +1,363 @@
+"""A router in the test's process, targets with scripted bytes, and callers."""
+
+import asyncio
+import random
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from crowwinch.coordination import SystemClock
+from crowwinch.forwarding import (
+    CallerServer,
+    Engine,
+    Forwarder,
+    RequestLimits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    SharingState,
+    SocketAddress,
+    Target,
+    TargetClient,
+    TargetSet,
+    Workspace,
+)
+from crowwinch.observability import Metrics
+from crowwinch.platform import HeaderCodec
+from crowwinch.sharing import (
+    Admission,
+    CrashCounts,
+    EngineSpeeds,
+    KeptPrefixes,
+    Placer,
+    RepeatBudget,
+    TargetHealth,
+    TargetLoads,
+    WorkspaceShares,
+)
+
+KEY = "key-1"
+_EOF_POLL_S = 0.002
+_ID = "x-crowwinch-attempt-id"
+
+
+@dataclass
+class Seen:
+    """A request as a target saw it."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def attempt_id(self) -> str:
+        """Id of the request."""
+        return self.headers.get(_ID, "")
+
+
+Script = Callable[[Seen, asyncio.StreamWriter], Awaitable[bool]]
+
+
+async def read_head(reader: asyncio.StreamReader) -> list[str]:
+    """Returns the lines of a message's head."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    return head.decode("latin-1").split("\r\n")[:-2]
+
+
+class ScriptedTarget:
+    """Reads requests and lets a script write whatever it wants.
+
+    The script returns whether the connection is kept.
+    """
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.seen: list[Seen] = []
+        self.connections = 0
+        self.closed = 0
+        self._server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> SocketAddress:
+        """Where it listens."""
+        return SocketAddress(*self._server.sockets[0].getsockname()[:2])
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+
+    async def stop(self) -> None:
+        """Stops to listen."""
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        try:
+            while True:
+                lines = await read_head(reader)
+                method, path, _ = lines[0].split(" ", 2)
+                headers = {
+                    name.lower(): value.strip()
+                    for name, _, value in (
+                        line.partition(":") for line in lines[1:]
+                    )
+                }
+                size = int(headers.get("content-length", 0))
+                body = await reader.readexactly(size)
+                seen = Seen(method, path, headers, body)
+                self.seen.append(seen)
+                script = asyncio.ensure_future(self.script(seen, writer))
+                while not script.done():
+                    if reader.at_eof():
+                        script.cancel()
+                        return
+                    await asyncio.sleep(_EOF_POLL_S)
+                if not script.result():
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed += 1
+            writer.close()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection with a reset instead of an orderly end."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
+def answer(
+    seen: Seen,
+    body: bytes = b"hello",
+    status: str = "200 OK",
+    extra: str = "",
+    length: int | None = None,
+    attempt_id: str | None = None,
+    seal: bool = True,
+) -> bytes:
+    """Returns the bytes of an answer with a length."""
+    identifier = seen.attempt_id if attempt_id is None else attempt_id
+    lines = f"HTTP/1.1 {status}\r\nX-Crowwinch-Attempt-Id: {identifier}\r\n"
+    if seal:
+        lines += "X-Crowwinch-Server-Seal: seal\r\n"
+    size = len(body) if length is None else length
+    lines += f"Content-Length: {size}\r\n{extra}\r\n"
+    return lines.encode() + body
+
+
+def stream_head(seen: Seen) -> bytes:
+    """Returns the head of a chunked stream of events."""
+    return (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Crowwinch-Attempt-Id: {seen.attempt_id}\r\n"
+        "X-Crowwinch-Server-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Returns one chunk; an empty one ends the answer."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def event(number: int) -> bytes:
+    """Returns one event."""
+    return f"id: {number}\ndata: token{number}\n\n".encode()
+
+
+@dataclass
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_complete: bool
+    is_kept: bool = field(default=True)
+
+
+class Router:
+    """Forwarder and server of callers over scripted targets."""
+
+    def __init__(
+        self,
+        targets: list[ScriptedTarget],
+        kind: RouteKind = RouteKind.SAFE,
+        max_attempts: int = 2,
+        timeout_s: float = 5.0,
+        is_engine: bool = False,
+        limits: RequestLimits | None = None,
+    ) -> None:
+        self._scripted = targets
+        self.clock = SystemClock()
+        self.loads = TargetLoads(self.clock)
+        self.health = TargetHealth(self.clock)
+        self.metrics = Metrics()
+        self.target_set = TargetSet("az", lambda target: None)
+        prefixes, speeds = KeptPrefixes(), EngineSpeeds()
+        shares = WorkspaceShares(self.clock, 4.0)
+        self.crashes = CrashCounts(self.clock)
+        self.routing: RoutingTable | None = RoutingTable(
+            1,
+            (
+                Route(
+                    "r",
+                    "host.example",
+                    "/a/",
+                    kind,
+                    timeout_s,
+                    0.5,
+                    1,
+                    {"s": 1.0},
+                    max_attempts,
+                    False,
+                ),
+            ),
+            {"s": Service("s", 0, Engine(8, 1e5) if is_engine else None)},
+            {KEY: Workspace("tenant")},
+            limits or RequestLimits(),
+        )
+        codec = HeaderCodec()
+        self.client = TargetClient(codec.attempt_header)
+        self.sharing = SharingState(
+            admission=Admission(
+                self.clock,
+                Placer(self.loads, prefixes, speeds, self.health),
+                shares,
+                self.target_set.of_service,
+                random.Random(1).random,
+            ),
+            budget=RepeatBudget(self.clock, 5.0, 10.0),
+            crashes=self.crashes,
+            health=self.health,
+            loads=self.loads,
+            prefixes=prefixes,
+            shares=shares,
+            speeds=speeds,
+        )
+        self.server = CallerServer(
+            self.clock,
+            SocketAddress("127.0.0.1", 0),
+            codec,
+            Forwarder(
+                self.clock,
+                lambda: self.routing,
+                self.target_set,
+                self.sharing,
+                self.client,
+                codec,
+                self.metrics,
+                random.Random(1).random,
+            ),
+            lambda: self.routing.limits if self.routing else RequestLimits(),
+            100_000_000,
+        )
+
+    async def start(self) -> None:
+        """Starts targets and router."""
+        for target in self._scripted:
+            await target.start()
+        await self.client.start()
+        await self.server.start()
+        self.target_set.update(
+            [
+                Target(f"i-{number}", 0, "s", target.address, "az", 8)
+                for number, target in enumerate(self._scripted)
+            ],
+            self.routing,
+        )
+
+    async def stop(self) -> None:
+        """Stops all."""
+        await self.server.stop()
+        await self.client.stop()
+        for target in self._scripted:
+            await target.stop()
+
+    async def connect(self) -> "Caller":
+        """Returns a new connection of a caller."""
+        return Caller(
+            *await asyncio.open_connection("127.0.0.1", self.server.port)
+        )
+
+    async def call(self, **options) -> Reply:
+        """Sends one request on a connection of its own."""
+        caller = await self.connect()
+        await caller.send(**options)
+        return await caller.receive()
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, reader, writer) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def send(
+        self,
+        method: str = "POST",
+        path: str = "/a/x",
+        body: bytes = b"body",
+        attempt_id: str = "attempt-1",
+        key: str = KEY,
+        extra: str = "",
+        raw: bytes | None = None,
+    ) -> None:
+        """Sends a request."""
+        if raw is None:
+            raw = (
+                f"{method} {path} HTTP/1.1\r\nHost: host.example\r\n"
+                f"X-Crowwinch-Attempt-Id: {attempt_id}\r\n"
+                f"X-Api-Key: {key}\r\n"
+                f"Content-Length: {len(body)}\r\n{extra}\r\n"
+            ).encode() + body
+        self._writer.write(raw)
+        await self._writer.drain()
+
+    async def receive(self) -> Reply:
+        """Reads one answer."""
+        lines = await read_head(self._reader)
+        status = int(lines[0].split(" ")[1])
+        headers = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        body, is_complete = b"", True
+        try:
+            if "content-length" in headers:
+                body = await self._reader.readexactly(
+                    int(headers["content-length"])
+                )
+            else:
+                body, is_complete = await self._read_chunks()
+        except asyncio.IncompleteReadError as error:
+            body, is_complete = error.partial, False
+        is_kept = headers.get("connection", "").lower() != "close"
+        return Reply(status, headers, body, is_complete, is_kept)
+
+    async def _read_chunks(self) -> tuple[bytes, bool]:
+        body = b""
+        try:
+            while True:
+                size = int(await self._reader.readuntil(b"\r\n"), 16)
+                data = await self._reader.readexactly(size + 2)
+                if not size:
+                    return body, True
+                body += data[:-2]
+        except asyncio.IncompleteReadError:
+            return body, False
+
+    async def is_closed(self) -> bool:
+        """Waits until the router closes the connection."""
+        return not await self._reader.read(1)
+
+    def close(self) -> None:
+        """Leaves."""
+        self._writer.close()
--- /dev/null
+++ b/crowwinch/platform/tests/test_documents.py
@@ -0,0 +1,173 @@
+"""What operator and targets write to the store."""
+
+import json
+import unittest
+
+from crowwinch.directory import TargetState
+from crowwinch.forwarding import RouteKind
+from crowwinch.platform import DocumentCodec
+from crowwinch.platform._documents import decode_configuration, decode_target
+
+_ROUTE = {
+    "Name": "r1",
+    "Host": "Host.example",
+    "Prefix": "/a/",
+    "RouteType": "streaming",
+    "TimeoutMs": 15000,
+    "TargetLatencyMs": 800,
+    "Service": "llm",
+    "MaxAttempts": 2,
+    "StreamResume": True,
+}
+
+
+def _configuration(**changes):
+    document = {
+        "Version": 7,
+        "Routes": [_ROUTE],
+        "Services": [
+            {
+                "Name": "llm",
+                "MaxConnections": 240,
+                "Engine": {"Slots": 32, "KvCapacity": 529507},
+            },
+            {"Name": "desk"},
+        ],
+        "Limits": {"MaxBodyBytes": 100, "TokensPerS": 225000},
+        "Tenants": [{"Name": "t", "ApiKeys": ["k1", "k2"]}],
+    }
+    return json.dumps(document | changes).encode()
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Guards against a configuration that is read in another sense."""
+
+    def test_fields(self):
+        table = decode_configuration(_configuration())
+        route = table.match("host.example:80", "/a/b?c")
+        self.assertEqual(route.name, "r1")
+        self.assertIs(route.kind, RouteKind.RESUMABLE_STREAM)
+        self.assertEqual((route.timeout_s, route.target_latency_s), (15, 0.8))
+        self.assertEqual(table.services["llm"].engine.slots, 32)
+        self.assertIsNone(table.services["desk"].engine)
+        self.assertEqual(table.workspace(route, "k2"), "t")
+        self.assertFalse(table.may_use_key(route, "k3"))
+        self.assertEqual(table.limits.service_tokens_per_s, 225000)
+
+    def test_what_may_be_repeated(self):
+        cases = {
+            ("safe", False): RouteKind.SAFE,
+            ("unsafe", True): RouteKind.UNSAFE,
+            ("streaming", False): RouteKind.STREAM,
+            ("something new", True): RouteKind.UNSAFE,
+        }
+        for (kind, resume), expected in cases.items():
+            with self.subTest(kind):
+                route = _ROUTE | {"RouteType": kind, "StreamResume": resume}
+                table = decode_configuration(_configuration(Routes=[route]))
+                self.assertIs(table.routes[0].kind, expected)
+
+    def test_without_workspaces_no_key_is_needed(self):
+        document = json.loads(_configuration())
+        del document["Tenants"]
+        table = decode_configuration(json.dumps(document).encode())
+        self.assertTrue(table.may_use_key(table.routes[0], ""))
+        self.assertIsNone(table.workspace(table.routes[0], "k1"))
+
+    def test_longest_prefix_wins(self):
+        routes = [
+            _ROUTE | {"Name": name, "Prefix": prefix}
+            for name, prefix in (("1", "/"), ("2", "/a/"), ("3", "/a/b/"))
+        ]
+        table = decode_configuration(_configuration(Routes=routes))
+        cases = {
+            "/": "1",
+            "/a": "1",
+            "/a/": "2",
+            "/a/b": "2",
+            "/a/b/c/d?x=/a/": "3",
+            "/x?y=/a/b/": "1",
+        }
+        for path, name in cases.items():
+            with self.subTest(path):
+                self.assertEqual(table.match("host.example", path).name, name)
+        self.assertIsNone(table.match("other.example", "/a/"))
+
+    def test_split_between_services(self):
+        split = [
+            {"Service": "llm", "Weight": 90},
+            {"Service": "desk", "Weight": 10},
+        ]
+        route = _ROUTE | {"TrafficSplit": split}
+        del route["Service"]
+        table = decode_configuration(_configuration(Routes=[route]))
+        self.assertEqual(table.routes[0].services, {"llm": 90, "desk": 10})
+
+    def test_malformed_documents_are_ignored(self):
+        codec = DocumentCodec()
+        cases = (
+            b"",
+            b"{",
+            b"\xff\xfe",
+            b"[]",
+            b'{"Version": "7"}',
+            _configuration(Routes=[{"Name": "x"}]),
+            _configuration(Limits={"MaxBodyBytes": -1}),
+        )
+        for value in cases:
+            with self.subTest(value):
+                with self.assertLogs("crowwinch.platform", "WARNING"):
+                    self.assertIsNone(codec.decode("op/config", value))
+
+
+class TargetTest(unittest.TestCase):
+    """Guards against entries of another writer that name a target."""
+
+    _ENTRY = {
+        "Service": "llm",
+        "Address": "10.128.0.9:8080",
+        "Zone": "hall-a",
+        "Slots": 32,
+        "State": "ready",
+        "Sequence": 4,
+        "born": 1772611549616,
+    }
+
+    def test_fields(self):
+        entry = decode_target("servers/i-1", json.dumps(self._ENTRY).encode())
+        self.assertEqual(entry.identifier, "i-1")
+        self.assertEqual(str(entry.address), "10.128.0.9:8080")
+        self.assertIs(entry.state, TargetState.READY)
+        self.assertEqual(entry.started_ms, 1772611549616)
+
+    def test_draining(self):
+        value = json.dumps(self._ENTRY | {"State": "draining"}).encode()
+        self.assertIs(
+            decode_target("servers/i-1", value).state, TargetState.LEAVING
+        )
+
+    def test_malformed_entries_name_no_target(self):
+        changes = (
+            {"State": "sleeping"},
+            {"State": 3},
+            {"Address": "nowhere"},
+            {"Address": "10.0.0.1:99999"},
+            {"Address": None},
+            {"Slots": "many"},
+            {"Slots": -1},
+            {"born": 1.5},
+            {"Service": None},
+        )
+        values = [json.dumps(self._ENTRY | change) for change in changes]
+        values += ["", "null", "[]", '{"State": "ready"}']
+        encoded = [value.encode() for value in values] + [b"\xff\x00"]
+        for value in encoded:
+            with self.subTest(value):
+                with self.assertLogs("crowwinch.platform", "WARNING"):
+                    self.assertIsNone(decode_target("servers/i-1", value))
+
+    def test_entry_without_a_name(self):
+        value = json.dumps(self._ENTRY).encode()
+        with self.assertLogs("crowwinch.platform", "WARNING"):
+            self.assertIsNone(decode_target("servers/", value))
+        self.assertIsNone(DocumentCodec().decode("other/x", value))
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -20,6 +20,9 @@
 _START_TIMEOUT_S = 20.0
 # Below the range of outgoing connections, which begins at 32768 on Linux.
 _PORTS = (16384, 32768)
+# Test modules that run side by side draw from slices of their own.
+PORT_SLICE_VARIABLE = "TEST_PORT_SLICE"
+PORT_SLICES = 16
 
 
 def free_port() -> int:
@@ -28,8 +31,9 @@
     Ports that the kernel gives to outgoing connections are left out: one of
     them could be taken while its router is down for a restart.
     """
+    first, last = _port_range()
     while True:
-        port = random.randrange(*_PORTS)
+        port = random.randrange(first, last)
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -39,6 +43,15 @@
         return port
 
 
+def _port_range() -> tuple[int, int]:
+    index = os.environ.get(PORT_SLICE_VARIABLE)
+    if index is None:
+        return _PORTS
+    size = (_PORTS[1] - _PORTS[0]) // PORT_SLICES
+    first = _PORTS[0] + int(index) % PORT_SLICES * size
+    return first, first + size
+
+
 def free_ports(count: int) -> list[int]:
     """Returns different TCP ports that are free now.
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -3,24 +3,39 @@
 A line of KNOWN-RED.txt that starts with `test:` names a test by its unittest
 id. Such a test runs and is printed, but does not fail the run.
 
-Tests of single classes need a processor, tests of whole processes mostly wait,
-so the two kinds run side by side, each in a process of its own.
+Each module of tests of whole processes runs in a process of its own, several at
+a time, since these tests mostly wait. The tests of single classes need a
+processor and run beside them in one process.
 """
 
 import argparse
+import concurrent.futures
+import itertools
+import os
 import pathlib
+import re
 import subprocess
 import sys
-import tempfile
 import time
 import unittest
 from collections.abc import Sequence
 
+from standins.processes import PORT_SLICE_VARIABLE
+
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
-_PARTS = {
-    "classes": ("crowwinch", "standins", "measurements"),
-    "processes": ("tests",),
-}
+_CLASSES = ("crowwinch", "standins", "measurements")
+_PROCESSES = "tests"
+# A fleet of a test keeps up to two cores busy for moments; with more at a time
+# their waits would say more about the machine than about the fleet.
+_CORES_PER_MODULE = 2
+# Modules that take longest start first, so that none is left alone at the end.
+_LONGEST = (
+    "test_fault_matrix",
+    "test_fault_partition",
+    "test_fault_steps",
+    "test_fault_targets",
+)
+_SUMMARY = re.compile(r"^(\d+) passed, (\d+) failed, (\d+) skipped$", re.M)
 
 
 def _known_red() -> set[str]:
@@ -35,21 +50,21 @@
     }
 
 
-def _collect(packages: Sequence[str]) -> unittest.TestSuite:
-    loader = unittest.TestLoader()
-    suite = unittest.TestSuite()
+def _modules(packages: Sequence[str]) -> list[str]:
+    names = []
     for package in packages:
         for path in sorted((_ROOT / package).rglob("test_*.py")):
             relative = path.relative_to(_ROOT).with_suffix("")
-            suite.addTests(loader.loadTestsFromName(".".join(relative.parts)))
-    return suite
+            names.append(".".join(relative.parts))
+    return names
 
 
-def _run_part(packages: Sequence[str]) -> int:
+def _run_modules(modules: Sequence[str]) -> int:
+    """Runs test modules in this process; returns the exit code."""
     known = _known_red()
     started = time.monotonic()
-    runner = unittest.TextTestRunner(sys.stdout, verbosity=1)
-    result = runner.run(_collect(packages))
+    suite = unittest.defaultTestLoader.loadTestsFromNames(modules)
+    result = unittest.TextTestRunner(sys.stdout, verbosity=1).run(suite)
     broken = {
         getattr(test, "test_case", test).id(): test
         for test, _ in result.failures + result.errors
@@ -66,17 +81,57 @@
     return 1 if failed or not passed else 0
 
 
+def _run_apart(modules: Sequence[str], index: int) -> tuple[int, str]:
+    """Runs test modules in a process with ports of its own."""
+    done = subprocess.run(
+        (sys.executable, "-m", "tools.run_tests", *modules),
+        cwd=_ROOT,
+        env=os.environ | {PORT_SLICE_VARIABLE: str(index)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        errors="replace",
+        check=False,
+    )
+    return done.returncode, done.stdout
+
+
+def _by_length(module: str) -> int:
+    name = module.rpartition(".")[2]
+    return _LONGEST.index(name) if name in _LONGEST else len(_LONGEST)
+
+
 def _run_all() -> int:
-    command = (sys.executable, "-m", "tools.run_tests", "--part", "classes")
-    with tempfile.TemporaryFile("w+") as output:
-        classes = subprocess.Popen(
-            command, cwd=_ROOT, stdout=output, stderr=subprocess.STDOUT
-        )
-        processes_code = _run_part(_PARTS["processes"])
-        classes_code = classes.wait()
-        output.seek(0)
-        print(f"tests of classes:\n{output.read()}")
-    return processes_code or classes_code
+    started = time.monotonic()
+    parts = [
+        _modules(_CLASSES),
+        *(
+            [module]
+            for module in sorted(_modules([_PROCESSES]), key=_by_length)
+        ),
+    ]
+    workers = max((os.cpu_count() or 1) // _CORES_PER_MODULE, 1) + 1
+    totals = [0, 0, 0]
+    code = 0
+    with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+        for part, (part_code, output) in zip(
+            parts, pool.map(_run_apart, parts, itertools.count()), strict=True
+        ):
+            name = part[0] if len(part) == 1 else "tests of classes"
+            print(f"== {name}\n{output}", flush=True)
+            summary = _SUMMARY.findall(output)
+            if not summary:
+                print(f"failed: {name} gave no result, exit {part_code}")
+                part_code = part_code or 1
+            for counts in summary[-1:]:
+                totals = [
+                    total + int(count)
+                    for total, count in zip(totals, counts, strict=True)
+                ]
+            code = code or part_code
+    print(f"took {time.monotonic() - started:.1f} s in all")
+    print("{} passed, {} failed, {} skipped".format(*totals))
+    return code
 
 
 def main() -> int:
@@ -86,10 +141,12 @@
         The exit code: 0 when every test outside KNOWN-RED.txt passed.
     """
     parser = argparse.ArgumentParser(description="Runs the tests.")
-    parser.add_argument("--part", choices=_PARTS, help="run only this part")
-    part = parser.parse_args().part
+    parser.add_argument(
+        "modules", nargs="*", help="run only these modules, in this process"
+    )
+    modules = parser.parse_args().modules
     sys.path.insert(0, str(_ROOT))
-    return _run_all() if part is None else _run_part(_PARTS[part])
+    return _run_modules(modules) if modules else _run_all()
 
 
 if __name__ == "__main__":
