--- /dev/null
+++ b/standins/operators_platform.py
@@ -0,0 +1,209 @@
+"""Stand-in for the operators' platform: their store and their targets.
+
+The store serves lists, items and watches; tests write to it and break it over
+HTTP. Targets register in the store of the same process, answer requests and
+count what they ran.
+"""
+
+import argparse
+import asyncio
+import base64
+import json
+import time
+
+from aiohttp import web
+
+from standins._server import run_standin
+
+_EVENT_PAUSE_S = 0.01
+_WORDS = 8
+
+
+class Store:
+    """Items with revisions, as the platform's store serves them."""
+
+    def __init__(self) -> None:
+        """Starts with no items."""
+        self._items: dict[str, dict[str, object]] = {}
+        self._events: list[dict[str, object]] = []
+        self._revision = 1
+        self._changed = asyncio.Event()
+        # Answers 503 to callers whose address starts with one of these.
+        self.refused: list[str] = []
+        self.calls = 0
+
+    def routes(self) -> list[web.RouteDef]:
+        """Returns the routes of readers and of tests."""
+        return [
+            web.get("/kv-range", self._range),
+            web.get("/kv-watch", self._watch),
+            web.post("/test/put", self._put),
+            web.post("/test/delete", self._delete),
+            web.post("/test/refuse", self._refuse),
+            web.post("/test/compact", self._compact),
+            web.get("/test/calls", self._calls),
+        ]
+
+    def put(self, key: str, value: bytes) -> None:
+        """Writes an item."""
+        self._revision += 1
+        item = {
+            "Key": key,
+            "Value": base64.b64encode(value).decode(),
+            "Revision": self._revision,
+            "Created": self._revision,
+            "Lease": 0,
+        }
+        self._items[key] = item
+        self._add(item)
+
+    def _add(self, event: dict[str, object]) -> None:
+        self._events.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _is_refused(self, request: web.Request) -> bool:
+        self.calls += 1
+        remote = request.remote or ""
+        return any(remote.startswith(prefix) for prefix in self.refused)
+
+    async def _range(self, request: web.Request) -> web.Response:
+        if self._is_refused(request):
+            return web.Response(status=503)
+        prefix, after = request.query["Prefix"], request.query.get("After", "")
+        items = [
+            item
+            for key, item in sorted(self._items.items())
+            if key.startswith(prefix) and key > after
+        ]
+        page = {
+            "Items": items[:50],
+            "Truncated": len(items) > 50,
+            "CurrentRev": self._revision,
+        }
+        return web.json_response(page)
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        if self._is_refused(request):
+            return web.Response(status=503)
+        after = int(request.query["After"])
+        prefix = request.query["Prefix"]
+        end = time.monotonic() + int(request.query["WaitMs"]) / 1000
+        while True:
+            if self._events and after < int(self._events[0]["Revision"]) - 1:
+                return web.Response(status=410)
+            changed = self._changed
+            events = [
+                event
+                for event in self._events
+                if int(event["Revision"]) > after
+                and str(event["Key"]).startswith(prefix)
+            ]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return web.json_response(
+                    {"events": events, "CurrentRev": self._revision}
+                )
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    async def _put(self, request: web.Request) -> web.Response:
+        self.put(request.query["key"], await request.read())
+        return web.Response()
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        key = request.query["key"]
+        self._items.pop(key, None)
+        self._revision += 1
+        self._add({"Key": key, "Revision": self._revision, "Deleted": True})
+        return web.Response()
+
+    async def _refuse(self, request: web.Request) -> web.Response:
+        self.refused = json.loads(await request.read())
+        return web.Response()
+
+    async def _compact(self, request: web.Request) -> web.Response:
+        del request
+        # A later event, so that every earlier revision is out of reach.
+        self._events.clear()
+        self._revision += 10
+        self._add({"Key": "gap", "Revision": self._revision, "Deleted": True})
+        return web.Response()
+
+    async def _calls(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response(self.calls)
+
+
+class PlatformTarget:
+    """A target that runs requests and counts the runs of each."""
+
+    def __init__(self, name: str, is_engine: bool) -> None:
+        """Stores what the target is."""
+        self._name = name
+        self._is_engine = is_engine
+        self._runs: dict[str, int] = {}
+        self._work_s = 0.02
+
+    def application(self) -> web.Application:
+        """Returns the routes of callers and of tests."""
+        application = web.Application()
+        application.router.add_get("/test/runs", self._show_runs)
+        application.router.add_post("/test/work", self._set_work)
+        application.router.add_route("*", "/{path:.*}", self._run)
+        return application
+
+    async def _show_runs(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response(self._runs)
+
+    async def _set_work(self, request: web.Request) -> web.Response:
+        self._work_s = float(await request.text())
+        return web.Response()
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        expected = request.headers.get("X-Crowwinch-Expect-Instance")
+        if expected != self._name:
+            return web.Response(
+                status=421, headers={"X-Crowwinch-Not-Executed": "1"}
+            )
+        body = await request.read()
+        attempt = request.headers["X-Crowwinch-Attempt-Id"]
+        self._runs[attempt] = self._runs.get(attempt, 0) + 1
+        headers = {
+            "X-Crowwinch-Attempt-Id": attempt,
+            "X-Crowwinch-Server-Seal": f"seal-{self._name}",
+        }
+        if not self._is_engine:
+            await asyncio.sleep(self._work_s)
+            return web.Response(body=body, headers=headers)
+        headers["Content-Type"] = "text/event-stream"
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        after = int(request.headers.get("Last-Event-Id", 0))
+        for number in range(after + 1, _WORDS + 1):
+            await asyncio.sleep(self._work_s)
+            await response.write(f"id: {number}\ndata: w{number}\n\n".encode())
+        await response.write_eof()
+        return response
+
+
+def _build(arguments: argparse.Namespace) -> web.Application:
+    if arguments.target:
+        return PlatformTarget(arguments.target, arguments.engine).application()
+    application = web.Application()
+    application.add_routes(Store().routes())
+    return application
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--target", default="", help="run a target, not a store"
+    )
+    parser.add_argument("--engine", action="store_true", help="stream events")
+
+
+if __name__ == "__main__":
+    run_standin(__doc__ or "", _build, _add_arguments)
--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,260 @@
+"""Routers, store and targets of the operators' platform as processes."""
+
+import concurrent.futures
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+
+from standins.processes import Process, call, free_ports, start_standin
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_READY_TIMEOUT_S = 20.0
+HOST = "host.example"
+KEY = "key-1"
+WORDS = b"".join(f"id: {n}\ndata: w{n}\n\n".encode() for n in range(1, 9))
+
+_ROUTES = (
+    ("desk", "/desk/", "unsafe", "desk", False),
+    ("look", "/look/", "safe", "desk", False),
+    ("chat", "/chat/", "streaming", "llm", False),
+    ("plan", "/plan/", "streaming", "llm", True),
+)
+
+
+def configuration(version: int, **changes: object) -> bytes:
+    """Returns a configuration document."""
+    routes = [
+        {
+            "Name": name,
+            "Host": HOST,
+            "Prefix": prefix,
+            "RouteType": kind,
+            "TimeoutMs": 8000,
+            "TargetLatencyMs": 500,
+            "Service": service,
+            "MaxAttempts": 2,
+            "StreamResume": resume,
+        }
+        for name, prefix, kind, service, resume in _ROUTES
+    ]
+    document = {
+        "Version": version,
+        "Routes": routes,
+        "Services": [
+            {"Name": "desk"},
+            {"Name": "llm", "Engine": {"Slots": 8, "KvCapacity": 100000}},
+        ],
+        "Tenants": [{"Name": "tenant", "ApiKeys": [KEY]}],
+    }
+    return json.dumps(document | changes).encode()
+
+
+class PlatformFleet:
+    """Starts and stops all processes; each router has its own address."""
+
+    def __init__(self, routers: int) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self.path = pathlib.Path(self._folder.name)
+        self.store = start_standin("operators_platform")
+        self.targets: dict[str, Process] = {}
+        self.routers: list[Process | None] = [None] * routers
+        # One port of each kind on all routers, as on the platform.
+        self._ports = free_ports(5)
+
+    def start(self) -> None:
+        """Starts targets and routers and waits until they serve."""
+        self.put("op/config", configuration(3))
+        for name, service in (
+            ("i-desk-1", "desk"),
+            ("i-desk-2", "desk"),
+            ("i-llm-1", "llm"),
+            ("i-llm-2", "llm"),
+        ):
+            self.start_target(name, service)
+        for index in range(len(self.routers)):
+            self.start_router(index)
+        self.wait_ready(range(len(self.routers)))
+
+    def stop(self) -> None:
+        """Ends all processes that were started."""
+        for process in [*self.routers, *self.targets.values(), self.store]:
+            if process is not None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.signal(signal.SIGCONT)
+                process.kill()
+                if process.handle.stdout is not None:
+                    process.handle.stdout.close()
+        self._folder.cleanup()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Writes an item to the store."""
+        status, _ = call("POST", f"{self.store.url}/test/put?key={key}", value)
+        assert status == 200, status
+
+    def delete(self, key: str) -> None:
+        """Deletes an item of the store."""
+        call("POST", f"{self.store.url}/test/delete?key={key}")
+
+    def refuse(self, addresses: Sequence[str]) -> None:
+        """Lets the store turn routers away by the start of their address."""
+        body = json.dumps(addresses).encode()
+        call("POST", f"{self.store.url}/test/refuse", body)
+
+    def compact(self) -> None:
+        """Lets the store forget its history."""
+        call("POST", f"{self.store.url}/test/compact")
+
+    def start_target(self, name: str, service: str) -> None:
+        """Starts a target and registers it."""
+        options = ("--engine",) if service == "llm" else ()
+        target = start_standin("operators_platform", "--target", name, *options)
+        self.targets[name] = target
+        self.register(name, service)
+
+    def register(self, name: str, service: str, state: str = "ready") -> None:
+        """Writes the entry of a target."""
+        address = self.targets[name].url.removeprefix("http://")
+        entry = {
+            "Service": service,
+            "Address": address,
+            "Zone": "az-1",
+            "Slots": 8,
+            "State": state,
+            "Sequence": 1,
+            "born": 1,
+        }
+        self.put(f"servers/{name}", json.dumps(entry).encode())
+
+    def runs(self) -> dict[str, dict[str, int]]:
+        """Returns how often each target ran each request."""
+        runs = {}
+        for name, target in self.targets.items():
+            if target.handle.poll() is None:
+                _, body = call("GET", f"{target.url}/test/runs")
+                runs[name] = json.loads(body)
+        return runs
+
+    def address(self, index: int) -> str:
+        """Returns the IP address of a router."""
+        return f"127.0.1.{index + 1}"
+
+    def start_router(self, index: int) -> None:
+        """Starts a router."""
+        caller, readiness, control, peer, metrics = self._ports
+        address = self.address(index)
+        seeds = ", ".join(
+            f'"{self.address(each)}:{control}"' for each in range(2)
+        )
+        settings = self.path / f"router-{index}.toml"
+        settings.write_text(
+            f'NodeName = "edge-{index}"\nIp = "{address}"\nZone = "az-1"\n'
+            f"PortRange = [{peer}, {metrics}]\nSeeds = [{seeds}]\n"
+            f'[Listen]\nFrontend = "{address}:{caller}"\n'
+            f'Readiness = "{address}:{readiness}"\n'
+            f'Control = "{address}:{control}"\n'
+            "[Limits]\nMemoryMb = 300\nMaxFds = 4100\n"
+            "[Bounds]\nDrainMs = 2000\nGraceS = 8\nReuseAfterS = 2\n"
+            "RetryBudgetRatio = 0.2\nBudgetWindowS = 10\n"
+            f'[Platform]\nAddress = "{self.store.url[7:]}"\n'
+        )
+        with open(self.log(index), "ab") as log:
+            handle = subprocess.Popen(
+                (sys.executable, "-m", "crowwinch", "gateway"),
+                cwd=_ROOT,
+                env=os.environ | {"CROWWINCH_BOOT": str(settings)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self.routers[index] = Process(
+            f"edge-{index}",
+            f"http://{address}:{caller}",
+            handle,
+            operator_url=f"http://{address}:{readiness}",
+        )
+
+    def log(self, index: int) -> pathlib.Path:
+        """Returns the file of a router's log."""
+        return self.path / f"router-{index}.log"
+
+    def metrics(self, index: int) -> str:
+        """Returns the metrics of a router."""
+        url = f"http://{self.address(index)}:{self._ports[4]}/metrics"
+        return call("GET", url)[1].decode()
+
+    def is_ready(self, index: int) -> bool:
+        """Returns whether a router says that it is ready."""
+        url = f"{self.routers[index].operator_url}/readyz"
+        try:
+            return call("GET", url, timeout_s=1.0)[0] == 200
+        except OSError:
+            return False
+
+    def wait_ready(self, indexes: Sequence[int]) -> None:
+        """Waits until routers are ready and know all targets."""
+        wait_for(
+            lambda: all(self.is_ready(index) for index in indexes),
+            "routers are not ready",
+        )
+        for index in indexes:
+            for path in ("/look/x", "/chat/x"):
+                wait_for(
+                    lambda index=index, path=path: (
+                        self.ask(index, path)[0] == 200
+                    ),
+                    f"router {index} does not serve {path}",
+                )
+
+    def ask(
+        self,
+        index: int,
+        path: str,
+        body: bytes = b"body",
+        attempt: str = "",
+        key: str = KEY,
+    ) -> tuple[int, bytes]:
+        """Sends a request; a broken connection counts as status 0."""
+        headers = {
+            "Host": HOST,
+            "X-Api-Key": key,
+            "X-Crowwinch-Attempt-Id": attempt or f"probe-{time.monotonic()}",
+        }
+        try:
+            return call("POST", self.routers[index].url + path, body, headers)
+        except (OSError, http.client.HTTPException):
+            return 0, b""
+
+    def ask_many(
+        self, count: int, indexes: Sequence[int], path: str, prefix: str
+    ) -> list[tuple[int, bytes]]:
+        """Sends requests side by side, to the given routers in turn."""
+        with concurrent.futures.ThreadPoolExecutor(count) as pool:
+            return list(
+                pool.map(
+                    lambda number: self.ask(
+                        indexes[number % len(indexes)],
+                        path,
+                        attempt=f"{prefix}-{number}",
+                    ),
+                    range(count),
+                )
+            )
+
+
+def wait_for(
+    check: Callable[[], bool], what: str, timeout_s: float = _READY_TIMEOUT_S
+) -> float:
+    """Waits until a check holds; returns the seconds that it took."""
+    started = time.monotonic()
+    while not check():
+        if time.monotonic() - started > timeout_s:
+            raise AssertionError(what)
+        time.sleep(0.02)
+    return time.monotonic() - started
