Count the delay of engines seen by late first events

Cause: after a loss of power engines go on with requests of routers that are gone; no router knows of that work and forecasts 0.14 s where 1.2 s are seen.

Change: how late first events come, and events that are overdue, count as delay of a target; it fades in 1.5 s.

--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -294,7 +294,7 @@
         call, work = run.call, run.work
         started = self._clock.monotonic()
         reservation = self._sharing.loads.reserve(
-            decision.target, decision.reading_s
+            decision.target, decision.reading_s, decision.expected_s
         )
         self._sharing.shares.note_served(work.workspace, work.cost)
         self._note_prefix(run, decision.target)
@@ -505,6 +505,9 @@
         if not run.work.prompt_tokens:
             return
         self._metrics.observe("first_event", seconds)
+        self._sharing.loads.note_first_event(
+            decision.target, seconds - decision.forecast_s
+        )
         if decision.waiting_s < decision.reading_s * _READ_ALONE_SHARE:
             self._sharing.speeds.note_first_event(
                 run.work.service, decision.reading_s, seconds
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -185,6 +185,7 @@
                 unread_tokens=chosen.unread_tokens,
                 reading_s=chosen.reading_s,
                 waiting_s=chosen.waiting_s,
+                forecast_s=chosen.forecast_s,
                 expected_s=chosen.expected_s,
             )
         patience = latency * (_PATIENCE if is_within else _OVER_SHARE_PATIENCE)
--- a/crowwinch/sharing/_loads.py
+++ b/crowwinch/sharing/_loads.py
@@ -1,7 +1,8 @@
 """How much work each target has, over all routers."""
 
+import math
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from crowwinch.coordination import Clock
 
@@ -9,6 +10,10 @@
 # that was stopped, so its work is discounted to nothing by the second time.
 _FRESH_S = 0.5
 _EXPIRY_S = 2.5
+# Weight of the newest first event in the delay of a target, and the time in
+# which a delay without newer events fades.
+_DELAY_WEIGHT = 0.3
+_DELAY_FADE_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,20 +34,34 @@
 class Reservation:
     """Work of one attempt at a target."""
 
-    __slots__ = ("_is_finished", "_load", "_reading_s")
+    __slots__ = ("_due", "_is_finished", "_load", "_reading_s")
 
-    def __init__(self, load: "_OwnLoad", reading_s: float) -> None:
-        """Counts the work."""
+    def __init__(self, load: "_OwnLoad", reading_s: float, due: float) -> None:
+        """Counts the work.
+
+        Args:
+            load: Load of the target.
+            reading_s: Modelled time to read the prompt.
+            due: Monotonic time at which the first event is expected.
+        """
         self._load = load
         self._reading_s = reading_s
+        self._due = due
         self._is_finished = False
         load.active += 1
         load.reading_s += reading_s
+        load.unread.add(self)
+
+    @property
+    def due(self) -> float:
+        """Monotonic time at which the first event is expected."""
+        return self._due
 
     def note_first_event(self) -> None:
         """Records that the prompt was read."""
         self._load.reading_s -= self._reading_s
         self._reading_s = 0.0
+        self._load.unread.discard(self)
 
     def finish(self) -> None:
         """Ends the work; further calls change nothing."""
@@ -56,6 +75,9 @@
 class _OwnLoad:
     active: int = 0
     reading_s: float = 0.0
+    unread: set[Reservation] = field(default_factory=set)
+    delay_s: float = 0.0
+    delay_at: float = 0.0
 
 
 class TargetLoads:
@@ -73,10 +95,43 @@
         """Other routers whose reports count."""
         return len(self._peers)
 
-    def reserve(self, target: str, reading_s: float) -> Reservation:
-        """Counts an attempt at a target."""
+    def reserve(
+        self, target: str, reading_s: float, expected_s: float = math.inf
+    ) -> Reservation:
+        """Counts an attempt at a target.
+
+        Args:
+            target: Identifier of the target.
+            reading_s: Modelled time to read the prompt.
+            expected_s: Forecast of the time to the first event.
+        """
         load = self._own.setdefault(target, _OwnLoad())
-        return Reservation(load, reading_s)
+        due = self._clock.monotonic() + expected_s
+        return Reservation(load, reading_s, due)
+
+    def note_first_event(self, target: str, late_s: float) -> None:
+        """Records how much later than forecast a first event came.
+
+        Work that no router knows of shows only by this: that of a router which
+        was lost, for instance.
+        """
+        load = self._own.setdefault(target, _OwnLoad())
+        delay = self._faded_delay(load)
+        load.delay_s = delay + _DELAY_WEIGHT * (max(late_s, 0.0) - delay)
+        load.delay_at = self._clock.monotonic()
+
+    def delay_s(self, target: str) -> float:
+        """Returns how late first events of a target are."""
+        load = self._own.get(target)
+        if load is None:
+            return 0.0
+        now = self._clock.monotonic()
+        overdue = max((now - each.due for each in load.unread), default=0.0)
+        return max(self._faded_delay(load), overdue)
+
+    def _faded_delay(self, load: _OwnLoad) -> float:
+        age = self._clock.monotonic() - load.delay_at
+        return load.delay_s * max(1 - age / _DELAY_FADE_S, 0.0)
 
     def note_peer(self, peer: str, uses: Sequence[TargetUse]) -> None:
         """Replaces the report of another router."""
--- a/crowwinch/sharing/_model.py
+++ b/crowwinch/sharing/_model.py
@@ -92,7 +92,8 @@
         unread_tokens: Prompt tokens that the target is expected to read.
         reading_s: Modelled time to read them.
         waiting_s: Modelled time of the prompts before them.
-        expected_s: Forecast of the time to the first event.
+        forecast_s: Time to the first event by the work that is known.
+        expected_s: Time to the first event with the delay seen lately.
         retry_after_s: When a refused caller may return.
     """
 
@@ -101,5 +102,6 @@
     unread_tokens: int = 0
     reading_s: float = 0.0
     waiting_s: float = 0.0
+    forecast_s: float = 0.0
     expected_s: float = 0.0
     retry_after_s: float = 0.0
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -46,7 +46,8 @@
         unread_tokens: Prompt tokens that it would have to read.
         reading_s: Modelled time to read them.
         waiting_s: Modelled time of the prompts before them.
-        expected_s: Time to the first event.
+        forecast_s: Time to the first event by the work that is known.
+        expected_s: Time to the first event with the delay seen lately.
         use: Requests at the target as part of its slots.
         loss: Expected loss of value by choosing this target.
     """
@@ -55,6 +56,7 @@
     unread_tokens: int
     reading_s: float
     waiting_s: float
+    forecast_s: float
     expected_s: float
     use: float
     loss: float
@@ -135,7 +137,8 @@
         reading = read_seconds(unread, kept)
         waiting = self._loads.reading_s(identifier)
         use = self._loads.active(identifier) / max(target.slots, 1)
-        expected = self._speeds.first_event_s(work.service, waiting + reading)
+        forecast = self._speeds.first_event_s(work.service, waiting + reading)
+        expected = forecast + self._loads.delay_s(identifier)
         if use >= 1.0:
             expected += _FULL_BATCH_S * use
         expected += _FAILURE_S * self._health.failing_share(identifier)
@@ -144,6 +147,7 @@
             unread_tokens=unread,
             reading_s=reading,
             waiting_s=waiting,
+            forecast_s=forecast,
             expected_s=expected,
             use=use,
             loss=_engine_loss(work, expected, max(shared - kept, 0)),
@@ -161,6 +165,7 @@
             unread_tokens=0,
             reading_s=0.0,
             waiting_s=0.0,
+            forecast_s=expected,
             expected_s=expected,
             use=active / slots,
             loss=expected,
--- a/crowwinch/sharing/tests/test_placing.py
+++ b/crowwinch/sharing/tests/test_placing.py
@@ -106,6 +106,24 @@
             len(self.placer.candidates(prompt("p"), self.engines)), 6
         )
 
+    def test_an_engine_that_is_late_is_left(self):
+        """Work of a router that was lost shows by late first events only."""
+        home = self.best(prompt("p")).target.identifier
+        for _ in range(5):
+            self.loads.note_first_event(home, 1.5)
+        self.assertNotEqual(self.best(prompt("p")).target.identifier, home)
+        self.clock.move_to(1.6)
+        self.assertEqual(self.best(prompt("p")).target.identifier, home)
+
+    def test_an_engine_with_an_overdue_event_is_left(self):
+        home = self.best(prompt("p")).target.identifier
+        reservation = self.loads.reserve(home, 0.0, expected_s=0.1)
+        self.assertEqual(self.best(prompt("p")).target.identifier, home)
+        self.clock.move_to(1.2)
+        self.assertNotEqual(self.best(prompt("p")).target.identifier, home)
+        reservation.note_first_event()
+        self.assertEqual(self.best(prompt("p")).target.identifier, home)
+
     def test_excluded_targets_are_not_offered(self):
         home = self.best(prompt("p")).target.identifier
         offered = self.placer.candidates(
