Read prompts again beyond the share at nearly idle engines only

Change: such requests go only to engines that keep the prefix, or to engines with less than a fifth of their slots in use.

--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -29,6 +29,10 @@
 _OVER_SHARE_USE = 0.8
 _OVER_SHARE_LATENCY = 0.8
 _OVER_SHARE_EXPONENT = 0.7
+# Only engines with less use than this read for requests beyond the share what
+# another engine keeps. At 0.4 and 0.5 the time of reading again was missing to
+# requests within their shares.
+_IDLE_USE = 0.2
 # An engine with less unread work takes a request even if it will be late.
 _IDLE_WAIT_S = 0.15
 # Repeats of refused requests are spread over this part of their wait.
@@ -222,6 +226,8 @@
         return True
     if share_use > 1.0:
         part = share_use**-_OVER_SHARE_EXPONENT
+        if candidate.read_again and candidate.use > _IDLE_USE:
+            return False
         return (
             candidate.use < _OVER_SHARE_USE * part
             and candidate.expected_s + waited
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -49,6 +49,7 @@
         forecast_s: Time to the first event by the work that is known.
         expected_s: Time to the first event with the delay seen lately.
         use: Requests at the target as part of its slots.
+        read_again: Tokens to read that another target keeps.
         loss: Expected loss of value by choosing this target.
     """
 
@@ -59,6 +60,7 @@
     forecast_s: float
     expected_s: float
     use: float
+    read_again: int
     loss: float
 
 
@@ -150,6 +152,7 @@
             forecast_s=forecast,
             expected_s=expected,
             use=use,
+            read_again=max(shared - kept, 0),
             loss=_engine_loss(work, expected, max(shared - kept, 0)),
         )
 
@@ -168,6 +171,7 @@
             forecast_s=expected,
             expected_s=expected,
             use=active / slots,
+            read_again=0,
             loss=expected,
         )
 
