Keep queues short for small workspaces in the first seconds of a crowd

Change: within the shares, the queue that a workspace may build shrinks with its use against the mean. Updates tell shares each fourth time, members each twentieth, and reads away from home once.

--- a/crowwinch/cli/_gateway.py
+++ b/crowwinch/cli/_gateway.py
@@ -42,14 +42,13 @@
         # The application takes long to import; the help does not need it.
         from crowwinch.gateway import run_gateway
         from crowwinch.observability import configure_bounded_logs
-        from crowwinch.platform import SETTINGS_VARIABLE, load_boot_settings
+        from crowwinch.platform import SETTINGS_VARIABLE
 
         path = arguments.settings or os.environ.get(SETTINGS_VARIABLE)
         if not path:
             raise SettingsError(
                 [Finding("--settings", f"is required (or {SETTINGS_VARIABLE})")]
             )
-        settings = load_boot_settings(path)
         configure_bounded_logs(arguments.log_level)
-        run_gateway(settings)
+        run_gateway(path)
         return 0
--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -71,6 +71,13 @@
         """Whether the last call to the store succeeded."""
         return self._failing_since is None
 
+    @property
+    def store_age_s(self) -> float:
+        """Seconds for which the store has not answered, 0 while it does."""
+        if self._failing_since is None:
+            return 0.0
+        return round(self._clock.monotonic() - self._failing_since, 2)
+
     def listing(self) -> Listing:
         """Returns what another router needs to catch up."""
         return Listing(
--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -43,9 +43,10 @@
         """
         self._clock = clock
         self._own_control = own_control
-        self._seeds = frozenset(seeds) - {own_control}
-        self._peers = {control: _Peer(control) for control in self._seeds}
+        self._seeds: frozenset[str] = frozenset()
+        self._peers: dict[str, _Peer] = {}
         self._turn = 0
+        self.add_seeds(seeds)
 
     @property
     def live(self) -> list[str]:
@@ -57,6 +58,12 @@
             if peer.heard >= oldest and not peer.is_leaving
         ]
 
+    def add_seeds(self, seeds: Iterable[str]) -> None:
+        """Replaces the seeds; routers that are known stay known."""
+        self._seeds = frozenset(seeds) - {self._own_control}
+        for control in self._seeds:
+            self._peers.setdefault(control, _Peer(control))
+
     def accept(self, update: FleetUpdate) -> bool:
         """Records an update.
 
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -1,7 +1,7 @@
 """Tells the other routers what this one does, and hears them."""
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from crowwinch.coordination import Subscription, TimerService
 from crowwinch.directory import DirectoryState
@@ -9,10 +9,15 @@
 from crowwinch.fleet._directory_pull import DirectoryPull
 from crowwinch.fleet._endpoint import FleetEndpoint
 from crowwinch.fleet._peer_table import PeerTable
-from crowwinch.forwarding import GatewaySettings, SharingState
+from crowwinch.forwarding import (
+    GatewaySettings,
+    SharingState,
+    SocketAddress,
+)
 from crowwinch.generated.fleet_messages import (
     CrashReport,
     FleetUpdate,
+    PrefixReport,
     TargetReport,
     WorkspaceReport,
 )
@@ -20,7 +25,10 @@
 
 # Two routers that choose a target within one period do not see each other.
 _PERIOD_S = 0.05
-# Counts are summed up a little after the updates of a period have arrived.
+# Shares are counted over seconds, so they need not be told with every update;
+# a newcomer learns of the other members within a second.
+_UPDATES_PER_SHARES = 4
+_UPDATES_PER_MEMBERS = 20
 _MOST_CRASHES = 32
 
 
@@ -63,6 +71,10 @@
         """Other routers that were heard a moment ago."""
         return len(self._table.live)
 
+    def add_seeds(self, seeds: Iterable[SocketAddress]) -> None:
+        """Takes control addresses of routers that may be unknown."""
+        self._table.add_seeds(str(seed) for seed in seeds)
+
     async def start(self) -> None:
         """Starts to listen and to send."""
         await self._pull.start()
@@ -89,10 +101,11 @@
 
     def _build_update(self) -> FleetUpdate:
         sharing = self._sharing
+        sequence = next(self._sequence)
         return FleetUpdate(
             router=self._settings.name,
             life=self._life,
-            sequence=next(self._sequence),
+            sequence=sequence,
             control=str(self._settings.control),
             version=self._state.version,
             revision=self._state.revision,
@@ -103,19 +116,31 @@
                 )
                 for use in sharing.loads.own_use()
             ],
-            workspaces=[
-                WorkspaceReport(
-                    use.workspace, round(use.asked), round(use.served)
-                )
-                for use in sharing.shares.own_use()
-            ],
-            members=self._table.members_to_tell(),
+            workspaces=(
+                [
+                    WorkspaceReport(
+                        use.workspace, round(use.asked), round(use.served)
+                    )
+                    for use in sharing.shares.own_use()
+                ]
+                if sequence % _UPDATES_PER_SHARES == 0
+                else None
+            ),
+            members=(
+                self._table.members_to_tell()
+                if sequence % _UPDATES_PER_MEMBERS == 0
+                else []
+            ),
             crashes=[
                 CrashReport(digest, count)
                 for digest, count in sharing.crashes.own_counts()[
                     -_MOST_CRASHES:
                 ]
             ],
+            prefixes=[
+                PrefixReport(target, path)
+                for target, path in sharing.prefixes.take_reads_to_tell()
+            ],
         )
 
     def _receive(self, update: FleetUpdate) -> None:
@@ -132,12 +157,16 @@
                 for report in update.targets
             ],
         )
-        sharing.shares.note_peer(
-            peer,
-            [
-                WorkspaceUse(report.workspace, report.asked, report.served)
-                for report in update.workspaces
-            ],
+        if update.workspaces is not None:
+            sharing.shares.note_peer(
+                peer,
+                [
+                    WorkspaceUse(report.workspace, report.asked, report.served)
+                    for report in update.workspaces
+                ],
+            )
+        sharing.prefixes.note_peer(
+            (report.target, report.path) for report in update.prefixes
         )
         sharing.crashes.note_peer(
             peer, [(report.digest, report.count) for report in update.crashes]
--- /dev/null
+++ b/crowwinch/fleet/tests/test_endpoint.py
@@ -0,0 +1,123 @@
+"""Datagrams and directories between routers."""
+
+import asyncio
+import unittest
+
+import aiohttp
+import msgspec
+
+from crowwinch.coordination import SystemClock
+from crowwinch.directory import DirectoryState, Item, Listing
+from crowwinch.errors import PeerRejection
+from crowwinch.fleet import DirectoryPull, FleetEndpoint
+from crowwinch.forwarding import SocketAddress
+from crowwinch.generated.fleet_messages import FleetUpdate
+from standins.processes import free_port
+
+_UPDATE = FleetUpdate("r", 1, 2, "127.0.0.1:9", 3, 4, False, [], [], [], [], [])
+
+
+class FleetEndpointTest(unittest.TestCase):
+    """Guards against datagrams that end or confuse a router."""
+
+    def setUp(self):
+        self.received = []
+        self.rejected = []
+        self.endpoint = FleetEndpoint(
+            "127.0.0.1", 0, self.received.append, self.rejected.append
+        )
+
+    def _receive(self, data):
+        self.endpoint.datagram_received(data, ("127.0.0.1", 1))
+
+    def test_an_update_is_passed_on(self):
+        self._receive(b"\x01" + msgspec.msgpack.encode(_UPDATE))
+        self.assertEqual(self.received, [_UPDATE])
+
+    def test_malformed_datagrams_are_counted_and_dropped(self):
+        good = b"\x01" + msgspec.msgpack.encode(_UPDATE)
+        fields = list(msgspec.to_builtins(_UPDATE))
+        cases = {
+            b"": PeerRejection.UNKNOWN_VERSION,
+            b"\x02" + good[1:]: PeerRejection.UNKNOWN_VERSION,
+            b"\x01": PeerRejection.MALFORMED,
+            good[:-3]: PeerRejection.MALFORMED,
+            b"\x01\xc1": PeerRejection.MALFORMED,
+        }
+        for index, value in ((0, ""), (1, "x"), (2, -1), (7, [["t", -1, 0]])):
+            changed = [*fields]
+            changed[index] = value
+            data = b"\x01" + msgspec.msgpack.encode(changed)
+            cases[data] = PeerRejection.MALFORMED
+        for data, reason in cases.items():
+            with self.subTest(data):
+                self.rejected.clear()
+                self._receive(data)
+                self.assertEqual(self.rejected, [reason])
+        self.assertEqual(self.received, [])
+
+
+class _NoDecoder:
+    def decode(self, key, value):
+        return None
+
+
+class DirectoryPullTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a router that stays behind while others know more."""
+
+    async def _start(self):
+        clock = SystemClock()
+        state = DirectoryState(clock, _NoDecoder())
+        address = SocketAddress("127.0.0.1", free_port())
+        pull = DirectoryPull(clock, state, address)
+        await pull.start()
+        self.addAsyncCleanup(pull.stop)
+        return state, pull, str(address)
+
+    async def test_a_router_that_is_turned_away_reads_from_a_peer(self):
+        newer, _, address = await self._start()
+        items = (Item("op/x", 7, b"text"), Item("bytes", 8, b"\xff\x00"))
+        newer.apply_listing(Listing(9, items))
+        state, pull, _ = await self._start()
+        state.note_failure(0.0)
+        pull.note_revision(address, 9, 0)
+        await asyncio.sleep(0.2)
+        self.assertEqual(state.revision, 9)
+        # Bytes that are no text are of no use to any decoder.
+        self.assertEqual([item.key for item in state.listing().items], ["op/x"])
+
+    async def test_a_router_that_reads_the_store_waits_for_it(self):
+        state, pull, address = await self._start()
+        state.apply_listing(Listing(5, ()))
+        newer, _, address = await self._start()
+        newer.apply_listing(Listing(9, ()))
+        pull.note_revision(address, 9, 0)
+        state.note_contact()
+        await asyncio.sleep(0.05)
+        # Its configuration is unknown, so it does not wait either.
+        self.assertEqual(state.revision, 9)
+
+    async def test_peers_that_fail_or_lag_change_nothing(self):
+        state, pull, _ = await self._start()
+        state.apply_listing(Listing(5, ()))
+        state.note_failure(0.0)
+        older, _, address = await self._start()
+        older.apply_listing(Listing(4, (Item("a", 4, b"x"),)))
+        for peer in (address, f"127.0.0.1:{free_port()}"):
+            with self.subTest(peer):
+                pull.note_revision(peer, 99, 0)
+                await asyncio.sleep(0.15)
+                self.assertEqual(state.revision, 5)
+                self.assertEqual(state.listing().items, ())
+
+    async def test_only_the_directory_is_served(self):
+        _, _, address = await self._start()
+        async with aiohttp.ClientSession() as session:
+            for method, path, status in (
+                ("GET", "/v1/directory", 200),
+                ("POST", "/v1/directory", 404),
+                ("GET", "/", 404),
+            ):
+                url = f"http://{address}{path}"
+                async with session.request(method, url) as answer:
+                    self.assertEqual(answer.status, status)
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import xxhash
@@ -120,8 +121,22 @@
         codec: WireCodec,
         metrics: Metrics,
         random: Callable[[], float],
+        describe_state: Callable[[], Mapping[str, object]] = dict,
     ) -> None:
-        """Stores the parts that a request needs."""
+        """Stores the parts that a request needs.
+
+        Args:
+            clock: Monotonic time.
+            routing: Returns the configuration in force.
+            targets: Targets that take requests.
+            sharing: Decisions on shares, placing and repeats.
+            client: Sends attempts.
+            codec: Translates headers.
+            metrics: Counters and histograms.
+            random: Returns a number from 0 to 1.
+            describe_state: Returns the age and version of what this router
+                knows, for the log.
+        """
         self._clock = clock
         self._routing = routing
         self._targets = targets
@@ -130,6 +145,7 @@
         self._codec = codec
         self._metrics = metrics
         self._random = random
+        self._describe_state = describe_state
         self._losses: dict[str, list[tuple[float, str]]] = {}
 
     @property
@@ -297,12 +313,16 @@
             decision.target, decision.reading_s, decision.expected_s
         )
         self._sharing.shares.note_served(work.workspace, work.cost)
-        self._note_prefix(run, decision.target)
+        if work.parts:
+            self._sharing.prefixes.note_read(
+                decision.target, work.model, work.parts, decision.is_home
+            )
         run.sends += 1
         run.attempts.append(
             {
                 "target": decision.target,
                 "unread_tokens": decision.unread_tokens,
+                "read_again": decision.read_again,
                 "ahead_s": round(decision.waiting_s, 3),
                 "expected_s": round(decision.expected_s, 3),
                 "waited_s": round(started - call.arrived, 3),
@@ -463,13 +483,6 @@
             if lost >= oldest:
                 self._sharing.crashes.note_crash(digest)
 
-    def _note_prefix(self, run: _Run, target: str) -> None:
-        view = self._targets.view(target)
-        if view is not None and view.is_engine and run.work.parts:
-            self._sharing.prefixes.note_read(
-                target, run.work.model, run.work.parts, view.memory_tokens
-            )
-
     def _deadline_refusal(self, run: _Run) -> RefusalError:
         if run.may_have_run:
             return RefusalError(
@@ -488,15 +501,16 @@
         self, call: Call, refusal: RefusalError, run: _Run | None
     ) -> None:
         self._metrics.count_reason("refusals", refusal.reason)
-        self._log(call, run, refusal.code)
-        if call.is_started:
-            call.abort()
-            return
         try:
-            await call.refuse(refusal)
+            if call.is_started:
+                call.abort()
+            else:
+                await call.refuse(refusal)
         except ConnectionError:
             # The caller left before its refusal.
             self._metrics.count("callers_gone")
+        finally:
+            self._log(call, run, refusal.code)
 
     def note_first_event(
         self, run: "_Run", decision: Decision, seconds: float
@@ -533,9 +547,10 @@
                 "workspace_served": round(
                     self._sharing.shares.served(run.work.workspace)
                 ),
-                "share_level": self._sharing.shares.level,
+                "share_level": _finite(self._sharing.shares.level),
                 "attempts": run.attempts,
             }
+            entry |= self._describe_state()
         _LOGGER.info("request", extra=entry)
 
 
@@ -569,6 +584,11 @@
         self._forwarder.poll()
 
 
+def _finite(units: float) -> int | None:
+    """Returns a level for the log, None if there is no limit."""
+    return None if math.isinf(units) else round(units)
+
+
 def _digest(run: _Run) -> str:
     """Identifies equal requests: workspace, method, path and body."""
     call = run.call
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -29,8 +29,14 @@
     TargetClient,
     TargetSet,
 )
+from crowwinch.gateway._settings_file import SettingsFile
 from crowwinch.observability import Metrics
-from crowwinch.platform import DocumentCodec, HeaderCodec, StoreClient
+from crowwinch.platform import (
+    DocumentCodec,
+    HeaderCodec,
+    StoreClient,
+    load_boot_settings,
+)
 from crowwinch.sharing import (
     Admission,
     CrashCounts,
@@ -52,6 +58,8 @@
 # The process ends this long before it would be killed.
 _STOP_MARGIN_S = 0.4
 _DRAIN_POLL_S = 0.05
+# The settings file may change without a signal.
+_SETTINGS_PERIOD_S = 1.0
 _SHUTDOWN_TIMEOUT_S = 0.1
 
 
@@ -68,9 +76,20 @@
 class GatewayApplication(aiomisc.Service):
     """One router process on the operators' platform."""
 
-    def __init__(self, settings: GatewaySettings) -> None:
-        """Builds all parts; nothing runs until `start`."""
+    def __init__(self, path: str) -> None:
+        """Builds all parts; nothing runs until `start`.
+
+        Args:
+            path: Settings file of the platform.
+
+        Raises:
+            SettingsError: With one finding for each wrong setting.
+        """
         super().__init__()
+        self._settings_file = SettingsFile(
+            path, load_boot_settings, self._apply_settings
+        )
+        settings = self._settings_file.settings
         self._settings = settings
         self._clock = SystemClock()
         self._timers = TimerService(self._clock)
@@ -99,6 +118,7 @@
                 codec,
                 self._metrics,
                 self._rng.random,
+                self._describe_state,
             ),
             self._limits,
             settings.memory_bytes,
@@ -133,7 +153,7 @@
     def _build_sharing(self) -> SharingState:
         settings = self._settings
         loads = TargetLoads(self._clock)
-        prefixes = KeptPrefixes()
+        prefixes = KeptPrefixes(self._clock)
         speeds = EngineSpeeds()
         health = TargetHealth(self._clock)
         shares = WorkspaceShares(self._clock, settings.share_window_s)
@@ -164,12 +184,15 @@
             SocketAddress(settings.address, settings.metrics_port),
             self._render_metrics,
         )
+        self._timers.call_every(
+            _SETTINGS_PERIOD_S, self._settings_file.reload_if_changed
+        )
         for component in self._components:
             await component.start()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.begin_shutdown)
-        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._settings_file.reload)
         _LOGGER.info(
             "router started",
             extra={"router": settings.name, "zone": settings.availability_zone},
@@ -216,9 +239,26 @@
         _LOGGER.info("shutdown finished", extra={"cut": self._callers.active})
         self._stopped.set()
 
-    def _note_reload(self) -> None:
-        """Logs SIGHUP: addresses and bounds are fixed until the next start."""
-        _LOGGER.info("settings reloaded")
+    def _apply_settings(self, settings: GatewaySettings) -> None:
+        """Takes settings that changed while the router runs.
+
+        The addresses at which it listens are those of its start.
+        """
+        self._settings = settings
+        self._store.move(settings.store)
+        self._fleet.add_seeds(settings.seeds)
+        self._sharing.budget.set_limits(
+            settings.retry_ratio, settings.retry_window_s
+        )
+        self._sharing.shares.set_window(settings.share_window_s)
+
+    def _describe_state(self) -> dict[str, object]:
+        """Returns how old and how complete this router's knowledge is."""
+        return {
+            "revision": self._state.revision,
+            "store_age_s": self._state.store_age_s,
+            "peers": self._fleet.live_peers,
+        }
 
     def _limits(self) -> RequestLimits:
         routing = self._state.routing
@@ -278,11 +318,18 @@
         return web.Response(text=self._metrics.render())
 
 
-def run_gateway(settings: GatewaySettings) -> None:
-    """Runs a router until a graceful shutdown has finished."""
+def run_gateway(path: str) -> None:
+    """Runs a router until a graceful shutdown has finished.
+
+    Args:
+        path: Settings file of the platform.
+
+    Raises:
+        SettingsError: With one finding for each wrong setting.
+    """
 
     async def serve() -> None:
-        application = GatewayApplication(settings)
+        application = GatewayApplication(path)
         await application.start()
         try:
             await application.wait_stopped()
--- a/crowwinch/platform/_store.py
+++ b/crowwinch/platform/_store.py
@@ -56,6 +56,10 @@
         """Calls made so far; a waiting watch counts as one."""
         return self._calls
 
+    def move(self, address: SocketAddress) -> None:
+        """Takes another address for the next calls."""
+        self._base = f"http://{address}"
+
     async def stop(self) -> None:
         """Closes all connections."""
         if self._session is not None:
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -33,6 +33,10 @@
 # another engine keeps. At 0.4 and 0.5 the time of reading again was missing to
 # requests within their shares.
 _IDLE_USE = 0.2
+# Within the shares, the queue that a workspace may build up at an engine
+# shrinks with its size against the others, so that small ones find short queues
+# also in the first seconds of a crowd.
+_LARGE_LATENCY = 0.8
 # An engine with less unread work takes a request even if it will be late.
 _IDLE_WAIT_S = 0.15
 # Repeats of refused requests are spread over this part of their wait.
@@ -174,11 +178,14 @@
         latency = work.target_latency_s or _DEFAULT_LATENCY_S
         share_use = self._shares.use_of_share(work.workspace, work.cost)
         is_within = share_use <= 1.0
+        relative_use = self._shares.relative_use(work.workspace)
         chosen = next(
             (
                 candidate
                 for candidate in candidates
-                if _has_room(candidate, share_use, latency, waited)
+                if _has_room(
+                    candidate, share_use, relative_use, latency, waited
+                )
             ),
             None,
         )
@@ -187,6 +194,8 @@
                 Verdict.SEND,
                 target=chosen.target.identifier,
                 unread_tokens=chosen.unread_tokens,
+                read_again=chosen.read_again,
+                is_home=chosen.is_home,
                 reading_s=chosen.reading_s,
                 waiting_s=chosen.waiting_s,
                 forecast_s=chosen.forecast_s,
@@ -217,7 +226,11 @@
 
 
 def _has_room(
-    candidate: Candidate, share_use: float, latency: float, waited: float
+    candidate: Candidate,
+    share_use: float,
+    relative_use: float,
+    latency: float,
+    waited: float,
 ) -> bool:
     """Returns whether a target may take a request now."""
     if candidate.use >= 1.0:
@@ -233,6 +246,8 @@
             and candidate.expected_s + waited
             <= latency * _OVER_SHARE_LATENCY * part
         )
+    if relative_use > 1.0:
+        latency *= _LARGE_LATENCY * relative_use**-_OVER_SHARE_EXPONENT
     return (
         candidate.expected_s + waited <= latency
         or candidate.waiting_s <= _IDLE_WAIT_S
--- a/crowwinch/sharing/_loads.py
+++ b/crowwinch/sharing/_loads.py
@@ -182,7 +182,7 @@
         """Returns the modelled time of prompts that a target has to read."""
         load = self._own.get(target)
         own = load.reading_s if load else 0.0
-        return own + self._remote.get(target, (0.0, 0.0))[1]
+        return max(own + self._remote.get(target, (0.0, 0.0))[1], 0.0)
 
     def forget_target(self, target: str) -> None:
         """Forgets a target that is gone, unless attempts still run."""
--- a/crowwinch/sharing/_model.py
+++ b/crowwinch/sharing/_model.py
@@ -90,6 +90,8 @@
         verdict: What to do.
         target: Where to send, empty for a refusal.
         unread_tokens: Prompt tokens that the target is expected to read.
+        read_again: Shared tokens among them that another target keeps.
+        is_home: Whether all routers expect the target to keep the prefix.
         reading_s: Modelled time to read them.
         waiting_s: Modelled time of the prompts before them.
         forecast_s: Time to the first event by the work that is known.
@@ -100,6 +102,8 @@
     verdict: Verdict
     target: str = ""
     unread_tokens: int = 0
+    read_again: int = 0
+    is_home: bool = False
     reading_s: float = 0.0
     waiting_s: float = 0.0
     forecast_s: float = 0.0
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -50,6 +50,7 @@
         expected_s: Time to the first event with the delay seen lately.
         use: Requests at the target as part of its slots.
         read_again: Tokens to read that another target keeps.
+        is_home: Whether all routers expect the target to keep the prefix.
         loss: Expected loss of value by choosing this target.
     """
 
@@ -61,6 +62,7 @@
     expected_s: float
     use: float
     read_again: int
+    is_home: bool
     loss: float
 
 
@@ -116,7 +118,7 @@
         home = ""
         if work.parts and targets:
             home = owner(
-                home_key(work.model, work.parts).hex(),
+                home_key(work.model, work.parts),
                 [target.identifier for target in targets],
             )
         return [
@@ -153,6 +155,7 @@
             expected_s=expected,
             use=use,
             read_again=max(shared - kept, 0),
+            is_home=is_home,
             loss=_engine_loss(work, expected, max(shared - kept, 0)),
         )
 
@@ -172,6 +175,7 @@
             expected_s=expected,
             use=active / slots,
             read_again=0,
+            is_home=False,
             loss=expected,
         )
 
--- a/crowwinch/sharing/_prefixes.py
+++ b/crowwinch/sharing/_prefixes.py
@@ -1,44 +1,51 @@
-"""Which parts of prompts the engines are believed to keep."""
+"""Which prefixes of prompts the engines are believed to keep."""
 
 from collections import OrderedDict
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 import xxhash
 
+from crowwinch.coordination import Clock
 from crowwinch.sharing._model import PromptPart
 
-# Running requests take the rest of an engine's memory.
-_KEPT_SHARE = 0.6
+# Engines give up the parts used longest ago; a prefix that was not used for
+# this long may be gone.
+_KEPT_S = 10.0
+# Prefixes of one target; a thousand are far more than an engine can keep.
+_CAPACITY = 1_000
+# Reads away from home that are told to the other routers at once.
+_MOST_TOLD = 16
 
 
-def part_paths(model: str, parts: Sequence[PromptPart]) -> Iterator[bytes]:
+def part_paths(model: str, parts: Sequence[PromptPart]) -> Iterator[str]:
     """Yields a digest of each part with all parts before it.
 
     A kept part saves reading only if all parts before it are kept too.
     """
-    path = xxhash.xxh3_128_digest(model.encode())
+    path = model
     for part in parts:
-        path = xxhash.xxh3_128_digest(path + part.identifier.encode())
+        path = xxhash.xxh3_64_hexdigest(f"{path}/{part.identifier}".encode())
         yield path
 
 
-def home_key(model: str, parts: Sequence[PromptPart]) -> bytes:
+def home_key(model: str, parts: Sequence[PromptPart]) -> str:
     """Returns the digest of all shared parts, which decides the home."""
     paths = list(part_paths(model, parts[:-1]))
-    return paths[-1] if paths else b""
+    return paths[-1] if paths else ""
 
 
 class KeptPrefixes:
-    """Parts that each target has read and not yet given up.
+    """Prefixes that each target has read lately.
 
-    Learned from requests of this router only; what others sent is unknown, and
-    a target gives up the parts that were not used for longest.
+    Routers tell each other of reads at targets that are not the home of the
+    prefix; the home is known to all.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
         """Creates an empty memory."""
-        self._kept: dict[str, OrderedDict[bytes, int]] = {}
-        self._tokens: dict[str, int] = {}
+        self._clock = clock
+        self._kept: dict[str, OrderedDict[str, float]] = {}
+        self._to_tell: list[tuple[str, str]] = []
 
     def kept_tokens(
         self, target: str, model: str, parts: Sequence[PromptPart]
@@ -47,34 +54,47 @@
         kept = self._kept.get(target)
         if not kept:
             return 0
-        tokens = 0
+        oldest = self._clock.monotonic() - _KEPT_S
+        total = kept_total = 0
         for path, part in zip(part_paths(model, parts), parts, strict=True):
-            if path not in kept:
-                break
-            tokens += part.tokens
-        return tokens
+            total += part.tokens
+            # A prefix is kept only with all that comes before it.
+            if kept.get(path, oldest) > oldest:
+                kept_total = total
+        return kept_total
 
     def note_read(
         self,
         target: str,
         model: str,
         parts: Sequence[PromptPart],
-        memory_tokens: float,
+        is_home: bool = True,
     ) -> None:
         """Records that a target reads a prompt."""
-        kept = self._kept.setdefault(target, OrderedDict())
-        tokens = self._tokens.get(target, 0)
-        for path, part in zip(part_paths(model, parts), parts, strict=True):
-            if path in kept:
-                kept.move_to_end(path)
-                continue
-            kept[path] = part.tokens
-            tokens += part.tokens
-        while kept and tokens > memory_tokens * _KEPT_SHARE:
-            tokens -= kept.popitem(last=False)[1]
-        self._tokens[target] = tokens
+        paths = list(part_paths(model, parts[:-1]))
+        for path in paths:
+            self._note(target, path)
+        if paths and not is_home:
+            self._to_tell.append((target, paths[-1]))
+
+    def note_peer(self, reads: Iterable[tuple[str, str]]) -> None:
+        """Records reads of other routers, as targets and paths."""
+        for target, path in reads:
+            self._note(target, path)
+
+    def take_reads_to_tell(self) -> list[tuple[str, str]]:
+        """Returns the reads away from home since the last call."""
+        reads = self._to_tell[-_MOST_TOLD:]
+        self._to_tell = []
+        return reads
 
     def forget(self, target: str) -> None:
         """Forgets a target that restarted or is gone."""
         self._kept.pop(target, None)
-        self._tokens.pop(target, None)
+
+    def _note(self, target: str, path: str) -> None:
+        kept = self._kept.setdefault(target, OrderedDict())
+        kept.pop(path, None)
+        kept[path] = self._clock.monotonic()
+        if len(kept) > _CAPACITY:
+            kept.popitem(last=False)
--- a/crowwinch/sharing/_repeats.py
+++ b/crowwinch/sharing/_repeats.py
@@ -38,6 +38,11 @@
         self._requests: dict[str, deque[float]] = {}
         self._repeats: dict[str, deque[float]] = {}
 
+    def set_limits(self, ratio: float, window_s: float) -> None:
+        """Changes the ratio and the window."""
+        self._ratio = ratio * _USED_SHARE
+        self._window_s = window_s
+
     def note_request(self, service: str) -> None:
         """Counts a request of a caller."""
         self._recent(self._requests, service).append(self._clock.monotonic())
--- a/crowwinch/sharing/_shares.py
+++ b/crowwinch/sharing/_shares.py
@@ -105,6 +105,7 @@
         self._capacity_per_s: float | None = None
         self._level = math.inf
         self._totals: dict[str, float] = {}
+        self._mean = 0.0
 
     @property
     def window_s(self) -> float:
@@ -116,6 +117,10 @@
         """Units that a workspace may use in a window, inf without a limit."""
         return self._level
 
+    def set_window(self, window_s: float) -> None:
+        """Changes the time constant of all counts."""
+        self._window_s = window_s
+
     def set_capacity(self, units_per_s: float | None) -> None:
         """Sets what all targets serve a second, None if unknown."""
         self._capacity_per_s = units_per_s
@@ -173,6 +178,8 @@
                 self._totals[workspace] = self._totals.get(
                     workspace, 0.0
                 ) + use.served.value(now, self._window_s)
+        busy = [units for units in self._totals.values() if units >= 1.0]
+        self._mean = sum(busy) / len(busy) if busy else 0.0
         if self._capacity_per_s is None:
             self._level = math.inf
             return
@@ -186,6 +193,16 @@
         """Returns the units that a workspace got in the window."""
         return self._totals.get(workspace, 0.0)
 
+    def relative_use(self, workspace: str) -> float:
+        """Returns what a workspace got against the mean of those that got any.
+
+        Tells large workspaces from small ones also while all of them are
+        within their shares, for instance when a crowd has just begun.
+        """
+        if self._mean <= 0.0:
+            return 0.0
+        return self.served(workspace) / self._mean
+
     def use_of_share(self, workspace: str, units: float) -> float:
         """Returns what a workspace uses with a request, as part of its share.
 
