--- a/crowwinch/cli/_main.py
+++ b/crowwinch/cli/_main.py
@@ -20,7 +20,7 @@
 
 examples:
   crowwinch router --name router-1 --availability-zone az-1 --region midlands
-  CROWWINCH_BOOT=boot.toml crowwinch gateway
+  crowwinch gateway --settings boot.toml
   crowwinch config check table
   crowwinch status http://127.0.0.1:8081
   crowwinch router --help
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -1,6 +1,7 @@
 """Tells the other routers what this one does, and hears them."""
 
 import itertools
+import logging
 from collections.abc import Callable, Iterable
 
 from crowwinch.coordination import Subscription, TimerService
@@ -23,6 +24,8 @@
 )
 from crowwinch.sharing import TargetUse, WorkspaceUse
 
+_LOGGER = logging.getLogger(__name__)
+
 # Two routers that choose a target within one period do not see each other.
 _PERIOD_S = 0.05
 # Shares are counted over seconds, so they need not be told with every update;
@@ -65,11 +68,12 @@
         )
         self._pull = DirectoryPull(timers.clock, state, settings.control)
         self._subscription: Subscription | None = None
+        self._live: frozenset[str] = frozenset()
 
     @property
     def live_peers(self) -> int:
         """Other routers that were heard a moment ago."""
-        return len(self._table.live)
+        return len(self._live)
 
     def add_seeds(self, seeds: Iterable[SocketAddress]) -> None:
         """Takes control addresses of routers that may be unknown."""
@@ -94,11 +98,23 @@
         sharing.loads.refresh()
         sharing.shares.refresh()
         sharing.admission.poll()
+        self._note_changes()
         destinations = self._table.destinations()
         if destinations:
             hosts = [control.rpartition(":")[0] for control in destinations]
             self._endpoint.send(self._build_update(), hosts)
 
+    def _note_changes(self) -> None:
+        """Logs routers that were lost or found since the last call."""
+        live = frozenset(self._table.live)
+        for peer in sorted(live - self._live):
+            _LOGGER.info("peer found", extra={"peer": peer, "live": len(live)})
+        for peer in sorted(self._live - live):
+            _LOGGER.warning(
+                "peer lost", extra={"peer": peer, "live": len(live)}
+            )
+        self._live = live
+
     def _build_update(self) -> FleetUpdate:
         sharing = self._sharing
         sequence = next(self._sequence)
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -448,6 +448,11 @@
         if run.attempts:
             run.attempts[-1]["error"] = str(error)
         if error.is_unreachable:
+            if not self._sharing.health.is_blocked(target):
+                _LOGGER.warning(
+                    "target unreachable",
+                    extra={"target": target, "cause": str(error)},
+                )
             self._sharing.health.note_unreachable(target)
             self._judge_losses(target)
         elif not error.is_refusal:
