--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -55,6 +55,8 @@
 # caused by its crash.
 _CRASH_WINDOW_S = 1.5
 _CRASH_RETRY_S = 5.0
+# Waiting requests are decided at most once in this time.
+_POLL_S = 0.02
 # A prompt with less to read before it than this part of its own counts as read
 # alone, so that its time says how fast the engine reads.
 _READ_ALONE_SHARE = 0.1
@@ -146,6 +148,7 @@
         self._metrics = metrics
         self._random = random
         self._describe_state = describe_state
+        self._is_polling = False
         self._losses: dict[str, list[tuple[float, str]]] = {}
 
     @property
@@ -153,8 +156,19 @@
         """Monotonic time."""
         return self._clock
 
-    def poll(self) -> None:
-        """Decides waiting requests after a target made progress."""
+    def poll_soon(self) -> None:
+        """Decides waiting requests after a target made progress.
+
+        Progress of many requests at a time is taken together: in a crowd, a
+        decision for each of them took all of the processor.
+        """
+        admission = self._sharing.admission
+        if not self._is_polling and admission.waiting:
+            self._is_polling = True
+            asyncio.get_running_loop().call_later(_POLL_S, self._poll)
+
+    def _poll(self) -> None:
+        self._is_polling = False
         self._sharing.admission.poll()
 
     async def serve(self, call: Call) -> None:
@@ -315,7 +329,7 @@
         self._sharing.shares.note_served(work.workspace, work.cost)
         if work.parts:
             self._sharing.prefixes.note_read(
-                decision.target, work.model, work.parts, decision.is_home
+                decision.target, work, decision.is_home
             )
         run.sends += 1
         run.attempts.append(
@@ -367,7 +381,7 @@
         finally:
             exchange.close()
             reservation.finish()
-            self._sharing.admission.poll()
+            self.poll_soon()
 
     def _is_worth_repeating(self, run: _Run, answer: TargetAnswer) -> bool:
         return (
@@ -586,7 +600,7 @@
         seconds = self._forwarder.clock.monotonic() - self._started
         self._run.attempts[-1]["first_event_s"] = round(seconds, 3)
         self._forwarder.note_first_event(self._run, self._decision, seconds)
-        self._forwarder.poll()
+        self._forwarder.poll_soon()
 
 
 def _finite(units: float) -> int | None:
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -5,7 +5,6 @@
 would be answered too late are refused at once.
 """
 
-import itertools
 import math
 from collections import deque
 from collections.abc import Callable, Collection, Mapping, Sequence
@@ -47,6 +46,11 @@
 _NO_TARGET_PATIENCE_S = 0.3
 
 
+# Requests of one workspace that are compared with the targets in one go. Those
+# behind them find the same targets full, and in a crowd there are hundreds.
+_MOST_UNDECIDED = 8
+
+
 @dataclass(slots=True, eq=False)
 class Ticket:
     """A request that waits for a target.
@@ -94,7 +98,6 @@
         self._random = random
         self._queues: dict[str, dict[str, deque[Ticket]]] = {}
         self._waiting = 0
-        self._order = itertools.count()
 
     @property
     def waiting(self) -> int:
@@ -104,16 +107,15 @@
     def submit(self, ticket: Ticket) -> None:
         """Decides at once or lets a request wait."""
         queues = self._queues.setdefault(ticket.work.service, {})
-        if not any(queues.values()):
+        queue = queues.setdefault(ticket.work.workspace, deque())
+        if not queue:
+            # Those of other workspaces had no room at the last poll.
             decision = self._decide(ticket, self._clock.monotonic())
             if decision is not None:
                 self._finish(ticket, decision)
                 return
-        queue = queues.setdefault(ticket.work.workspace, deque())
         queue.append(ticket)
         self._waiting += 1
-        if len(queue) > 1 or len(queues) > 1:
-            self.poll()
 
     def withdraw(self, ticket: Ticket) -> None:
         """Removes a request whose caller has left."""
@@ -143,9 +145,13 @@
         return sorted(queues, key=self._shares.served)
 
     def _poll_workspace(self, queue: deque[Ticket], now: float) -> None:
+        undecided = 0
         for ticket in list(queue):
             decision = self._decide(ticket, now)
             if decision is None:
+                undecided += 1
+                if undecided >= _MOST_UNDECIDED:
+                    break
                 continue
             queue.remove(ticket)
             self._waiting -= 1
--- a/crowwinch/sharing/_model.py
+++ b/crowwinch/sharing/_model.py
@@ -1,7 +1,9 @@
 """What the decisions of the sharing package are about."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+import xxhash
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,11 +42,29 @@
     output_tokens: int = 0
     target_latency_s: float = 0.0
     priority: int = 0
-
-    @property
-    def cost(self) -> int:
-        """Service units: a token read counts once, a token written twice."""
-        return max(self.prompt_tokens + 2 * self.output_tokens, 1)
+    # Computed once, since a waiting request is compared with every target again
+    # and again: digests of each part with all parts before it, tokens of all
+    # parts but the last, and service units.
+    paths: tuple[str, ...] = field(init=False, repr=False, compare=False)
+    shared_tokens: int = field(init=False, repr=False, compare=False)
+    cost: int = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        """Computes the digests of the prompt's prefixes and its sizes.
+
+        A token read costs one service unit, a token written two.
+        """
+        paths = []
+        path = self.model
+        for part in self.parts:
+            text = f"{path}/{part.identifier}"
+            path = xxhash.xxh3_64_hexdigest(text.encode())
+            paths.append(path)
+        shared = sum(part.tokens for part in self.parts[:-1])
+        cost = max(self.prompt_tokens + 2 * self.output_tokens, 1)
+        object.__setattr__(self, "paths", tuple(paths))
+        object.__setattr__(self, "shared_tokens", shared)
+        object.__setattr__(self, "cost", cost)
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -5,6 +5,7 @@
 event of every request that is sent to the same target after them.
 """
 
+import functools
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
@@ -12,7 +13,7 @@
 from crowwinch.sharing._health import TargetHealth
 from crowwinch.sharing._loads import TargetLoads
 from crowwinch.sharing._model import TargetView, Work
-from crowwinch.sharing._prefixes import KeptPrefixes, home_key
+from crowwinch.sharing._prefixes import KeptPrefixes
 from crowwinch.sharing._speeds import EngineSpeeds, read_seconds
 
 # A request waits about half of a typical request for a place in a full batch.
@@ -35,9 +36,13 @@
 # Price of a shared token that is read again, in service units.
 _READ_AGAIN_PRICE = 0.8
 _DEFAULT_LATENCY_S = 1.0
+# Prefixes whose home is remembered; a few sets of targets are in use at a time.
+_HOMES_CACHED = 4_096
 
 
-@dataclass(frozen=True, slots=True)
+# Not frozen: it is made for every target and waiting request, and a frozen one
+# takes three times as long to make.
+@dataclass(slots=True)
 class Candidate:
     """A target with the forecast for a request.
 
@@ -115,12 +120,7 @@
     def _forecast(
         self, work: Work, targets: Sequence[TargetView]
     ) -> list[Candidate]:
-        home = ""
-        if work.parts and targets:
-            home = owner(
-                home_key(work.model, work.parts),
-                [target.identifier for target in targets],
-            )
+        home = _home(work, targets)
         return [
             self._engine(work, target, target.identifier == home)
             if target.is_engine
@@ -132,8 +132,8 @@
         self, work: Work, target: TargetView, is_home: bool
     ) -> Candidate:
         identifier = target.identifier
-        shared = sum(part.tokens for part in work.parts[:-1])
-        kept = self._prefixes.kept_tokens(identifier, work.model, work.parts)
+        shared = work.shared_tokens
+        kept = self._prefixes.kept_tokens(identifier, work)
         if is_home:
             # Other routers send the same prefix here.
             kept = max(kept, shared)
@@ -180,6 +180,19 @@
         )
 
 
+def _home(work: Work, targets: Sequence[TargetView]) -> str | None:
+    """Returns the target at which all routers expect a prefix."""
+    if len(work.paths) < 2:
+        return None
+    names = tuple(target.identifier for target in targets)
+    return _cached_owner(work.paths[-2], names)
+
+
+@functools.lru_cache(maxsize=_HOMES_CACHED)
+def _cached_owner(key: str, names: tuple[str, ...]) -> str | None:
+    return owner(key, names)
+
+
 def _engine_loss(work: Work, expected_s: float, read_again: int) -> float:
     """Returns the expected loss in service units."""
     ratio = expected_s / (work.target_latency_s or _DEFAULT_LATENCY_S)
--- a/crowwinch/sharing/_prefixes.py
+++ b/crowwinch/sharing/_prefixes.py
@@ -1,12 +1,10 @@
 """Which prefixes of prompts the engines are believed to keep."""
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator, Sequence
-
-import xxhash
+from collections.abc import Iterable
 
 from crowwinch.coordination import Clock
-from crowwinch.sharing._model import PromptPart
+from crowwinch.sharing._model import Work
 
 # Engines give up the parts used longest ago; a prefix that was not used for
 # this long may be gone.
@@ -17,23 +15,6 @@
 _MOST_TOLD = 16
 
 
-def part_paths(model: str, parts: Sequence[PromptPart]) -> Iterator[str]:
-    """Yields a digest of each part with all parts before it.
-
-    A kept part saves reading only if all parts before it are kept too.
-    """
-    path = model
-    for part in parts:
-        path = xxhash.xxh3_64_hexdigest(f"{path}/{part.identifier}".encode())
-        yield path
-
-
-def home_key(model: str, parts: Sequence[PromptPart]) -> str:
-    """Returns the digest of all shared parts, which decides the home."""
-    paths = list(part_paths(model, parts[:-1]))
-    return paths[-1] if paths else ""
-
-
 class KeptPrefixes:
     """Prefixes that each target has read lately.
 
@@ -47,31 +28,23 @@
         self._kept: dict[str, OrderedDict[str, float]] = {}
         self._to_tell: list[tuple[str, str]] = []
 
-    def kept_tokens(
-        self, target: str, model: str, parts: Sequence[PromptPart]
-    ) -> int:
+    def kept_tokens(self, target: str, work: Work) -> int:
         """Returns how many tokens of a prompt a target need not read."""
         kept = self._kept.get(target)
         if not kept:
             return 0
         oldest = self._clock.monotonic() - _KEPT_S
         total = kept_total = 0
-        for path, part in zip(part_paths(model, parts), parts, strict=True):
+        for path, part in zip(work.paths, work.parts, strict=True):
             total += part.tokens
             # A prefix is kept only with all that comes before it.
             if kept.get(path, oldest) > oldest:
                 kept_total = total
         return kept_total
 
-    def note_read(
-        self,
-        target: str,
-        model: str,
-        parts: Sequence[PromptPart],
-        is_home: bool = True,
-    ) -> None:
+    def note_read(self, target: str, work: Work, is_home: bool = True) -> None:
         """Records that a target reads a prompt."""
-        paths = list(part_paths(model, parts[:-1]))
+        paths = work.paths[:-1]
         for path in paths:
             self._note(target, path)
         if paths and not is_home:
--- a/crowwinch/sharing/tests/test_admission.py
+++ b/crowwinch/sharing/tests/test_admission.py
@@ -107,7 +107,7 @@
             decision.target, decision.reading_s
         )
         self.shares.note_served(work.workspace, work.cost)
-        self.prefixes.note_read(decision.target, work.model, work.parts)
+        self.prefixes.note_read(decision.target, work)
         self.engines[decision.target].send(job)
 
 
@@ -216,6 +216,38 @@
         self.assertGreater(min(served.values()), 0.5 * max(served.values()))
 
 
+class CrowdTest(unittest.TestCase):
+    """Guards against decisions that take all of the processor in a crowd.
+
+    A router with a fifth of the requests of a crowd compared each of them with
+    every target at each event, and read new requests 1.6 s late.
+    """
+
+    def test_a_poll_compares_few_requests(self):
+        player = _Player(9, 1_000.0)
+        for engine in player.views:
+            player.loads.reserve(engine.identifier, 30.0)
+        calls = []
+        placer = player.admission._placer
+        candidates = placer.candidates
+        placer.candidates = lambda *arguments: (
+            calls.append(1) or candidates(*arguments)
+        )
+        decisions = []
+        for number in range(500):
+            work = Work("llm", workspace="w", prompt_tokens=500 + number)
+            player.admission.submit(Ticket(work, 0.0, 15.0, decisions.append))
+        self.assertEqual(player.admission.waiting, 500)
+        calls.clear()
+        player.admission.poll()
+        self.assertLessEqual(len(calls), 10)
+        # All of them are refused in time all the same.
+        for tick in range(100):
+            player.clock.move_to(1.5 + tick * 0.02)
+            player.admission.poll()
+        self.assertEqual(len(decisions), 500)
+
+
 class NoTargetTest(unittest.TestCase):
     """Guards against requests that wait for a service that has no target."""
 
--- a/crowwinch/sharing/tests/test_placing.py
+++ b/crowwinch/sharing/tests/test_placing.py
@@ -163,43 +163,48 @@
     def setUp(self):
         self.clock = ManualClock(100.0)
         self.kept = KeptPrefixes(self.clock)
+        self.work = self._work(self._PARTS)
 
-    def _tokens(self, parts, target="t", model="m"):
-        return self.kept.kept_tokens(target, model, parts)
+    @staticmethod
+    def _work(parts, model="m"):
+        return Work("llm", model=model, parts=tuple(parts))
+
+    def _tokens(self, work, target="t"):
+        return self.kept.kept_tokens(target, work)
 
     def test_a_part_counts_only_after_all_before_it(self):
-        self.kept.note_read("t", "m", self._PARTS)
+        self.kept.note_read("t", self.work)
         first, second, own = self._PARTS
-        self.assertEqual(self._tokens(self._PARTS), 30)
-        self.assertEqual(self._tokens((first, own)), 10)
-        self.assertEqual(self._tokens((second, first, own)), 0)
-        self.assertEqual(self._tokens(self._PARTS, model="other"), 0)
-        self.assertEqual(self._tokens(self._PARTS, target="other"), 0)
+        self.assertEqual(self._tokens(self.work), 30)
+        self.assertEqual(self._tokens(self._work((first, own))), 10)
+        self.assertEqual(self._tokens(self._work((second, first, own))), 0)
+        self.assertEqual(self._tokens(self._work(self._PARTS, "other")), 0)
+        self.assertEqual(self._tokens(self.work, target="other"), 0)
 
     def test_prefixes_that_were_not_used_may_be_gone(self):
-        self.kept.note_read("t", "m", self._PARTS)
+        self.kept.note_read("t", self.work)
         self.clock.move_to(109.0)
-        self.assertEqual(self._tokens(self._PARTS), 30)
-        self.kept.note_read("t", "m", self._PARTS)
+        self.assertEqual(self._tokens(self.work), 30)
+        self.kept.note_read("t", self.work)
         self.clock.move_to(118.0)
-        self.assertEqual(self._tokens(self._PARTS), 30)
+        self.assertEqual(self._tokens(self.work), 30)
         self.clock.move_to(119.1)
-        self.assertEqual(self._tokens(self._PARTS), 0)
+        self.assertEqual(self._tokens(self.work), 0)
 
     def test_a_restarted_target_keeps_nothing(self):
-        self.kept.note_read("t", "m", self._PARTS)
+        self.kept.note_read("t", self.work)
         self.kept.forget("t")
-        self.assertEqual(self._tokens(self._PARTS), 0)
+        self.assertEqual(self._tokens(self.work), 0)
 
     def test_reads_away_from_home_are_told_once(self):
-        self.kept.note_read("t", "m", self._PARTS, is_home=True)
-        self.kept.note_read("u", "m", self._PARTS, is_home=False)
+        self.kept.note_read("t", self.work, is_home=True)
+        self.kept.note_read("u", self.work, is_home=False)
         told = self.kept.take_reads_to_tell()
         self.assertEqual([target for target, _ in told], ["u"])
         self.assertEqual(self.kept.take_reads_to_tell(), [])
         other = KeptPrefixes(self.clock)
         other.note_peer(told)
-        self.assertEqual(other.kept_tokens("u", "m", self._PARTS), 30)
+        self.assertEqual(other.kept_tokens("u", self.work), 30)
 
 
 class SpeedsTest(unittest.TestCase):
