Split the forwarder and its tests by job

Change: the request, its log line, the delivery of answers and the policy of repeats are modules of their own; tests of time limits and streams stand apart; the protocol of components is part of the coordination package. No behaviour changes.

--- a/crowwinch/app/_application.py
+++ b/crowwinch/app/_application.py
@@ -4,7 +4,6 @@
 import logging
 import signal
 from collections.abc import Awaitable
-from typing import Protocol
 
 import aiomisc
 
@@ -20,7 +19,12 @@
 from crowwinch.app._peer_service import PeerService
 from crowwinch.app._tls import tls_contexts
 from crowwinch.configuration import ConfigurationStore, ServiceClient, Snapshot
-from crowwinch.coordination import SystemClock, TimerDriver, TimerService
+from crowwinch.coordination import (
+    Component,
+    SystemClock,
+    TimerDriver,
+    TimerService,
+)
 from crowwinch.errors import PeerRejection, RefusalReason, RetryReason
 from crowwinch.generated.settings import RouterSettings
 from crowwinch.observability import Metrics
@@ -44,16 +48,6 @@
 _DRAIN_MARGIN_S = 2.0
 
 
-class Component(Protocol):
-    """A part with life-cycle hooks."""
-
-    async def start(self) -> None:
-        """Starts the part."""
-
-    async def stop(self) -> None:
-        """Stops the part."""
-
-
 class RouterApplication(aiomisc.Service):
     """One router process."""
 
--- a/crowwinch/coordination/__init__.py
+++ b/crowwinch/coordination/__init__.py
@@ -3,6 +3,7 @@
 The package imports nothing from the rest of the project.
 """
 
+from crowwinch.coordination._components import Component
 from crowwinch.coordination._counters import CounterKey, MaxMergeCounters
 from crowwinch.coordination._leases import (
     FencingGuard,
@@ -42,6 +43,7 @@
 __all__ = [
     "Ack",
     "Clock",
+    "Component",
     "CounterKey",
     "FencingGuard",
     "Frame",
--- a/crowwinch/forwarding/__init__.py
+++ b/crowwinch/forwarding/__init__.py
@@ -7,7 +7,7 @@
     Exchange,
     TargetAnswer,
 )
-from crowwinch.forwarding._forwarder import Forwarder, SharingState
+from crowwinch.forwarding._forwarder import Forwarder
 from crowwinch.forwarding._messages import (
     AnswerHead,
     AttemptHead,
@@ -26,6 +26,7 @@
     Workspace,
 )
 from crowwinch.forwarding._server import CallerServer
+from crowwinch.forwarding._sharing_state import SharingState
 from crowwinch.forwarding._target_client import TargetClient
 from crowwinch.forwarding._target_set import Target, TargetSet
 from crowwinch.sharing import PromptPart
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import struct
+import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -361,3 +362,24 @@
     def close(self) -> None:
         """Leaves."""
         self._writer.close()
+
+
+async def good(seen: Seen, writer: asyncio.StreamWriter) -> bool:
+    """Answers as a target should."""
+    writer.write(answer(seen))
+    return True
+
+
+class RouterTest(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with one router before scripted targets."""
+
+    async def router(self, *scripts, **options):
+        self.targets = [ScriptedTarget(script) for script in scripts]
+        router = Router(self.targets, **options)
+        await router.start()
+        self.addAsyncCleanup(router.stop)
+        return router
+
+    @property
+    def sends(self):
+        return sum(len(target.seen) for target in self.targets)
--- a/crowwinch/forwarding/tests/test_forwarding.py
+++ b/crowwinch/forwarding/tests/test_forwarding.py
@@ -1,15 +1,13 @@
 """Requests through a router to targets that answer in every way."""
 
 import asyncio
-import unittest
 
 from crowwinch.forwarding import RequestLimits, RouteKind
 from crowwinch.forwarding.tests.support import (
-    Router,
-    ScriptedTarget,
+    RouterTest,
     answer,
     chunk,
-    event,
+    good,
     reset,
     stream_head,
 )
@@ -17,11 +15,6 @@
 _NOT_RUN = "X-Crowwinch-Not-Executed: 1\r\n"
 
 
-async def _good(seen, writer):
-    writer.write(answer(seen))
-    return True
-
-
 def _writes(data_of, keeps=False):
     """Returns a script that writes bytes and keeps or closes."""
 
@@ -38,29 +31,11 @@
     return False
 
 
-async def _silent(seen, writer):
-    await asyncio.sleep(60)
-    return False
-
-
-class _RouterTest(unittest.IsolatedAsyncioTestCase):
-    async def router(self, *scripts, **options):
-        self.targets = [ScriptedTarget(script) for script in scripts]
-        router = Router(self.targets, **options)
-        await router.start()
-        self.addAsyncCleanup(router.stop)
-        return router
-
-    @property
-    def sends(self):
-        return sum(len(target.seen) for target in self.targets)
-
-
-class ForwardTest(_RouterTest):
+class ForwardTest(RouterTest):
     """Guards against requests and answers that are changed on the way."""
 
     async def test_request_and_answer_are_unchanged(self):
-        router = await self.router(_good)
+        router = await self.router(good)
         reply = await router.call(
             method="PUT", path="/a/%7Ex//y?q=%20&r=a+b", body=b"\x00bytes"
         )
@@ -76,7 +51,7 @@
         self.assertNotIn("x-api-key", seen.headers)
 
     async def test_chunked_bodies_arrive_whole(self):
-        router = await self.router(_good)
+        router = await self.router(good)
         caller = await router.connect()
         head = (
             b"POST /a/x HTTP/1.1\r\nHost: host.example\r\n"
@@ -89,7 +64,7 @@
         self.assertEqual(self.targets[0].seen[0].body, b"onetwo")
 
     async def test_connections_are_kept_on_both_sides(self):
-        router = await self.router(_good)
+        router = await self.router(good)
         caller = await router.connect()
         for number in range(5):
             await caller.send(attempt_id=f"a{number}")
@@ -130,7 +105,7 @@
         }
         for name, request in requests.items():
             with self.subTest(name):
-                router = await self.router(_good)
+                router = await self.router(good)
                 caller = await router.connect()
                 await caller.send(raw=request.encode())
                 await asyncio.sleep(0.1)
@@ -140,9 +115,7 @@
                 )
 
     async def test_refusals_before_a_target(self):
-        router = await self.router(
-            _good, limits=RequestLimits(max_body_bytes=9)
-        )
+        router = await self.router(good, limits=RequestLimits(max_body_bytes=9))
         cases = {
             "unknown key": ({"key": "other"}, 401),
             "no key": ({"key": ""}, 401),
@@ -164,7 +137,7 @@
         """Guards against connections that are held open by partial heads."""
         limits = RequestLimits(header_timeout_s=0.2, idle_timeout_s=0.3)
         loop = asyncio.get_running_loop()
-        router = await self.router(_good, limits=limits)
+        router = await self.router(good, limits=limits)
         for name, sent in {
             "nothing": b"",
             "partial": b"POST /a/x HTTP/1.1\r\nHost: host.example\r\n",
@@ -194,7 +167,7 @@
         self.assertEqual(reply.body, body)
 
 
-class FaultyTargetTest(_RouterTest):
+class FaultyTargetTest(RouterTest):
     """Guards against wrong bytes passed on, and against runs repeated."""
 
     _LOSSES = {
@@ -212,7 +185,7 @@
     async def test_safe_requests_are_repeated(self):
         for name, loss in self._LOSSES.items():
             with self.subTest(name):
-                router = await self.router(loss, _good)
+                router = await self.router(loss, good)
                 for _ in range(3):
                     reply = await router.call()
                     self.assertEqual(
@@ -238,7 +211,7 @@
                     )
                 )
                 router = await self.router(
-                    script, _good, kind=RouteKind.UNSAFE, max_attempts=1
+                    script, good, kind=RouteKind.UNSAFE, max_attempts=1
                 )
                 for _ in range(2):
                     self.assertEqual((await router.call()).status, 200)
@@ -255,7 +228,7 @@
         self.assertIn("retry-after", reply.headers)
 
     async def test_unreachable_targets_are_left(self):
-        router = await self.router(_good, _good, kind=RouteKind.UNSAFE)
+        router = await self.router(good, good, kind=RouteKind.UNSAFE)
         await self.targets[0].stop()
         for _ in range(4):
             self.assertEqual((await router.call()).status, 200)
@@ -273,7 +246,7 @@
         failing = _writes(
             lambda seen: answer(seen, b"oops", status="500 Failed"), True
         )
-        router = await self.router(failing, _good)
+        router = await self.router(failing, good)
         for _ in range(3):
             self.assertEqual((await router.call()).status, 200)
 
@@ -349,7 +322,7 @@
         self.assertEqual((reply.status, reply.body), (413, b"no"))
 
     async def test_a_crashing_request_is_refused_after_three_crashes(self):
-        router = await self.router(_good)
+        router = await self.router(good)
         for _ in range(3):
             router.crashes.note_crash("x")
         self.assertEqual((await router.call()).status, 200)
@@ -361,177 +334,3 @@
         self.assertEqual(reply.status, 503)
         self.assertIn(b"crash_suspect", reply.body)
         self.assertEqual(len(digests), 1)
-
-
-class DeadlineTest(_RouterTest):
-    """Guards against callers that are kept waiting, and against leaks."""
-
-    async def test_final_answer_at_the_time_limit_of_the_route(self):
-        router = await self.router(_silent, timeout_s=0.3)
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        reply = await router.call()
-        self.assertEqual(reply.status, 504)
-        self.assertLess(loop.time() - started, 0.6)
-        self.assertGreater(loop.time() - started, 0.25)
-
-    async def test_the_caller_s_deadline_goes_to_the_target(self):
-        router = await self.router(_good)
-        await router.call(extra="X-Crowwinch-Deadline-Ms: 700\r\n")
-        deadline = int(
-            self.targets[0].seen[0].headers["x-crowwinch-deadline-ms"]
-        )
-        self.assertLessEqual(deadline, 700)
-        self.assertGreater(deadline, 600)
-
-    async def test_the_target_is_left_when_the_caller_leaves(self):
-        router = await self.router(_silent)
-        caller = await router.connect()
-        await caller.send()
-        await asyncio.sleep(0.1)
-        self.assertEqual((self.sends, self.targets[0].closed), (1, 0))
-        caller.close()
-        await asyncio.sleep(0.1)
-        self.assertEqual(self.targets[0].closed, 1)
-        self.assertEqual(router.loads.own_active("i-0"), 0)
-
-    async def test_a_waiting_request_whose_caller_leaves_is_withdrawn(self):
-        router = await self.router()
-        caller = await router.connect()
-        await caller.send()
-        await asyncio.sleep(0.05)
-        self.assertEqual(router.sharing.admission.waiting, 1)
-        caller.close()
-        await asyncio.sleep(0.05)
-        self.assertEqual(router.sharing.admission.waiting, 0)
-
-    async def test_a_stopping_router_refuses_and_closes(self):
-        router = await self.router(_good)
-        caller = await router.connect()
-        router.server.close_after_answers()
-        await caller.send()
-        reply = await caller.receive()
-        self.assertEqual((reply.status, reply.is_kept), (200, False))
-        self.assertTrue(await caller.is_closed())
-        router.server.refuse_new()
-        reply = await router.call()
-        self.assertEqual((reply.status, reply.is_kept), (503, False))
-        self.assertIn(b'"run_state":"not_run"', reply.body)
-
-
-class StreamTest(_RouterTest):
-    """Guards against events that are lost, doubled, joined or held back."""
-
-    @staticmethod
-    def _stream(numbers, then=b"0\r\n\r\n", delay=0.0):
-        async def script(seen, writer):
-            writer.write(stream_head(seen))
-            after = int(seen.headers.get("last-event-id", 0))
-            for number in numbers:
-                if number > after:
-                    writer.write(chunk(event(number)))
-                    await asyncio.sleep(delay)
-            if then is None:
-                await writer.drain()
-                await asyncio.sleep(0.05)
-                reset(writer)
-                return False
-            writer.write(then)
-            return then.endswith(b"0\r\n\r\n")
-
-        return script
-
-    async def test_events_pass_as_they_come(self):
-        router = await self.router(
-            self._stream(range(1, 4), delay=0.1),
-            kind=RouteKind.STREAM,
-            is_engine=True,
-        )
-        caller = await router.connect()
-        await caller.send()
-        first = await asyncio.wait_for(
-            caller._reader.readuntil(b"token1\n\n"), 0.25
-        )
-        self.assertIn(b"text/event-stream", first)
-        rest = await caller._reader.readuntil(b"0\r\n\r\n")
-        self.assertIn(b"token3", rest)
-
-    async def test_broken_streams_are_resumed(self):
-        whole = b"".join(event(number) for number in range(1, 7))
-        breaks = {
-            "reset": self._stream(range(1, 4), then=None),
-            "inside an event": self._stream(
-                range(1, 4), then=chunk(b"id: 4\nda") + b"0\r\n\r\n"
-            ),
-            "before the first event": self._stream((), then=None),
-            "no terminal chunk": self._stream(range(1, 4), then=b""),
-        }
-        for name, broken in breaks.items():
-            with self.subTest(name):
-                router = await self.router(
-                    broken, kind=RouteKind.RESUMABLE_STREAM, is_engine=True
-                )
-                target = self.targets[0]
-                good = ScriptedTarget(self._stream(range(1, 7)))
-                await good.start()
-                self.addAsyncCleanup(good.stop)
-
-                async def switch(seen, writer, broken=broken, good=good):
-                    if len(self.targets[0].seen) > 1:
-                        return await good.script(seen, writer)
-                    return await broken(seen, writer)
-
-                target.script = switch
-                # One target would be excluded after its failure.
-                second = ScriptedTarget(self._stream(range(1, 7)))
-                await second.start()
-                self.addAsyncCleanup(second.stop)
-                self._add(router, second)
-                reply = await router.call()
-                self.assertEqual(reply.status, 200)
-                self.assertTrue(reply.is_complete)
-                self.assertEqual(reply.body, whole)
-
-    def _add(self, router, target):
-        from crowwinch.forwarding import Target
-
-        entries = [
-            Target(f"i-{number}", 0, "s", each.address, "az", 8)
-            for number, each in enumerate([*self.targets, target])
-        ]
-        router.target_set.update(entries, router.routing)
-
-    async def test_streams_that_may_not_be_resumed_end_incomplete(self):
-        broken = self._stream(range(1, 4), then=None)
-        router = await self.router(
-            broken, broken, kind=RouteKind.STREAM, is_engine=True
-        )
-        reply = await router.call()
-        self.assertEqual(reply.status, 200)
-        self.assertFalse(reply.is_complete)
-        self.assertEqual(self.sends, 1)
-
-    async def test_only_whole_events_of_a_broken_stream_pass(self):
-        broken = self._stream(
-            range(1, 3), then=chunk(b"id: 3\ndata: to") + b"0\r\n\r\n"
-        )
-        router = await self.router(
-            broken, kind=RouteKind.STREAM, is_engine=True
-        )
-        reply = await router.call()
-        self.assertFalse(reply.is_complete)
-        self.assertEqual(reply.body, event(1) + event(2))
-
-    async def test_the_engine_is_left_when_the_caller_leaves(self):
-        router = await self.router(
-            self._stream(range(1, 100), delay=0.05),
-            kind=RouteKind.RESUMABLE_STREAM,
-            is_engine=True,
-        )
-        caller = await router.connect()
-        await caller.send()
-        await caller._reader.readuntil(b"token1\n\n")
-        caller.close()
-        await asyncio.sleep(0.2)
-        self.assertEqual(self.targets[0].closed, 1)
-        self.assertEqual(self.sends, 1)
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -4,12 +4,16 @@
 import logging
 import random
 import signal
-from typing import Protocol
 
 import aiomisc
 from aiohttp import web
 
-from crowwinch.coordination import SystemClock, TimerDriver, TimerService
+from crowwinch.coordination import (
+    Component,
+    SystemClock,
+    TimerDriver,
+    TimerService,
+)
 from crowwinch.directory import (
     DirectoryState,
     DirectoryWatcher,
@@ -64,16 +68,6 @@
 _SHUTDOWN_TIMEOUT_S = 0.1
 
 
-class Component(Protocol):
-    """A part with life-cycle hooks."""
-
-    async def start(self) -> None:
-        """Starts the part."""
-
-    async def stop(self) -> None:
-        """Stops the part."""
-
-
 class GatewayApplication(aiomisc.Service):
     """One router process on the operators' platform."""
 
