--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from crowwinch.coordination import Clock
+from crowwinch.sharing._headroom import Claim, has_room
 from crowwinch.sharing._model import Decision, TargetView, Verdict, Work
 from crowwinch.sharing._placer import Candidate, Placer
 from crowwinch.sharing._shares import WorkspaceShares
@@ -22,33 +23,13 @@
 _PATIENCE = 1.5
 # One beyond the share is refused before its wait matters to its caller.
 _OVER_SHARE_PATIENCE = 0.125
-# A request just beyond the share may use this part of a batch and of its target
-# latency. Both shrink with the use of the share, so that workspaces beyond it
-# get about equal amounts of what is left over.
-_OVER_SHARE_USE = 0.8
-_OVER_SHARE_LATENCY = 0.8
-_OVER_SHARE_EXPONENT = 0.7
-# The reading of a long prompt counts up to this part of the target latency, so
-# that long prompts are not left out as soon as their workspace is beyond its
-# share. Without a limit 0.46 of the longest tenth were served where 1.00 of all
-# were; not counted at all, they took the time of many short ones.
-_LARGEST_OWN_TIME = 0.5
-# Only engines with less use than this read for requests beyond the share what
-# another engine keeps. At 0.4 and 0.5 the time of reading again was missing to
-# requests within their shares.
-_IDLE_USE = 0.2
-# Within the shares, the queue that a workspace may build up at an engine
-# shrinks with its size against the others, so that small ones find short queues
-# also in the first seconds of a crowd.
-_LARGE_LATENCY = 0.8
-# An engine with less unread work takes a request even if it will be late.
-_IDLE_WAIT_S = 0.15
 # Repeats of refused requests are spread over this part of their wait.
 _RETRY_SPREAD = 0.5
 _SHORTEST_RETRY_S = 0.2
 _LONGEST_RETRY_S = 2.5
 # A service without targets gets them again by a restart or a new entry.
 _NO_TARGET_PATIENCE_S = 0.3
+_NO_TARGET_RETRY_S = 0.5
 
 
 # Requests of one workspace that are compared with the targets in one go. Those
@@ -169,53 +150,25 @@
     def _decide(self, ticket: Ticket, now: float) -> Decision | None:
         """Returns the end of a wait, or None while the request is to wait."""
         work = ticket.work
-        targets = self._targets(work.service)
-        candidates = [
-            candidate
-            for candidate in self._placer.candidates(
-                work, targets, ticket.excluded
-            )
-            if self._placer.has_connection(candidate.target)
-        ]
         waited = now - ticket.arrived
+        candidates = self._candidates(ticket)
         if not candidates:
-            if waited < min(
-                _NO_TARGET_PATIENCE_S, ticket.deadline - ticket.arrived
-            ):
-                return None
-            return Decision(
-                Verdict.REFUSE_NO_TARGET, retry_after_s=self._spread(0.5)
-            )
-        latency = work.target_latency_s or _DEFAULT_LATENCY_S
-        share_use = self._shares.use_of_share(work.workspace, work.cost)
-        is_within = share_use <= 1.0
-        relative_use = self._shares.relative_use(work.workspace)
-        chosen = next(
-            (
-                candidate
-                for candidate in candidates
-                if _has_room(
-                    candidate, share_use, relative_use, latency, waited
-                )
-            ),
-            None,
+            return self._without_target(ticket, waited)
+        claim = Claim(
+            share_use=self._shares.use_of_share(work.workspace, work.cost),
+            relative_use=self._shares.relative_use(work.workspace),
+            latency_s=work.target_latency_s or _DEFAULT_LATENCY_S,
+            waited_s=waited,
+        )
+        for candidate in candidates:
+            if has_room(candidate, claim):
+                return _send_to(candidate)
+        patience = claim.latency_s * (
+            _PATIENCE if claim.is_within else _OVER_SHARE_PATIENCE
         )
-        if chosen is not None:
-            return Decision(
-                Verdict.SEND,
-                target=chosen.target.identifier,
-                unread_tokens=chosen.unread_tokens,
-                read_again=chosen.read_again,
-                is_home=chosen.is_home,
-                reading_s=chosen.reading_s,
-                waiting_s=chosen.waiting_s,
-                forecast_s=chosen.forecast_s,
-                expected_s=chosen.expected_s,
-            )
-        patience = latency * (_PATIENCE if is_within else _OVER_SHARE_PATIENCE)
         if waited < min(patience, ticket.deadline - ticket.arrived):
             return None
-        if is_within:
+        if claim.is_within:
             return Decision(
                 Verdict.REFUSE_OVERLOAD,
                 retry_after_s=self._spread(candidates[0].expected_s),
@@ -225,6 +178,26 @@
             retry_after_s=self._spread(self._until_within(work)),
         )
 
+    def _candidates(self, ticket: Ticket) -> list[Candidate]:
+        work = ticket.work
+        candidates = self._placer.candidates(
+            work, self._targets(work.service), ticket.excluded
+        )
+        return [
+            candidate
+            for candidate in candidates
+            if self._placer.has_connection(candidate.target)
+        ]
+
+    def _without_target(self, ticket: Ticket, waited: float) -> Decision | None:
+        patience = ticket.deadline - ticket.arrived
+        if waited < min(_NO_TARGET_PATIENCE_S, patience):
+            return None
+        return Decision(
+            Verdict.REFUSE_NO_TARGET,
+            retry_after_s=self._spread(_NO_TARGET_RETRY_S),
+        )
+
     def _until_within(self, work: Work) -> float:
         """Returns seconds until the share has room again without new work."""
         level = max(self._shares.level - work.cost / 2, 1.0)
@@ -236,31 +209,15 @@
         return base * (1 + _RETRY_SPREAD * self._random())
 
 
-def _has_room(
-    candidate: Candidate,
-    share_use: float,
-    relative_use: float,
-    latency: float,
-    waited: float,
-) -> bool:
-    """Returns whether a target may take a request now."""
-    if candidate.use >= 1.0:
-        return False
-    if not candidate.target.is_engine:
-        return True
-    if share_use > 1.0:
-        part = share_use**-_OVER_SHARE_EXPONENT
-        if candidate.read_again and candidate.use > _IDLE_USE:
-            return False
-        own = candidate.expected_s - candidate.queue_s
-        expected = candidate.queue_s + min(own, latency * _LARGEST_OWN_TIME)
-        return (
-            candidate.use < _OVER_SHARE_USE * part
-            and expected + waited <= latency * _OVER_SHARE_LATENCY * part
-        )
-    if relative_use > 1.0:
-        latency *= _LARGE_LATENCY * relative_use**-_OVER_SHARE_EXPONENT
-    return (
-        candidate.expected_s + waited <= latency
-        or candidate.waiting_s <= _IDLE_WAIT_S
+def _send_to(candidate: Candidate) -> Decision:
+    return Decision(
+        Verdict.SEND,
+        target=candidate.target.identifier,
+        unread_tokens=candidate.unread_tokens,
+        read_again=candidate.read_again,
+        is_home=candidate.is_home,
+        reading_s=candidate.reading_s,
+        waiting_s=candidate.waiting_s,
+        forecast_s=candidate.forecast_s,
+        expected_s=candidate.expected_s,
     )
