End caller connections with their answers when many are open

The loop itself was never over 0.12 s late, so the processor was not the cause.

Change: above 0.4 of the descriptors connections end with their answers. Requests beyond the share are refused at once when 8 of their workspace wait. The lateness of the loop stands in the log. A try that let the loop turn before a request is sent on, to notice callers that had left, changed nothing and is gone.

Conclusion: descriptors were the cause.

--- a/crowwinch/coordination/__init__.py
+++ b/crowwinch/coordination/__init__.py
@@ -16,6 +16,7 @@
     LinkOptions,
     ReliableLink,
 )
+from crowwinch.coordination._loop_lag import LoopLag
 from crowwinch.coordination._members import (
     Ack,
     MemberChange,
@@ -51,6 +52,7 @@
     "LeaseExpiredError",
     "LinkFullError",
     "LinkOptions",
+    "LoopLag",
     "ManualClock",
     "MaxMergeCounters",
     "MemberChange",
--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -27,6 +27,10 @@
 # Part of the process's memory that bodies of requests may take.
 _BODY_MEMORY_SHARE = 0.2
 _MEMORY_RETRY_S = 0.5
+# Callers that come back on new connections leave idle ones behind; above this
+# part of the descriptors, connections end with their answers. Without it a
+# crowd used up all of them, and requests were read seconds late.
+_KEPT_SHARE = 0.4
 # Another router takes the request at once.
 _STOPPING_RETRY_S = 0.05
 # Never sent: the caller has left before its answer.
@@ -40,9 +44,13 @@
     """
 
     def __init__(
-        self, manager: web.Server, limits: RequestLimits, **options: Any
+        self,
+        factory: "_CallerProtocolFactory",
+        limits: RequestLimits,
+        **options: Any,
     ) -> None:
-        super().__init__(manager, **options)
+        super().__init__(factory, **options)
+        self._factory = factory
         self._limits = limits
         self._head_timer: asyncio.TimerHandle | None = None
         self._is_in_head = False
@@ -50,6 +58,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Expects the first request within the idle time."""
         super().connection_made(transport)
+        self._factory.open += 1
         self._expect_head(self._limits.idle_timeout_s)
 
     def data_received(self, data: bytes) -> None:
@@ -65,6 +74,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the wait."""
+        self._factory.open -= 1
         self._stop_timer()
         super().connection_lost(exc)
 
@@ -86,6 +96,7 @@
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self._limits = limits
+        self.open = 0
 
     def __call__(self) -> RequestHandler:
         limits = self._limits()
@@ -114,18 +125,31 @@
         forwarder: Forwarder,
         limits: Callable[[], RequestLimits],
         memory_bytes: int,
+        max_descriptors: int,
     ) -> None:
-        """Stores the parts; call `start` inside the event loop."""
+        """Stores the parts; call `start` inside the event loop.
+
+        Args:
+            clock: Monotonic time.
+            address: Where to listen.
+            codec: Translates headers.
+            forwarder: Serves requests.
+            limits: Returns what callers may send.
+            memory_bytes: Memory of the process.
+            max_descriptors: Limit of open files and sockets of the process.
+        """
         self._clock = clock
         self._address = address
         self._codec = codec
         self._forwarder = forwarder
         self._limits = limits
+        self._kept_connections = int(max_descriptors * _KEPT_SHARE)
         self._body_capacity = int(memory_bytes * _BODY_MEMORY_SHARE)
         self._body_bytes = 0
         self._active = 0
         self._closes = False
         self._refuses = False
+        self._factory: _CallerProtocolFactory | None = None
         self._runner: web.ServerRunner | None = None
         self._site: web.TCPSite | None = None
 
@@ -143,6 +167,7 @@
     async def start(self) -> None:
         """Starts to listen; port 0 takes a free one."""
         factory = _CallerProtocolFactory(self._handle, self._limits)
+        self._factory = factory
         self._runner = web.ServerRunner(
             factory,
             handle_signals=False,
@@ -170,6 +195,13 @@
         """Refuses requests that arrive from now on."""
         self._refuses = True
 
+    def _is_closing(self) -> bool:
+        """Returns whether connections end with their next answer."""
+        if self._closes:
+            return True
+        is_started = self._factory is not None
+        return is_started and self._factory.open > self._kept_connections
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = self._clock.monotonic()
         self._active += 1
@@ -185,7 +217,7 @@
         self, request: web.BaseRequest, arrived: float
     ) -> web.StreamResponse:
         head = self._codec.decode_request(request.headers)
-        call = Call(request, head, b"", arrived, lambda: self._closes)
+        call = Call(request, head, b"", arrived, self._is_closing)
         if self._refuses:
             return await self._refuse(
                 call,
@@ -224,7 +256,7 @@
                     RefusalReason.BODY_TOO_LARGE, f"over {limit} bytes"
                 ),
             )
-        call = Call(request, head, body, arrived, lambda: self._closes)
+        call = Call(request, head, body, arrived, self._is_closing)
         await self._forwarder.serve(call)
         if not call.is_started:
             return web.Response(status=_CALLER_GONE_STATUS)
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -194,6 +194,7 @@
         timeout_s: float = 5.0,
         is_engine: bool = False,
         limits: RequestLimits | None = None,
+        max_descriptors: int = 4_000,
     ) -> None:
         self._scripted = targets
         self.clock = SystemClock()
@@ -258,6 +259,7 @@
             ),
             lambda: self.routing.limits if self.routing else RequestLimits(),
             100_000_000,
+            max_descriptors,
         )
 
     async def start(self) -> None:
--- a/crowwinch/forwarding/tests/test_forwarding.py
+++ b/crowwinch/forwarding/tests/test_forwarding.py
@@ -157,6 +157,23 @@
             await caller.send(attempt_id=f"a{number}")
             self.assertEqual((await caller.receive()).status, 200)
 
+    async def test_connections_end_when_many_are_open(self):
+        """Guards against a crowd that uses up all descriptors.
+
+        Refused callers came back on new connections and left idle ones open;
+        then no connection could be accepted or made.
+        """
+        router = await self.router(good, max_descriptors=10)
+        callers = [await router.connect() for _ in range(7)]
+        kept = []
+        for number, caller in enumerate(callers):
+            await caller.send(attempt_id=f"a{number}")
+            reply = await caller.receive()
+            self.assertEqual(reply.status, 200)
+            kept.append(reply.is_kept)
+            await asyncio.sleep(0.01)
+        self.assertEqual(kept, [False] * 3 + [True] * 4)
+
     async def test_large_answers_pass(self):
         body = bytes(range(256)) * 8192
         router = await self.router(
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -10,6 +10,7 @@
 
 from crowwinch.coordination import (
     Component,
+    LoopLag,
     SystemClock,
     TimerDriver,
     TimerService,
@@ -88,6 +89,7 @@
         self._settings = settings
         self._clock = SystemClock()
         self._timers = TimerService(self._clock)
+        self._lag = LoopLag(self._timers)
         self._rng = random.Random()
         self._metrics = Metrics()
         self._metrics.declare_reasons("refusals", RefusalReason)
@@ -117,6 +119,7 @@
             ),
             self._limits,
             settings.memory_bytes,
+            settings.max_descriptors,
         )
         self._is_stopping = False
         self._stopped = asyncio.Event()
@@ -134,6 +137,7 @@
         self._runners: list[web.ServerRunner] = []
         self._components: list[Component] = [
             TimerDriver(self._timers),
+            self._lag,
             self._client,
             self._callers,
             self._fleet,
@@ -253,6 +257,7 @@
             "revision": self._state.revision,
             "store_age_s": self._state.store_age_s,
             "peers": self._fleet.live_peers,
+            "lag_s": round(self._lag.seconds, 3),
         }
 
     def _limits(self) -> RequestLimits:
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -100,6 +100,9 @@
             if decision is not None:
                 self._finish(ticket, decision)
                 return
+        elif self._is_hopeless(ticket.work, queue):
+            self._finish(ticket, self._refuse_beyond(ticket.work))
+            return
         queue.append(ticket)
         self._waiting += 1
 
@@ -173,6 +176,19 @@
                 Verdict.REFUSE_OVERLOAD,
                 retry_after_s=self._spread(candidates[0].expected_s),
             )
+        return self._refuse_beyond(work)
+
+    def _is_hopeless(self, work: Work, queue: Collection[Ticket]) -> bool:
+        """Returns whether as many wait as are compared in one go.
+
+        Beyond its share a request behind them would only be refused later.
+        """
+        return (
+            len(queue) >= _MOST_UNDECIDED
+            and self._shares.use_of_share(work.workspace, work.cost) > 1.0
+        )
+
+    def _refuse_beyond(self, work: Work) -> Decision:
         return Decision(
             Verdict.REFUSE_OVER_SHARE,
             retry_after_s=self._spread(self._until_within(work)),
--- a/crowwinch/sharing/tests/test_admission.py
+++ b/crowwinch/sharing/tests/test_admission.py
@@ -238,6 +238,7 @@
             work = Work("llm", workspace="w", prompt_tokens=500 + number)
             player.admission.submit(Ticket(work, 0.0, 15.0, decisions.append))
         self.assertEqual(player.admission.waiting, 500)
+        self.assertEqual(decisions, [])
         calls.clear()
         player.admission.poll()
         self.assertLessEqual(len(calls), 10)
@@ -247,6 +248,24 @@
             player.admission.poll()
         self.assertEqual(len(decisions), 500)
 
+    def test_requests_beyond_the_share_do_not_queue_up(self):
+        """Guards against waits that can only end in a refusal."""
+        player = _Player(9, 1_000.0)
+        for engine in player.views:
+            player.loads.reserve(engine.identifier, 30.0)
+        player.shares.note_asked("w", 1e6)
+        player.shares.note_served("w", 1e6)
+        player.shares.refresh()
+        decisions = []
+        for number in range(50):
+            work = Work("llm", workspace="w", prompt_tokens=500 + number)
+            player.admission.submit(Ticket(work, 0.0, 15.0, decisions.append))
+        self.assertEqual(player.admission.waiting, 8)
+        self.assertEqual(
+            {decision.verdict for decision in decisions},
+            {Verdict.REFUSE_OVER_SHARE},
+        )
+
 
 class NoTargetTest(unittest.TestCase):
     """Guards against requests that wait for a service that has no target."""
