--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -22,7 +22,6 @@
     control: str
     heard: float = float("-inf")
     sent: float = float("-inf")
-    router: str = ""
     life: int = 0
     sequence: int = -1
     is_leaving: bool = False
@@ -77,7 +76,6 @@
         if (update.life, update.sequence) <= (peer.life, peer.sequence):
             return False
         peer.heard = now
-        peer.router = update.router
         peer.life, peer.sequence = update.life, update.sequence
         peer.is_leaving = update.is_leaving
         for control in update.members:
--- a/crowwinch/sharing/_loads.py
+++ b/crowwinch/sharing/_loads.py
@@ -137,10 +137,6 @@
         """Replaces the report of another router."""
         self._peers[peer] = (self._clock.monotonic(), tuple(uses))
 
-    def forget_peer(self, peer: str) -> None:
-        """Forgets a router that has left."""
-        self._peers.pop(peer, None)
-
     def refresh(self) -> None:
         """Adds up the reports of other routers."""
         now = self._clock.monotonic()
