Count a request at its target when it is decided

Cause: a poll decides many waiting requests, but each was counted at its target only when its task ran, after the poll. Change: reservation, share and kept prefix are counted in the callback of the decision, and given back if the caller leaves before its task runs. Measured: the new test sent 12 waiting requests to one of two free targets before, 6 to each after.

--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -13,7 +13,7 @@
 from crowwinch.forwarding._repeat_policy import RepeatPolicy
 from crowwinch.forwarding._request_log import CALLER_GONE, SERVED, RequestLog
 from crowwinch.forwarding._request_run import RequestRun
-from crowwinch.forwarding._sharing_state import SharingState
+from crowwinch.forwarding._sharing_state import Placement, SharingState
 from crowwinch.forwarding._target_client import TargetClient
 from crowwinch.forwarding._target_set import TargetSet
 from crowwinch.observability import Metrics
@@ -182,28 +182,30 @@
         """
         while True:
             self._policy.check_crashes(run)
-            decision = await self._admit(run)
+            placement = await self._admit(run)
+            target = placement.decision.target
             try:
-                await self._attempt(run, decision)
+                await self._attempt(run, placement)
             except AttemptError as error:
-                reason = self._policy.after_error(run, decision.target, error)
+                reason = self._policy.after_error(run, target, error)
                 self._log.count_retry(reason)
             else:
                 return
 
-    async def _admit(self, run: RequestRun) -> Decision:
+    async def _admit(self, run: RequestRun) -> Placement:
         """Waits for a target.
 
         Raises:
             RefusalError: If the request is not to be served.
         """
-        future: asyncio.Future[Decision] = (
+        future: asyncio.Future[Placement] = (
             asyncio.get_running_loop().create_future()
         )
 
         def decide(decision: Decision) -> None:
+            # A caller that has just left has cancelled the future.
             if not future.done():
-                future.set_result(decision)
+                future.set_result(self._sharing.place(run.work, decision))
 
         ticket = Ticket(
             work=run.work,
@@ -216,11 +218,17 @@
         )
         self._sharing.admission.submit(ticket)
         try:
-            decision = await future
+            placement = await future
+        except asyncio.CancelledError:
+            # The caller may leave between the decision and this task's turn.
+            if not future.cancelled() and future.done():
+                self._sharing.give_back(run.work, future.result())
+            raise
         finally:
             self._sharing.admission.withdraw(ticket)
+        decision = placement.decision
         if decision.verdict is Verdict.SEND:
-            return decision
+            return placement
         raise RefusalError(
             _REFUSALS[decision.verdict],
             decision.verdict.value,
@@ -228,25 +236,20 @@
             decision.retry_after_s,
         )
 
-    async def _attempt(self, run: RequestRun, decision: Decision) -> None:
+    async def _attempt(self, run: RequestRun, placement: Placement) -> None:
         """Makes one attempt and passes its answer on.
 
         Raises:
             AttemptError: If there is no complete answer.
         """
+        decision, reservation = placement.decision, placement.reservation
+        assert reservation is not None, "the request was refused"
+        call, work = run.call, run.work
         target = self._targets.entry(decision.target)
         if target is None:
+            self._sharing.give_back(work, placement)
             raise AttemptError("the target is gone", may_have_run=False)
-        call, work = run.call, run.work
         started = self._clock.monotonic()
-        reservation = self._sharing.loads.reserve(
-            decision.target, decision.reading_s, decision.expected_s
-        )
-        self._sharing.shares.note_served(work.workspace, work.cost)
-        if work.parts:
-            self._sharing.prefixes.note_read(
-                decision.target, work, decision.is_home
-            )
         run.sends += 1
         run.attempts.append(
             {
--- a/crowwinch/forwarding/tests/test_forwarding.py
+++ b/crowwinch/forwarding/tests/test_forwarding.py
@@ -71,6 +71,29 @@
             self.assertEqual((await caller.receive()).status, 200)
         self.assertEqual(self.targets[0].connections, 1)
 
+    async def test_requests_decided_together_are_spread(self):
+        """Guards against a herd: one poll may decide many waiting requests.
+
+        All of them were sent to the target that was best before the first.
+        """
+        router = await self.router(good, good)
+        slots = [
+            router.loads.reserve(target, 0.0)
+            for target in ("i-0", "i-1")
+            for _ in range(8)
+        ]
+        callers = [await router.connect() for _ in range(12)]
+        for number, caller in enumerate(callers):
+            await caller.send(attempt_id=f"a{number}")
+        while router.sharing.admission.waiting < len(callers):
+            await asyncio.sleep(0.01)
+        for slot in slots:
+            slot.finish()
+        router.sharing.admission.poll()
+        replies = [await caller.receive() for caller in callers]
+        self.assertEqual({reply.status for reply in replies}, {200})
+        self.assertEqual([len(each.seen) for each in self.targets], [6, 6])
+
     async def test_pipelined_requests_are_answered_in_order(self):
         router = await self.router(
             _writes(lambda seen: answer(seen, seen.body), keeps=True)
