Tell newcomers and long prompts to the other routers at once

Change: an update that follows a newcomer's names the members; seeds are asked every 0.1 s in the first 3 s; a prompt of 50 ms or more is told 2 ms after its decision; a report counts when it arrives, not at the next tick. The updates of a router whose time of day was set back before its restart are taken after 1 s of silence, not after 60 s. A test of seeds that do not answer waits five seconds first now, since they are asked more often before.

--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -9,6 +9,13 @@
 # A router that was not heard for this long gets an update only now and then.
 _SILENCE_S = 3.0
 _PROBE_PERIOD_S = 1.0
+# Routers that start together listen at slightly different moments; the first
+# updates to seeds are repeated often, so that none stays alone for a second.
+_FIRST_PROBE_PERIOD_S = 0.1
+_FIRST_PROBES_S = 3.0
+# Datagrams of an earlier life arrive within milliseconds. After this silence a
+# lower start time is that of a restart whose time of day was set back.
+_LIFE_MEMORY_S = 1.0
 # A router that was not heard for this long is forgotten, unless it is a seed.
 _EXPIRY_S = 60.0
 # Updates sent in one period; larger fleets are served in turn.
@@ -45,6 +52,8 @@
         self._seeds: frozenset[str] = frozenset()
         self._peers: dict[str, _Peer] = {}
         self._turn = 0
+        self._started = clock.monotonic()
+        self._has_newcomer = False
         self.add_seeds(seeds)
 
     @property
@@ -73,8 +82,14 @@
             return False
         now = self._clock.monotonic()
         peer = self._peers.setdefault(update.control, _Peer(update.control))
-        if (update.life, update.sequence) <= (peer.life, peer.sequence):
+        is_restart = (
+            update.life != peer.life and now - peer.heard > _LIFE_MEMORY_S
+        )
+        is_newer = (update.life, update.sequence) > (peer.life, peer.sequence)
+        if not (is_restart or is_newer):
             return False
+        if update.life != peer.life:
+            self._has_newcomer = True
         peer.heard = now
         peer.life, peer.sequence = update.life, update.sequence
         peer.is_leaving = update.is_leaving
@@ -88,9 +103,11 @@
         now = self._clock.monotonic()
         self._expire(now)
         due = []
+        is_starting = now - self._started < _FIRST_PROBES_S
+        period = _FIRST_PROBE_PERIOD_S if is_starting else _PROBE_PERIOD_S
         for peer in self._peers.values():
             is_silent = now - peer.heard > _SILENCE_S
-            if not is_silent or now - peer.sent >= _PROBE_PERIOD_S:
+            if not is_silent or now - peer.sent >= period:
                 due.append(peer)
         if len(due) > _FAN_OUT:
             self._turn = (self._turn + _FAN_OUT) % len(due)
@@ -99,6 +116,11 @@
             peer.sent = now
         return [peer.control for peer in due]
 
+    def take_newcomers(self) -> bool:
+        """Returns whether a router has started since the last call."""
+        has_newcomer, self._has_newcomer = self._has_newcomer, False
+        return has_newcomer
+
     def members_to_tell(self) -> list[str]:
         """Returns addresses of live routers for a newcomer."""
         live = self.live
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -28,6 +28,9 @@
 
 # Two routers that choose a target within one period do not see each other.
 _PERIOD_S = 0.05
+# A long prompt is told at once. The delay lets one update tell all requests
+# that are decided together.
+_LONG_PROMPT_DELAY_S = 0.002
 # Shares are counted over seconds, so they need not be told with every update;
 # a newcomer learns of the other members within a second.
 _UPDATES_PER_SHARES = 4
@@ -68,6 +71,7 @@
         )
         self._pull = DirectoryPull(timers.clock, state, settings.control)
         self._subscription: Subscription | None = None
+        self._extra_update: Subscription | None = None
         self._live: frozenset[str] = frozenset()
 
     @property
@@ -84,12 +88,14 @@
         await self._pull.start()
         await self._endpoint.start()
         self._subscription = self._timers.call_every(_PERIOD_S, self._tick)
+        self._sharing.loads.subscribe_long_prompts(self._plan_extra_update)
         self._tick()
 
     async def stop(self) -> None:
         """Closes all ports."""
-        if self._subscription is not None:
-            self._subscription.cancel()
+        for subscription in (self._subscription, self._extra_update):
+            if subscription is not None:
+                subscription.cancel()
         await self._endpoint.stop()
         await self._pull.stop()
 
@@ -99,6 +105,19 @@
         sharing.shares.refresh()
         sharing.admission.poll()
         self._note_changes()
+        self._send_update()
+
+    def _plan_extra_update(self) -> None:
+        if self._extra_update is None:
+            self._extra_update = self._timers.call_later(
+                _LONG_PROMPT_DELAY_S, self._send_extra_update
+            )
+
+    def _send_extra_update(self) -> None:
+        self._extra_update = None
+        self._send_update()
+
+    def _send_update(self) -> None:
         destinations = self._table.destinations()
         if destinations:
             hosts = [control.rpartition(":")[0] for control in destinations]
@@ -118,6 +137,10 @@
     def _build_update(self) -> FleetUpdate:
         sharing = self._sharing
         sequence = next(self._sequence)
+        # A newcomer knows only the seeds until it is told the others.
+        tells_members = (
+            self._table.take_newcomers() or sequence % _UPDATES_PER_MEMBERS == 0
+        )
         return FleetUpdate(
             router=self._settings.name,
             life=self._life,
@@ -142,11 +165,7 @@
                 if sequence % _UPDATES_PER_SHARES == 0
                 else None
             ),
-            members=(
-                self._table.members_to_tell()
-                if sequence % _UPDATES_PER_MEMBERS == 0
-                else []
-            ),
+            members=self._table.members_to_tell() if tells_members else [],
             crashes=[
                 CrashReport(digest, count)
                 for digest, count in sharing.crashes.own_counts()[
--- a/crowwinch/fleet/tests/test_peer_table.py
+++ b/crowwinch/fleet/tests/test_peer_table.py
@@ -36,11 +36,39 @@
 
     def test_seeds_are_asked_once_a_second_until_they_answer(self):
         self.assertEqual(set(self.table.destinations()), {"a:1", "b:1"})
+        self._move(5.0)
+        self.table.destinations()
         self._move(0.5)
         self.assertEqual(self.table.destinations(), [])
         self._move(0.6)
         self.assertEqual(set(self.table.destinations()), {"a:1", "b:1"})
 
+    def test_seeds_that_start_a_moment_later_are_found_at_once(self):
+        self.assertEqual(set(self.table.destinations()), {"a:1", "b:1"})
+        self._move(0.06)
+        self.assertEqual(self.table.destinations(), [])
+        self._move(0.06)
+        self.assertEqual(set(self.table.destinations()), {"a:1", "b:1"})
+
+    def test_a_restart_is_a_newcomer(self):
+        self.assertFalse(self.table.take_newcomers())
+        self.table.accept(_update("a:1", life=1))
+        self.assertTrue(self.table.take_newcomers())
+        self.table.accept(_update("a:1", life=1, sequence=1))
+        self.assertFalse(self.table.take_newcomers())
+        self.table.accept(_update("a:1", life=2))
+        self.assertTrue(self.table.take_newcomers())
+
+    def test_a_restart_whose_time_of_day_was_set_back_is_heard(self):
+        """Its updates were dropped for a minute as those of an earlier life."""
+        self.table.accept(_update("a:1", life=5_000, sequence=9))
+        self.assertFalse(self.table.accept(_update("a:1", life=4_000)))
+        self._move(1.2)
+        self.assertTrue(self.table.accept(_update("a:1", life=4_000)))
+        self.assertTrue(
+            self.table.accept(_update("a:1", life=4_000, sequence=1))
+        )
+
     def test_routers_that_answer_get_every_update(self):
         self.table.accept(_update("a:1"))
         for _ in range(3):
--- /dev/null
+++ b/crowwinch/fleet/tests/test_service.py
@@ -0,0 +1,95 @@
+"""Routers that tell each other what they do, over loopback."""
+
+import asyncio
+import socket
+import unittest
+
+from crowwinch.coordination import SystemClock, TimerDriver, TimerService
+from crowwinch.directory import DirectoryState
+from crowwinch.fleet import FleetService
+from crowwinch.forwarding import GatewaySettings, SocketAddress
+from crowwinch.forwarding.tests.support import make_sharing
+from crowwinch.platform import DocumentCodec
+
+_ROUTERS = 6
+_SEEDS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+# Three periods of updates: to the seed, from the seed, to all.
+_MEETING_S = 0.3
+
+
+def _free_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def _make_settings(address, port):
+    return GatewaySettings(
+        name=address,
+        address=address,
+        availability_zone="az",
+        caller=SocketAddress(address, 1),
+        readiness=SocketAddress(address, 2),
+        control=SocketAddress(address, port),
+        peer_port=port,
+        metrics_port=3,
+        seeds=tuple(SocketAddress(seed, port) for seed in _SEEDS),
+        store=SocketAddress("127.0.0.1", 4),
+        memory_bytes=1,
+        max_descriptors=1,
+        drain_s=1.0,
+        stop_grace_s=1.0,
+        address_reuse_s=1.0,
+        retry_ratio=0.2,
+        retry_window_s=10.0,
+        share_window_s=4.0,
+    )
+
+
+class FleetServiceTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against routers that decide without knowing of each other."""
+
+    async def asyncSetUp(self):
+        port = _free_port()
+        self.services = []
+        self.sharings = []
+        for number in range(1, _ROUTERS + 1):
+            clock = SystemClock()
+            timers = TimerService(clock)
+            sharing = make_sharing(clock)
+            service = FleetService(
+                timers,
+                _make_settings(f"127.0.0.{number}", port),
+                DirectoryState(clock, DocumentCodec()),
+                sharing,
+                lambda: False,
+                lambda reason: None,
+            )
+            driver = TimerDriver(timers)
+            await driver.start()
+            await service.start()
+            self.addAsyncCleanup(driver.stop)
+            self.addAsyncCleanup(service.stop)
+            self.services.append(service)
+            self.sharings.append(sharing)
+
+    async def _meet(self):
+        await asyncio.sleep(_MEETING_S)
+
+    async def test_routers_that_start_together_meet_at_once(self):
+        """They met after up to a second and overloaded one engine till then."""
+        await self._meet()
+        self.assertEqual(
+            [service.live_peers for service in self.services],
+            [_ROUTERS - 1] * _ROUTERS,
+        )
+
+    async def test_a_long_prompt_is_told_at_once(self):
+        """Short ones joined it for 50 ms and waited until it was read."""
+        await self._meet()
+        first, *others = self.sharings
+        first.loads.reserve("engine", 1.5)
+        # A fifth of the period of updates.
+        await asyncio.sleep(0.01)
+        heard = [sharing.loads.reading_s("engine") for sharing in others]
+        self.assertEqual(heard, [1.5] * len(others))
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -183,6 +183,29 @@
     is_kept: bool = field(default=True)
 
 
+def make_sharing(clock, targets=lambda service: ()) -> SharingState:
+    """Returns decision classes that know nothing yet."""
+    loads, health = TargetLoads(clock), TargetHealth(clock)
+    prefixes, speeds = KeptPrefixes(clock), EngineSpeeds()
+    shares = WorkspaceShares(clock, 4.0)
+    return SharingState(
+        admission=Admission(
+            clock,
+            Placer(loads, prefixes, speeds, health),
+            shares,
+            targets,
+            random.Random(1).random,
+        ),
+        budget=RepeatBudget(clock, 5.0, 10.0),
+        crashes=CrashCounts(clock),
+        health=health,
+        loads=loads,
+        prefixes=prefixes,
+        shares=shares,
+        speeds=speeds,
+    )
+
+
 class Router:
     """Forwarder and server of callers over scripted targets."""
 
@@ -198,13 +221,12 @@
     ) -> None:
         self._scripted = targets
         self.clock = SystemClock()
-        self.loads = TargetLoads(self.clock)
-        self.health = TargetHealth(self.clock)
         self.metrics = Metrics()
         self.target_set = TargetSet("az", lambda target: None)
-        prefixes, speeds = KeptPrefixes(self.clock), EngineSpeeds()
-        shares = WorkspaceShares(self.clock, 4.0)
-        self.crashes = CrashCounts(self.clock)
+        self.sharing = make_sharing(self.clock, self.target_set.of_service)
+        self.loads = self.sharing.loads
+        self.health = self.sharing.health
+        self.crashes = self.sharing.crashes
         self.routing: RoutingTable | None = RoutingTable(
             1,
             (
@@ -227,22 +249,6 @@
         )
         codec = HeaderCodec()
         self.client = TargetClient(codec.attempt_header)
-        self.sharing = SharingState(
-            admission=Admission(
-                self.clock,
-                Placer(self.loads, prefixes, speeds, self.health),
-                shares,
-                self.target_set.of_service,
-                random.Random(1).random,
-            ),
-            budget=RepeatBudget(self.clock, 5.0, 10.0),
-            crashes=self.crashes,
-            health=self.health,
-            loads=self.loads,
-            prefixes=prefixes,
-            shares=shares,
-            speeds=speeds,
-        )
         self.server = CallerServer(
             self.clock,
             SocketAddress("127.0.0.1", 0),
--- a/crowwinch/sharing/_loads.py
+++ b/crowwinch/sharing/_loads.py
@@ -1,7 +1,7 @@
 """How much work each target has, over all routers."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from crowwinch.coordination import Clock
@@ -10,6 +10,9 @@
 # that was stopped, so its work is discounted to nothing by the second time.
 _FRESH_S = 0.5
 _EXPIRY_S = 2.5
+# A prompt that takes this long to read delays all requests that other routers
+# send to the target before they hear of it.
+_LONG_PROMPT_S = 0.05
 # Weight of the newest first event in the delay of a target, and the time in
 # which a delay without newer events fades.
 _DELAY_WEIGHT = 0.3
@@ -80,6 +83,34 @@
     delay_at: float = 0.0
 
 
+@dataclass(slots=True)
+class _PeerReport:
+    """What another router said last.
+
+    Attributes:
+        heard: Monotonic time of the report.
+        uses: Its work at each target.
+        weight: Part of it that counts at present.
+    """
+
+    heard: float
+    uses: tuple[TargetUse, ...]
+    weight: float = 1.0
+
+
+def _add_uses(
+    totals: dict[str, tuple[float, float]],
+    uses: Sequence[TargetUse],
+    weight: float,
+) -> None:
+    for use in uses:
+        active, reading_s = totals.get(use.target, (0.0, 0.0))
+        totals[use.target] = (
+            active + weight * use.active,
+            reading_s + weight * use.reading_s,
+        )
+
+
 class TargetLoads:
     """Adds up the work of this router and what others report."""
 
@@ -87,14 +118,19 @@
         """Creates empty loads."""
         self._clock = clock
         self._own: dict[str, _OwnLoad] = {}
-        self._peers: dict[str, tuple[float, tuple[TargetUse, ...]]] = {}
+        self._peers: dict[str, _PeerReport] = {}
         self._remote: dict[str, tuple[float, float]] = {}
+        self._on_long_prompt: Callable[[], None] = lambda: None
 
     @property
     def peer_count(self) -> int:
         """Other routers whose reports count."""
         return len(self._peers)
 
+    def subscribe_long_prompts(self, callback: Callable[[], None]) -> None:
+        """Calls back after a long prompt was counted at a target."""
+        self._on_long_prompt = callback
+
     def reserve(
         self, target: str, reading_s: float, expected_s: float = math.inf
     ) -> Reservation:
@@ -107,7 +143,10 @@
         """
         load = self._own.setdefault(target, _OwnLoad())
         due = self._clock.monotonic() + expected_s
-        return Reservation(load, reading_s, due)
+        reservation = Reservation(load, reading_s, due)
+        if reading_s >= _LONG_PROMPT_S:
+            self._on_long_prompt()
+        return reservation
 
     def note_first_event(self, target: str, late_s: float) -> None:
         """Records how much later than forecast a first event came.
@@ -135,26 +174,25 @@
 
     def note_peer(self, peer: str, uses: Sequence[TargetUse]) -> None:
         """Replaces the report of another router."""
-        self._peers[peer] = (self._clock.monotonic(), tuple(uses))
+        previous = self._peers.get(peer)
+        if previous is not None:
+            _add_uses(self._remote, previous.uses, -previous.weight)
+        self._peers[peer] = _PeerReport(self._clock.monotonic(), tuple(uses))
+        _add_uses(self._remote, uses, 1.0)
 
     def refresh(self) -> None:
-        """Adds up the reports of other routers."""
+        """Adds up the reports of other routers anew, old ones discounted."""
         now = self._clock.monotonic()
         remote: dict[str, tuple[float, float]] = {}
-        for peer, (heard, uses) in list(self._peers.items()):
-            age = now - heard
+        for peer, report in list(self._peers.items()):
+            age = now - report.heard
             if age > _EXPIRY_S:
                 del self._peers[peer]
                 continue
-            weight = 1.0
+            report.weight = 1.0
             if age > _FRESH_S:
-                weight = (_EXPIRY_S - age) / (_EXPIRY_S - _FRESH_S)
-            for use in uses:
-                active, reading_s = remote.get(use.target, (0.0, 0.0))
-                remote[use.target] = (
-                    active + weight * use.active,
-                    reading_s + weight * use.reading_s,
-                )
+                report.weight = (_EXPIRY_S - age) / (_EXPIRY_S - _FRESH_S)
+            _add_uses(remote, report.uses, report.weight)
         self._remote = remote
 
     def own_use(self) -> list[TargetUse]:
@@ -172,7 +210,8 @@
 
     def active(self, target: str) -> float:
         """Returns the requests at a target."""
-        return self.own_active(target) + self._remote.get(target, (0.0, 0))[0]
+        remote = self._remote.get(target, (0.0, 0.0))[0]
+        return max(self.own_active(target) + remote, 0.0)
 
     def reading_s(self, target: str) -> float:
         """Returns the modelled time of prompts that a target has to read."""
