Count shares with a time constant of half the window

Cause: workspaces of middle size were refused beyond their share in windows in which they asked for less than it. The decaying counts had the whole window as time constant, so what counted was twice as old on average as in the sliding window over which the platform judges shares. Change: the time constant is half of the window. Measured: the new test failed before.

--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -52,6 +52,7 @@
     TargetHealth,
     TargetLoads,
     WorkspaceShares,
+    time_constant,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -155,7 +156,9 @@
         prefixes = KeptPrefixes(self._clock)
         speeds = EngineSpeeds()
         health = TargetHealth(self._clock)
-        shares = WorkspaceShares(self._clock, settings.share_window_s)
+        shares = WorkspaceShares(
+            self._clock, time_constant(settings.share_window_s)
+        )
         return SharingState(
             admission=Admission(
                 self._clock,
@@ -249,7 +252,9 @@
         self._sharing.budget.set_limits(
             settings.retry_ratio, settings.retry_window_s
         )
-        self._sharing.shares.set_window(settings.share_window_s)
+        self._sharing.shares.set_time_constant(
+            time_constant(settings.share_window_s)
+        )
 
     def _describe_state(self) -> dict[str, object]:
         """Returns how old and how complete this router's knowledge is."""
--- a/crowwinch/sharing/__init__.py
+++ b/crowwinch/sharing/__init__.py
@@ -20,6 +20,7 @@
     WorkspaceShares,
     WorkspaceUse,
     max_min_shares,
+    time_constant,
 )
 from crowwinch.sharing._speeds import EngineSpeeds
 
@@ -44,4 +45,5 @@
     "WorkspaceShares",
     "WorkspaceUse",
     "max_min_shares",
+    "time_constant",
 ]
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -218,7 +218,7 @@
         """Returns seconds until the share has room again without new work."""
         level = max(self._shares.level - work.cost / 2, 1.0)
         ratio = self._shares.served(work.workspace) / level
-        return self._shares.window_s * math.log(max(ratio, 1.0))
+        return self._shares.time_constant_s * math.log(max(ratio, 1.0))
 
     def _spread(self, seconds: float) -> float:
         base = min(max(seconds, _SHORTEST_RETRY_S), _LONGEST_RETRY_S)
--- a/crowwinch/sharing/_shares.py
+++ b/crowwinch/sharing/_shares.py
@@ -12,6 +12,16 @@
 _PEER_EXPIRY_S = 10.0
 
 
+def time_constant(window_s: float) -> float:
+    """Returns the time constant of counts that stand for a sliding window.
+
+    What is counted in a sliding window is half of the window old on average,
+    and the average age in a decaying count is its time constant. With a whole
+    window as time constant, a workspace paid for a burst long after it.
+    """
+    return window_s / 2
+
+
 class DecayingCount:
     """A count in which each addition fades with a time constant.
 
@@ -26,9 +36,9 @@
         self._value = 0.0
         self._at = 0.0
 
-    def add(self, amount: float, now: float, window_s: float) -> None:
+    def add(self, amount: float, now: float, time_constant_s: float) -> None:
         """Adds an amount at a time."""
-        self._value = self.value(now, window_s) + amount
+        self._value = self.value(now, time_constant_s) + amount
         self._at = now
 
     def set(self, value: float, now: float) -> None:
@@ -36,9 +46,11 @@
         self._value = value
         self._at = now
 
-    def value(self, now: float, window_s: float) -> float:
+    def value(self, now: float, time_constant_s: float) -> float:
         """Returns the faded value at a time."""
-        return self._value * math.exp(-max(now - self._at, 0.0) / window_s)
+        return self._value * math.exp(
+            -max(now - self._at, 0.0) / time_constant_s
+        )
 
 
 @dataclass(slots=True)
@@ -91,15 +103,15 @@
     The max-min level is what a workspace may use while others wait.
     """
 
-    def __init__(self, clock: Clock, window_s: float) -> None:
+    def __init__(self, clock: Clock, time_constant_s: float) -> None:
         """Creates empty counts.
 
         Args:
             clock: Decides how far counts have faded.
-            window_s: Time constant of all counts.
+            time_constant_s: Time constant of all counts.
         """
         self._clock = clock
-        self._window_s = window_s
+        self._time_constant_s = time_constant_s
         self._own: dict[str, _Use] = {}
         self._peers: dict[str, tuple[float, dict[str, _Use]]] = {}
         self._capacity_per_s: float | None = None
@@ -108,18 +120,18 @@
         self._mean = 0.0
 
     @property
-    def window_s(self) -> float:
+    def time_constant_s(self) -> float:
         """Time constant of all counts in seconds."""
-        return self._window_s
+        return self._time_constant_s
 
     @property
     def level(self) -> float:
         """Units that a workspace may use in a window, inf without a limit."""
         return self._level
 
-    def set_window(self, window_s: float) -> None:
+    def set_time_constant(self, time_constant_s: float) -> None:
         """Changes the time constant of all counts."""
-        self._window_s = window_s
+        self._time_constant_s = time_constant_s
 
     def set_capacity(self, units_per_s: float | None) -> None:
         """Sets what all targets serve a second, None if unknown."""
@@ -144,8 +156,8 @@
         now = self._clock.monotonic()
         uses = []
         for workspace, use in list(self._own.items()):
-            asked = use.asked.value(now, self._window_s)
-            served = use.served.value(now, self._window_s)
+            asked = use.asked.value(now, self._time_constant_s)
+            served = use.served.value(now, self._time_constant_s)
             if max(asked, served) < _NEGLIGIBLE:
                 del self._own[workspace]
                 continue
@@ -173,17 +185,17 @@
         for counts in (self._own, *(each for _, each in self._peers.values())):
             for workspace, use in counts.items():
                 asked[workspace] = asked.get(workspace, 0.0) + use.asked.value(
-                    now, self._window_s
+                    now, self._time_constant_s
                 )
                 self._totals[workspace] = self._totals.get(
                     workspace, 0.0
-                ) + use.served.value(now, self._window_s)
+                ) + use.served.value(now, self._time_constant_s)
         busy = [units for units in self._totals.values() if units >= 1.0]
         self._mean = sum(busy) / len(busy) if busy else 0.0
         if self._capacity_per_s is None:
             self._level = math.inf
             return
-        capacity = self._capacity_per_s * self._window_s
+        capacity = self._capacity_per_s * self._time_constant_s
         if sum(asked.values()) <= capacity:
             self._level = math.inf
             return
@@ -220,6 +232,6 @@
             use = _Use(DecayingCount(), DecayingCount())
             self._own[workspace] = use
         if asked:
-            use.asked.add(asked, now, self._window_s)
+            use.asked.add(asked, now, self._time_constant_s)
         if served:
-            use.served.add(served, now, self._window_s)
+            use.served.add(served, now, self._time_constant_s)
--- a/crowwinch/sharing/tests/test_shares.py
+++ b/crowwinch/sharing/tests/test_shares.py
@@ -3,7 +3,12 @@
 import unittest
 
 from crowwinch.coordination import ManualClock
-from crowwinch.sharing import WorkspaceShares, WorkspaceUse, max_min_shares
+from crowwinch.sharing import (
+    WorkspaceShares,
+    WorkspaceUse,
+    max_min_shares,
+    time_constant,
+)
 
 _WINDOW_S = 4.0
 
@@ -63,6 +68,18 @@
         self.shares.refresh()
         self.assertLess(self.shares.served("a"), 400.0 * 0.06)
 
+    def test_a_burst_hardly_counts_a_window_later(self):
+        """A workspace paid for a burst in windows that it was not part of."""
+        shares = WorkspaceShares(self.clock, time_constant(_WINDOW_S))
+        shares.set_capacity(100.0)
+        shares.note_served("a", 400.0)
+        self.clock.move_to(100.0 + _WINDOW_S)
+        for workspace in ("a", "b"):
+            shares.note_asked(workspace, 400.0)
+        shares.refresh()
+        self.assertEqual(shares.level, 100.0)
+        self.assertLess(shares.served("a") / 400.0, 0.2)
+
     def test_a_silent_router_is_forgotten(self):
         self.shares.note_peer("peer", [WorkspaceUse("a", 0.0, 1e9)])
         self.clock.move_to(111.0)
