Count the first request of a workspace at once

Cause: what a workspace got was added to its total only if it had a total already, so all requests that a newcomer sent within 50 ms were decided as if each were its first. Change: the total is made when it is missing. Measured: the new test gave 0 instead of 400 units before.

--- a/crowwinch/sharing/_shares.py
+++ b/crowwinch/sharing/_shares.py
@@ -144,8 +144,7 @@
     def note_served(self, workspace: str, units: float) -> None:
         """Counts a request that was sent to a target."""
         self._add(workspace, 0.0, units)
-        if workspace in self._totals:
-            self._totals[workspace] += units
+        self._totals[workspace] = self._totals.get(workspace, 0.0) + units
 
     def note_returned(self, workspace: str, units: float) -> None:
         """Takes back a count of a request that did not run."""
--- a/crowwinch/sharing/tests/test_shares.py
+++ b/crowwinch/sharing/tests/test_shares.py
@@ -80,6 +80,15 @@
         self.assertEqual(shares.level, 100.0)
         self.assertLess(shares.served("a") / 400.0, 0.2)
 
+    def test_a_first_request_counts_before_the_next_refresh(self):
+        """Guards against several large requests decided as if each were first.
+
+        What a workspace without any use got was left out until a refresh.
+        """
+        self.shares.refresh()
+        self.shares.note_served("a", 400.0)
+        self.assertEqual(self.shares.served("a"), 400.0)
+
     def test_a_silent_router_is_forgotten(self):
         self.shares.note_peer("peer", [WorkspaceUse("a", 0.0, 1e9)])
         self.clock.move_to(111.0)
