Send paths that end in a bare question mark unchanged

Cause: the URL class of the HTTP library leaves out a ? without a query, so such a request reached its target with another path than its caller's. Change: the path as the caller wrote it is sent instead of the URL's. Conclusion: fixed.

--- a/crowwinch/forwarding/_target_client.py
+++ b/crowwinch/forwarding/_target_client.py
@@ -1,6 +1,7 @@
 """HTTP client for targets that may send too little, too much or too late."""
 
 import asyncio
+import contextvars
 import socket
 from collections.abc import Mapping
 from typing import Any
@@ -26,6 +27,9 @@
 _KEEPALIVE_PROBES = 2
 _MAX_HEADER_BYTES = 65_536
 
+# Path and query of the request that the current task sends.
+_raw_path: contextvars.ContextVar[str] = contextvars.ContextVar("raw_path")
+
 
 class _TargetProtocol(ResponseHandler):
     """A connection that passes on only answers to the request sent last.
@@ -94,6 +98,21 @@
         self.close()
 
 
+class _ExactUrl:
+    """A URL with the path and query as the caller wrote them.
+
+    The library's URL leaves out a `?` without a query, and such a request
+    would arrive changed.
+    """
+
+    def __init__(self, url: URL, raw_path: str) -> None:
+        self._url = url
+        self.raw_path_qs = raw_path
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._url, name)
+
+
 class _AttemptRequest(ClientRequest):
     """A request that tells its connection which answer to wait for."""
 
@@ -101,6 +120,7 @@
         protocol = conn.protocol
         assert isinstance(protocol, _TargetProtocol)
         protocol.expect(self.headers.get(protocol.attempt_header, ""))
+        self.url = _ExactUrl(self.url, _raw_path.get())
         return await super().send(conn)
 
 
@@ -184,6 +204,7 @@
                 be parsed.
         """
         assert self._session is not None, "the client was not started"
+        _raw_path.set(raw_path)
         return await self._session.request(
             method,
             URL(f"http://{address}{raw_path}", encoded=True),
--- a/crowwinch/forwarding/tests/test_forwarding.py
+++ b/crowwinch/forwarding/tests/test_forwarding.py
@@ -50,6 +50,21 @@
         self.assertEqual(seen.headers["x-crowwinch-tenant"], "tenant")
         self.assertNotIn("x-api-key", seen.headers)
 
+    async def test_paths_arrive_as_they_were_written(self):
+        """Guards against a path that the URL of the HTTP library rewrites."""
+        paths = (
+            "/a/x?",
+            "/a/?",
+            "/a//x/../y?a=%2f&b",
+            "/a/%7e%E4?q=?&",
+            "/a/x??",
+        )
+        router = await self.router(good)
+        for path in paths:
+            with self.subTest(path):
+                self.assertEqual((await router.call(path=path)).status, 200)
+                self.assertEqual(self.targets[0].seen[-1].path, path)
+
     async def test_chunked_bodies_arrive_whole(self):
         router = await self.router(good)
         caller = await router.connect()
