--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -31,8 +31,8 @@
 # A long prompt is told at once. The delay lets one update tell all requests
 # that are decided together.
 _LONG_PROMPT_DELAY_S = 0.002
-# Shares are counted over seconds, so they need not be told with every update;
-# a newcomer learns of the other members within a second.
+# Shares are counted over seconds, so they need not be told with every update.
+# Members are told after a newcomer's update; the period makes up for lost ones.
 _UPDATES_PER_SHARES = 4
 _UPDATES_PER_MEMBERS = 20
 _MOST_CRASHES = 32
--- a/crowwinch/forwarding/tests/test_streams.py
+++ b/crowwinch/forwarding/tests/test_streams.py
@@ -51,6 +51,29 @@
         self.assertEqual(self.targets[0].closed, 1)
         self.assertEqual(router.loads.own_active("i-0"), 0)
 
+    async def test_a_caller_that_leaves_at_the_decision_takes_no_slot(self):
+        """Guards against a slot that stays counted without a request."""
+        router = await self.router(good)
+        slots = [router.loads.reserve("i-0", 0.0) for _ in range(8)]
+        caller = await router.connect()
+        await caller.send()
+        while not router.sharing.admission.waiting:
+            await asyncio.sleep(0.01)
+        (handler,) = (
+            task
+            for task in asyncio.all_tasks()
+            if "RequestHandler.start" in repr(task.get_coro())
+        )
+        for slot in slots:
+            slot.finish()
+        # The task that waits for the decision runs only after both.
+        router.sharing.admission.poll()
+        self.assertEqual(router.loads.own_active("i-0"), 1)
+        handler.cancel()
+        await asyncio.sleep(0.05)
+        self.assertEqual(router.loads.own_active("i-0"), 0)
+        self.assertEqual(self.sends, 0)
+
     async def test_a_waiting_request_whose_caller_leaves_is_withdrawn(self):
         router = await self.router()
         caller = await router.connect()
