Test updates between routers on a manual clock

Change: both tests of the service run on a manual clock and count periods; what they check is the same, a tenth of a period for a long prompt and six periods until all routers know each other. Conclusion: the verdict no longer depends on the machine.

--- a/crowwinch/fleet/tests/test_service.py
+++ b/crowwinch/fleet/tests/test_service.py
@@ -4,7 +4,7 @@
 import socket
 import unittest
 
-from crowwinch.coordination import SystemClock, TimerDriver, TimerService
+from crowwinch.coordination import ManualClock, TimerService
 from crowwinch.directory import DirectoryState
 from crowwinch.fleet import FleetService
 from crowwinch.forwarding import GatewaySettings, SocketAddress
@@ -13,8 +13,10 @@
 
 _ROUTERS = 6
 _SEEDS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
-# Three periods of updates: to the seed, from the seed, to all.
-_MEETING_S = 0.3
+_PERIOD_S = 0.05
+# To the seeds, from them to all, and from all to all, with as many to spare.
+_MEETING_PERIODS = 6
+_DELIVERY_TURNS = 5
 
 
 def _free_port():
@@ -47,34 +49,45 @@
 
 
 class FleetServiceTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against routers that decide without knowing of each other."""
+    """Guards against routers that decide without knowing of each other.
+
+    Time is that of a manual clock, so that a busy machine changes nothing.
+    """
 
     async def asyncSetUp(self):
         port = _free_port()
+        self.clock = ManualClock(100.0, unix_start=1_000_000.0)
         self.services = []
         self.sharings = []
+        self.timers = []
         for number in range(1, _ROUTERS + 1):
-            clock = SystemClock()
-            timers = TimerService(clock)
-            sharing = make_sharing(clock)
+            timers = TimerService(self.clock)
+            sharing = make_sharing(self.clock)
             service = FleetService(
                 timers,
                 _make_settings(f"127.0.0.{number}", port),
-                DirectoryState(clock, DocumentCodec()),
+                DirectoryState(self.clock, DocumentCodec()),
                 sharing,
                 lambda: False,
                 lambda reason: None,
             )
-            driver = TimerDriver(timers)
-            await driver.start()
             await service.start()
-            self.addAsyncCleanup(driver.stop)
             self.addAsyncCleanup(service.stop)
             self.services.append(service)
             self.sharings.append(sharing)
+            self.timers.append(timers)
+
+    async def _pass(self, seconds):
+        """Lets time pass and delivers what the routers send then."""
+        self.clock.move_to(self.clock.monotonic() + seconds)
+        for timers in self.timers:
+            timers.run_due()
+        for _ in range(_DELIVERY_TURNS):
+            await asyncio.sleep(0.001)
 
     async def _meet(self):
-        await asyncio.sleep(_MEETING_S)
+        for _ in range(_MEETING_PERIODS):
+            await self._pass(_PERIOD_S)
 
     async def test_routers_that_start_together_meet_at_once(self):
         """They met after up to a second and overloaded one engine till then."""
@@ -89,7 +102,6 @@
         await self._meet()
         first, *others = self.sharings
         first.loads.reserve("engine", 1.5)
-        # A fifth of the period of updates.
-        await asyncio.sleep(0.01)
+        await self._pass(_PERIOD_S / 10)
         heard = [sharing.loads.reading_s("engine") for sharing in others]
         self.assertEqual(heard, [1.5] * len(others))
