Repeat the errors of failed tests at the end of the test run

Cause: the log of a whole run is long and is kept cut in its middle. The last failed run shows "479 passed, 1 failed" at its end, but neither the name of the test nor its error, so it cannot be traced.

Change: the runner prints the errors of each module that failed, and the names of the tests, after the output of all modules.

Conclusion: a run that fails says in its last lines which test failed.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -36,6 +36,11 @@
     "test_fault_targets",
 )
 _SUMMARY = re.compile(r"^(\d+) passed, (\d+) failed, (\d+) skipped$", re.M)
+_FAILED = re.compile(r"^failed: .+$", re.M)
+# The list of errors as unittest prints it, up to its count of tests.
+_ERRORS = re.compile(r"^={70}\n.*?(?=^-{70}\nRan )", re.M | re.S)
+# Long logs are cut in the middle, so that only their end is certain to be read.
+_ERRORS_SHOWN_CHARS = 4000
 
 
 def _known_red() -> set[str]:
@@ -101,6 +106,23 @@
     return _LONGEST.index(name) if name in _LONGEST else len(_LONGEST)
 
 
+def _failures(output: str) -> str:
+    """Returns the tests that failed in an output and the end of their errors.
+
+    Args:
+        output: What a run of test modules printed.
+
+    Returns:
+        An empty string if nothing failed.
+    """
+    failed = _FAILED.findall(output)
+    if not failed:
+        return ""
+    errors = _ERRORS.search(output)
+    shown = errors.group()[-_ERRORS_SHOWN_CHARS:] if errors else ""
+    return "\n".join([shown, *failed])
+
+
 def _run_all() -> int:
     started = time.monotonic()
     parts = [
@@ -112,6 +134,7 @@
     ]
     workers = max((os.cpu_count() or 1) // _CORES_PER_MODULE, 1) + 1
     totals = [0, 0, 0]
+    failures = []
     code = 0
     with concurrent.futures.ThreadPoolExecutor(workers) as pool:
         for part, (part_code, output) in zip(
@@ -121,14 +144,20 @@
             print(f"== {name}\n{output}", flush=True)
             summary = _SUMMARY.findall(output)
             if not summary:
-                print(f"failed: {name} gave no result, exit {part_code}")
+                failures.append(
+                    f"{output[-_ERRORS_SHOWN_CHARS:]}\n"
+                    f"failed: {name} gave no result, exit {part_code}"
+                )
                 part_code = part_code or 1
+            failures.append(_failures(output))
             for counts in summary[-1:]:
                 totals = [
                     total + int(count)
                     for total, count in zip(totals, counts, strict=True)
                 ]
             code = code or part_code
+    for failure in filter(None, failures):
+        print(failure)
     print(f"took {time.monotonic() - started:.1f} s in all")
     print("{} passed, {} failed, {} skipped".format(*totals))
     return code
