Tell newcomers the members of the fleet, each router in its turn

Cause: members were told with every 20th update, and an update goes to 12 routers in turn. With 90 routers the 20th updates reach the same third for ever, and the one after a newcomer's first update rarely reaches that newcomer.

Change: the table records when each router was told members. A router that was found within the last 2 s is told every 0.3 s, others every 3 s times the number of turns that a round of updates takes.

Fleets of up to 12 routers were not affected, since all of them get each update.

--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -21,7 +21,14 @@
 # Updates sent in one period; larger fleets are served in turn.
 _FAN_OUT = 12
 # Addresses told in one update.
-_MEMBERS_TOLD = 16
+_MEMBERS_TOLD = 12
+# A router that was found lately is told other members again after this time, as
+# its first updates come before those of others that start with it.
+_YOUTH_S = 2.0
+_YOUNG_MEMBERS_PERIOD_S = 0.3
+# Later updates with members only make up for lost ones. In a fleet that is
+# served in turn each router gets them from more others, and so less often.
+_MEMBERS_PERIOD_S = 3.0
 
 
 @dataclass(slots=True)
@@ -29,6 +36,8 @@
     control: str
     heard: float = float("-inf")
     sent: float = float("-inf")
+    found: float = float("-inf")
+    informed: float = float("-inf")
     life: int = 0
     sequence: int = -1
     is_leaving: bool = False
@@ -52,8 +61,8 @@
         self._seeds: frozenset[str] = frozenset()
         self._peers: dict[str, _Peer] = {}
         self._turn = 0
+        self._told = 0
         self._started = clock.monotonic()
-        self._has_newcomer = False
         self.add_seeds(seeds)
 
     @property
@@ -66,6 +75,11 @@
             if peer.heard >= oldest and not peer.is_leaving
         ]
 
+    @property
+    def rounds(self) -> int:
+        """Periods until each live router got one update."""
+        return max(-(-len(self.live) // _FAN_OUT), 1)
+
     def add_seeds(self, seeds: Iterable[str]) -> None:
         """Replaces the seeds; routers that are known stay known."""
         self._seeds = frozenset(seeds) - {self._own_control}
@@ -89,7 +103,8 @@
         if not (is_restart or is_newer):
             return False
         if update.life != peer.life:
-            self._has_newcomer = True
+            peer.found = now
+            peer.informed = float("-inf")
         peer.heard = now
         peer.life, peer.sequence = update.life, update.sequence
         peer.is_leaving = update.is_leaving
@@ -116,15 +131,25 @@
             peer.sent = now
         return [peer.control for peer in due]
 
-    def take_newcomers(self) -> bool:
-        """Returns whether a router has started since the last call."""
-        has_newcomer, self._has_newcomer = self._has_newcomer, False
-        return has_newcomer
+    def take_uninformed(self, destinations: Iterable[str]) -> list[str]:
+        """Returns those of some routers that are to be told members now."""
+        now = self._clock.monotonic()
+        period = _MEMBERS_PERIOD_S * self.rounds
+        uninformed = []
+        for control in destinations:
+            peer = self._peers[control]
+            is_young = now - peer.found < _YOUTH_S
+            wait = _YOUNG_MEMBERS_PERIOD_S if is_young else period
+            if now - peer.informed >= wait:
+                peer.informed = now
+                uninformed.append(control)
+        return uninformed
 
     def members_to_tell(self) -> list[str]:
-        """Returns addresses of live routers for a newcomer."""
+        """Returns addresses of some live routers, others in each call."""
         live = self.live
-        start = self._turn % max(len(live), 1)
+        start = self._told % max(len(live), 1)
+        self._told = start + _MEMBERS_TOLD
         return (live + live)[start : start + min(_MEMBERS_TOLD, len(live))]
 
     def _expire(self, now: float) -> None:
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -4,6 +4,8 @@
 import logging
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from crowwinch.coordination import Subscription, TimerService
 from crowwinch.directory import DirectoryState
 from crowwinch.errors import PeerRejection
@@ -32,9 +34,7 @@
 # that are decided together.
 _LONG_PROMPT_DELAY_S = 0.002
 # Shares are counted over seconds, so they need not be told with every update.
-# Members are told after a newcomer's update; the period makes up for lost ones.
 _UPDATES_PER_SHARES = 4
-_UPDATES_PER_MEMBERS = 20
 _MOST_CRASHES = 32
 
 
@@ -119,9 +119,20 @@
 
     def _send_update(self) -> None:
         destinations = self._table.destinations()
-        if destinations:
-            hosts = [control.rpartition(":")[0] for control in destinations]
-            self._endpoint.send(self._build_update(), hosts)
+        if not destinations:
+            return
+        update = self._build_update()
+        uninformed = self._table.take_uninformed(destinations)
+        if uninformed:
+            members = self._table.members_to_tell()
+            self._endpoint.send(
+                msgspec.structs.replace(update, members=members),
+                _hosts(uninformed),
+            )
+        informed = [
+            control for control in destinations if control not in uninformed
+        ]
+        self._endpoint.send(update, _hosts(informed))
 
     def _note_changes(self) -> None:
         """Logs routers that were lost or found since the last call."""
@@ -137,10 +148,6 @@
     def _build_update(self) -> FleetUpdate:
         sharing = self._sharing
         sequence = next(self._sequence)
-        # A newcomer knows only the seeds until it is told the others.
-        tells_members = (
-            self._table.take_newcomers() or sequence % _UPDATES_PER_MEMBERS == 0
-        )
         return FleetUpdate(
             router=self._settings.name,
             life=self._life,
@@ -165,7 +172,7 @@
                 if sequence % _UPDATES_PER_SHARES == 0
                 else None
             ),
-            members=self._table.members_to_tell() if tells_members else [],
+            members=[],
             crashes=[
                 CrashReport(digest, count)
                 for digest, count in sharing.crashes.own_counts()[
@@ -207,3 +214,7 @@
             peer, [(report.digest, report.count) for report in update.crashes]
         )
         self._pull.note_revision(peer, update.revision, update.version)
+
+
+def _hosts(controls: Iterable[str]) -> list[str]:
+    return [control.rpartition(":")[0] for control in controls]
--- a/crowwinch/fleet/tests/test_peer_table.py
+++ b/crowwinch/fleet/tests/test_peer_table.py
@@ -1,5 +1,6 @@
 """Finding other routers."""
 
+import collections
 import unittest
 
 from crowwinch.coordination import ManualClock
@@ -51,13 +52,38 @@
         self.assertEqual(set(self.table.destinations()), {"a:1", "b:1"})
 
     def test_a_restart_is_a_newcomer(self):
-        self.assertFalse(self.table.take_newcomers())
+        def tells_members():
+            return self.table.take_uninformed(["a:1"]) == ["a:1"]
+
         self.table.accept(_update("a:1", life=1))
-        self.assertTrue(self.table.take_newcomers())
+        self.assertTrue(tells_members())
         self.table.accept(_update("a:1", life=1, sequence=1))
-        self.assertFalse(self.table.take_newcomers())
+        self.assertFalse(tells_members())
         self.table.accept(_update("a:1", life=2))
-        self.assertTrue(self.table.take_newcomers())
+        self.assertTrue(tells_members())
+
+    def test_a_newcomer_is_told_members_again(self):
+        """Others that start with it are not known to the first ones told."""
+        self.table.accept(_update("a:1"))
+        self.table.take_uninformed(["a:1"])
+        self._move(0.4)
+        self.assertEqual(self.table.take_uninformed(["a:1"]), ["a:1"])
+        self._move(2.0)
+        self.table.take_uninformed(["a:1"])
+        self._move(0.4)
+        self.assertEqual(self.table.take_uninformed(["a:1"]), [])
+
+    def test_each_router_of_a_large_fleet_is_told_members(self):
+        """Every 20th update told them, which reached the same third always."""
+        names = [f"p{number}:1" for number in range(90)]
+        told = collections.Counter()
+        for sequence in range(2_000):
+            self._move(0.05)
+            for name in names:
+                self.table.accept(_update(name, sequence=sequence))
+            told.update(self.table.take_uninformed(self.table.destinations()))
+        # 100 s, with 24 s between two lists of members.
+        self.assertGreaterEqual(min(told[name] for name in names), 4)
 
     def test_a_restart_whose_time_of_day_was_set_back_is_heard(self):
         """Its updates were dropped for a minute as those of an earlier life."""
