Read the store in four routers of a large fleet; the others ask them

Cause: every router watched the store. Calls grew with the number of routers and with the number of changes.

Change: in a fleet of more than 8 routers four read the store (StoreReaders decides at each router alone, from what the others say of themselves); they take the changes of 0.2 s with one call and wait 0.7 s at most, so that a silent connection is noticed. The others hear of a revision with the updates between routers and fetch the changes since their own, one router of an availability zone from another zone, the rest from that one. A router without a reader, or one that stays behind for 0.8 s, reads the store itself. An outage of the store starts at the last contact of any router that this one relies on. Fleets of up to 8 routers read as before.

Found on the way, each with a test that failed first: - A watch's answer that crossed a newer listing of another router brought back a target that had been removed. Removals are remembered now. - A value that is no text any more was left out of what others were told, so that an older readable value would have stayed in force. - An update of a router that is just as far behind let a reader wait anew before it asked others.

--- a/crowwinch/directory/__init__.py
+++ b/crowwinch/directory/__init__.py
@@ -11,6 +11,7 @@
     TargetEntry,
     TargetState,
 )
+from crowwinch.directory._readers import Reading, StoreReaders
 from crowwinch.directory._state import DirectoryState
 from crowwinch.directory._watcher import DirectoryWatcher
 
@@ -22,8 +23,10 @@
     "HistoryLostError",
     "Item",
     "Listing",
+    "Reading",
     "Store",
     "StoreError",
+    "StoreReaders",
     "TargetEntry",
     "TargetState",
 ]
--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -19,6 +19,8 @@
 _OUTAGE_S = 1.0
 # Live targets register again within 2 s of the store's return.
 _LAPSE_GRACE_S = 2.2
+# Removals kept for routers that lag; one that is further behind gets all items.
+_REMOVALS_KEPT = 1000
 
 
 class DirectoryState:
@@ -38,6 +40,11 @@
         self._lapsed: dict[str, float] = {}
         self._routing: RoutingTable | None = None
         self._revision = 0
+        # Revisions of removals by key, the latest one last.
+        self._removals: dict[str, int] = {}
+        # Removals after this revision are all kept.
+        self._removals_after = 0
+        self._contacted = float("inf")
         self._failing_since: float | None = None
         self._recovered_at = float("-inf")
         self._subscribers: list[Callable[[], None]] = []
@@ -89,15 +96,34 @@
             ),
         )
 
+    def changes_since(self, revision: int) -> Changes | None:
+        """Returns what a router needs that knows all up to a revision.
+
+        Returns:
+            None if removals since then are no longer known.
+        """
+        if revision < self._removals_after:
+            return None
+        removed = (Item(key, at, None) for key, at in self._removals.items())
+        return Changes(
+            self._revision,
+            tuple(
+                item
+                for item in (*self.listing().items, *removed)
+                if item.revision > revision
+            ),
+        )
+
     def note_failure(self, since: float) -> None:
         """Records that the store has not answered since a monotonic time."""
         if self._failing_since is None:
-            self._failing_since = since
+            self._failing_since = min(since, self._contacted)
 
     def note_contact(self) -> None:
-        """Records an answer of the store."""
+        """Records an answer of the store, to this or to another router."""
         self._note_news()
         self._failing_since = None
+        self._contacted = self._clock.monotonic()
 
     def apply_listing(self, listing: Listing) -> None:
         """Takes a complete list; one older than what is known is ignored."""
@@ -115,11 +141,23 @@
             if key not in present and item.revision <= listing.revision
         ]
         self._apply([*listing.items, *gone], listing.revision)
+        # What came and went since the last revision is not in the listing.
+        self._removals_after = self._revision
 
     def apply_changes(self, changes: Changes) -> None:
         """Takes changes that follow the known revision."""
         self._apply(changes.items, changes.revision)
 
+    def apply_peer_changes(self, changes: Changes) -> None:
+        """Takes changes that another router knows of.
+
+        Changes up to a lower revision than the known one are ignored: an item
+        among them may have been removed since.
+        """
+        if changes.revision >= self._revision:
+            self._note_news()
+            self._apply(changes.items, changes.revision)
+
     def expire_lapsed(self) -> None:
         """Drops entries that did not come back in time after an outage."""
         now = self._clock.monotonic()
@@ -143,8 +181,12 @@
             known = self._items.get(item.key)
             if known is not None and item.revision <= known.revision:
                 continue
+            # A watch's answer may cross a newer page of another router.
+            if item.revision <= self._removals.get(item.key, 0):
+                continue
             if item.value is None:
                 changed |= known is not None
+                self._remember_removal(item.key, item.revision)
                 self._remove(item.key)
                 continue
             changed = True
@@ -198,6 +240,15 @@
             return
         self._drop(key)
 
+    def _remember_removal(self, key: str, revision: int) -> None:
+        self._removals.pop(key, None)
+        self._removals[key] = revision
+        if len(self._removals) > _REMOVALS_KEPT:
+            oldest = next(iter(self._removals))
+            self._removals_after = max(
+                self._removals_after, self._removals.pop(oldest)
+            )
+
     def _drop(self, key: str) -> None:
         self._items.pop(key, None)
         target = self._targets.pop(key, None)
--- a/crowwinch/directory/tests/test_state.py
+++ b/crowwinch/directory/tests/test_state.py
@@ -154,3 +154,81 @@
         self.assertEqual(other.targets, self.state.targets)
         self.assertEqual(other.version, self.state.version)
         self.assertTrue(dataclasses.is_dataclass(other.listing()))
+
+    def test_a_late_answer_does_not_bring_back_a_removed_target(self):
+        """A watch's answer crossed a newer listing of another router."""
+        self.state.apply_listing(
+            Listing(20, (_item("b", 7), _item("c", 3, "c:4")))
+        )
+        self.state.apply_changes(Changes(15, (_item("a", 15),)))
+        self.assertEqual(set(self.state.targets), {"b"})
+
+    def test_an_outage_starts_at_the_last_contact(self):
+        """A router that relied on others learned of the outage late."""
+        self.state.note_contact()
+        self._wait(1.5)
+        self._outage(0.5)
+        self.state.apply_changes(Changes(11, (_deleted("a", 11),)))
+        self.assertIn("a", self.state.targets)
+
+
+class ChangesForOthersTest(unittest.TestCase):
+    """Guards against changes that a router without the store never gets."""
+
+    def setUp(self):
+        self.clock = ManualClock(100.0)
+        listing = Listing(10, (_item("a", 5), _item("b", 7)))
+        self.state = DirectoryState(self.clock, _Decoder())
+        self.state.apply_listing(listing)
+        self.other = DirectoryState(self.clock, _Decoder())
+        self.other.apply_listing(listing)
+
+    def _pass_on(self):
+        changes = self.state.changes_since(self.other.revision)
+        self.other.apply_peer_changes(changes)
+        return changes
+
+    def test_changes_and_removals_are_passed_on(self):
+        self.state.apply_changes(
+            Changes(14, (_deleted("a", 12), _item("d", 13), _item("b", 14)))
+        )
+        changes = self._pass_on()
+        self.assertEqual(
+            {item.key: item.value for item in changes.items},
+            {"a": None, "b": b"ready", "d": b"ready"},
+        )
+        self.assertEqual(self.other.targets, self.state.targets)
+        self.assertEqual(self.other.revision, 14)
+        self.assertEqual(self._pass_on().items, ())
+
+    def test_an_older_page_changes_nothing(self):
+        """It would bring back a target that was removed since."""
+        self.state.apply_changes(Changes(12, (_item("d", 12),)))
+        page = self.state.changes_since(10)
+        self.other.apply_changes(
+            Changes(15, (_item("d", 12), _deleted("d", 15)))
+        )
+        self.other.apply_peer_changes(page)
+        self.assertEqual(set(self.other.targets), {"a", "b"})
+
+    def test_changes_before_a_listing_are_not_known(self):
+        """A target that came and went before it is in no list of changes."""
+        self.state.apply_listing(Listing(30, (_item("a", 5),)))
+        self.assertIsNone(self.state.changes_since(29))
+        self.assertEqual(self.state.changes_since(30), Changes(30, ()))
+
+    def test_a_router_far_behind_gets_no_changes(self):
+        for revision in range(11, 11 + 1001):
+            self.state.apply_changes(
+                Changes(revision, (_deleted(f"k{revision}", revision),))
+            )
+        self.assertIsNone(self.state.changes_since(10))
+        self.assertIsNotNone(self.state.changes_since(11))
+
+    def test_a_lapsed_target_is_kept_by_a_router_that_heard_of_it(self):
+        """Its entry was removed during an outage of the store."""
+        self.other.note_failure(self.clock.monotonic())
+        self.clock.move_to(self.clock.monotonic() + 4.0)
+        self.state.apply_changes(Changes(12, (_deleted("a", 12),)))
+        self._pass_on()
+        self.assertIn("a", self.other.targets)
--- a/crowwinch/directory/tests/test_watcher.py
+++ b/crowwinch/directory/tests/test_watcher.py
@@ -13,6 +13,7 @@
     Item,
     Listing,
     StoreError,
+    StoreReaders,
 )
 
 
@@ -54,7 +55,10 @@
         await driver.start()
         store = _Store(*answers)
         state = DirectoryState(timers.clock, _NoDecoder())
-        watcher = DirectoryWatcher(timers, store, state, random.Random(1))
+        readers = StoreReaders(timers.clock, "router")
+        watcher = DirectoryWatcher(
+            timers, store, state, readers, random.Random(1)
+        )
         await watcher.start()
         await asyncio.sleep(seconds)
         await watcher.stop()
--- a/crowwinch/fleet/__init__.py
+++ b/crowwinch/fleet/__init__.py
@@ -1,8 +1,15 @@
 """Routers that find each other and share what they know."""
 
+from crowwinch.fleet._directory_exchange import DirectoryExchange
 from crowwinch.fleet._directory_pull import DirectoryPull
 from crowwinch.fleet._endpoint import FleetEndpoint
 from crowwinch.fleet._peer_table import PeerTable
 from crowwinch.fleet._service import FleetService
 
-__all__ = ["DirectoryPull", "FleetEndpoint", "FleetService", "PeerTable"]
+__all__ = [
+    "DirectoryExchange",
+    "DirectoryPull",
+    "FleetEndpoint",
+    "FleetService",
+    "PeerTable",
+]
--- a/crowwinch/fleet/_endpoint.py
+++ b/crowwinch/fleet/_endpoint.py
@@ -12,7 +12,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 # First byte of each datagram; another version of the format gets another one.
-_FORMAT = b"\x01"
+_FORMAT = b"\x02"
 _LARGEST_BYTES = 60_000
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(FleetUpdate)
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -7,8 +7,9 @@
 import msgspec
 
 from crowwinch.coordination import Subscription, TimerService
-from crowwinch.directory import DirectoryState
+from crowwinch.directory import DirectoryState, Reading, StoreReaders
 from crowwinch.errors import PeerRejection
+from crowwinch.fleet._directory_exchange import DirectoryExchange
 from crowwinch.fleet._directory_pull import DirectoryPull
 from crowwinch.fleet._endpoint import FleetEndpoint
 from crowwinch.fleet._peer_table import PeerTable
@@ -36,6 +37,10 @@
 # Shares are counted over seconds, so they need not be told with every update.
 _UPDATES_PER_SHARES = 4
 _MOST_CRASHES = 32
+# A router counts as lost for the reading of the store after this time, or after
+# this many turns in a fleet to which updates go in turn.
+_SHORTEST_SILENCE_S = 0.5
+_ROUNDS_OF_SILENCE = 4
 
 
 class FleetService:
@@ -46,6 +51,7 @@
         timers: TimerService,
         settings: GatewaySettings,
         state: DirectoryState,
+        readers: StoreReaders,
         sharing: SharingState,
         is_leaving: Callable[[], bool],
         count_rejection: Callable[[PeerRejection], None],
@@ -54,6 +60,7 @@
         self._timers = timers
         self._settings = settings
         self._state = state
+        self._readers = readers
         self._sharing = sharing
         self._is_leaving = is_leaving
         self._life = int(timers.clock.time() * 1000)
@@ -69,9 +76,13 @@
             self._receive,
             count_rejection,
         )
-        self._pull = DirectoryPull(timers.clock, state, settings.control)
+        self._exchange = DirectoryExchange(state, settings.control)
+        self._pull = DirectoryPull(timers.clock, state, readers, self._exchange)
+        # Routers of this availability zone and when each was heard last.
+        self._neighbours: dict[str, float] = {}
         self._subscription: Subscription | None = None
         self._extra_update: Subscription | None = None
+        self._silence_s = _SHORTEST_SILENCE_S
         self._live: frozenset[str] = frozenset()
 
     @property
@@ -85,7 +96,7 @@
 
     async def start(self) -> None:
         """Starts to listen and to send."""
-        await self._pull.start()
+        await self._exchange.start()
         await self._endpoint.start()
         self._subscription = self._timers.call_every(_PERIOD_S, self._tick)
         self._sharing.loads.subscribe_long_prompts(self._plan_extra_update)
@@ -98,6 +109,7 @@
                 subscription.cancel()
         await self._endpoint.stop()
         await self._pull.stop()
+        await self._exchange.stop()
 
     def _tick(self) -> None:
         sharing = self._sharing
@@ -105,8 +117,45 @@
         sharing.shares.refresh()
         sharing.admission.poll()
         self._note_changes()
+        self._choose_readers()
         self._send_update()
 
+    def _choose_readers(self) -> None:
+        """Decides whether this router reads the store itself."""
+        self._pull.refresh()
+        turns = _ROUNDS_OF_SILENCE * self._table.rounds
+        self._silence_s = max(_SHORTEST_SILENCE_S, turns * _PERIOD_S)
+        was_reading = self._readers.is_reading
+        is_reading = self._readers.decide(self._silence_s)
+        if is_reading != was_reading:
+            _LOGGER.info(
+                "reading of the store started"
+                if is_reading
+                else "reading of the store left to others",
+                extra={
+                    "peers": len(self._live),
+                    "revision": self._state.revision,
+                },
+            )
+        if not is_reading and self._readers.has_fresh_peer:
+            self._state.note_contact()
+
+    def _is_near(self, update: FleetUpdate) -> bool:
+        """Returns whether to read at once from the sender of an update.
+
+        One router of an availability zone reads from other zones, so that a
+        change crosses their border once.
+        """
+        own_zone = self._settings.availability_zone
+        if update.availability_zone == own_zone:
+            return True
+        oldest = self._timers.clock.monotonic() - self._silence_s
+        return not any(
+            control < str(self._settings.control)
+            for control, heard in self._neighbours.items()
+            if heard >= oldest
+        )
+
     def _plan_extra_update(self) -> None:
         if self._extra_update is None:
             self._extra_update = self._timers.call_later(
@@ -150,11 +199,13 @@
         sequence = next(self._sequence)
         return FleetUpdate(
             router=self._settings.name,
+            availability_zone=self._settings.availability_zone,
             life=self._life,
             sequence=sequence,
             control=str(self._settings.control),
             version=self._state.version,
             revision=self._state.revision,
+            reading=self._readers.reading.value,
             is_leaving=self._is_leaving(),
             targets=[
                 TargetReport(
@@ -213,7 +264,19 @@
         sharing.crashes.note_peer(
             peer, [(report.digest, report.count) for report in update.crashes]
         )
-        self._pull.note_revision(peer, update.revision, update.version)
+        if update.is_leaving:
+            self._readers.forget(peer)
+        else:
+            self._readers.note_peer(peer, Reading(update.reading))
+        if update.availability_zone == self._settings.availability_zone:
+            self._neighbours[peer] = self._timers.clock.monotonic()
+        if self._pull.is_behind(update.revision, update.version):
+            self._pull.note_revision(
+                peer,
+                update.revision,
+                update.version,
+                is_near=self._is_near(update),
+            )
 
 
 def _hosts(controls: Iterable[str]) -> list[str]:
--- a/crowwinch/fleet/tests/test_endpoint.py
+++ b/crowwinch/fleet/tests/test_endpoint.py
@@ -7,14 +7,35 @@
 import msgspec
 
 from crowwinch.coordination import SystemClock
-from crowwinch.directory import DirectoryState, Item, Listing
+from crowwinch.directory import (
+    Changes,
+    DirectoryState,
+    Item,
+    Listing,
+    StoreReaders,
+)
 from crowwinch.errors import PeerRejection
-from crowwinch.fleet import DirectoryPull, FleetEndpoint
+from crowwinch.fleet import DirectoryExchange, DirectoryPull, FleetEndpoint
 from crowwinch.forwarding import SocketAddress
 from crowwinch.generated.fleet_messages import FleetUpdate
 from standins.processes import free_port
 
-_UPDATE = FleetUpdate("r", 1, 2, "127.0.0.1:9", 3, 4, False, [], [], [], [], [])
+_UPDATE = FleetUpdate(
+    "r",
+    "az",
+    1,
+    2,
+    "127.0.0.1:9",
+    3,
+    4,
+    "fresh",
+    False,
+    [],
+    [],
+    [],
+    [],
+    [],
+)
 
 
 class FleetEndpointTest(unittest.TestCase):
@@ -31,23 +52,29 @@
         self.endpoint.datagram_received(data, ("127.0.0.1", 1))
 
     def test_an_update_is_passed_on(self):
-        self._receive(b"\x01" + msgspec.msgpack.encode(_UPDATE))
+        self._receive(b"\x02" + msgspec.msgpack.encode(_UPDATE))
         self.assertEqual(self.received, [_UPDATE])
 
     def test_malformed_datagrams_are_counted_and_dropped(self):
-        good = b"\x01" + msgspec.msgpack.encode(_UPDATE)
+        good = b"\x02" + msgspec.msgpack.encode(_UPDATE)
         fields = list(msgspec.to_builtins(_UPDATE))
         cases = {
             b"": PeerRejection.UNKNOWN_VERSION,
-            b"\x02" + good[1:]: PeerRejection.UNKNOWN_VERSION,
-            b"\x01": PeerRejection.MALFORMED,
+            b"\x01" + good[1:]: PeerRejection.UNKNOWN_VERSION,
+            b"\x02": PeerRejection.MALFORMED,
             good[:-3]: PeerRejection.MALFORMED,
-            b"\x01\xc1": PeerRejection.MALFORMED,
+            b"\x02\xc1": PeerRejection.MALFORMED,
         }
-        for index, value in ((0, ""), (1, "x"), (2, -1), (7, [["t", -1, 0]])):
+        for index, value in (
+            (0, ""),
+            (2, "x"),
+            (3, -1),
+            (7, "maybe"),
+            (9, [["t", -1, 0]]),
+        ):
             changed = [*fields]
             changed[index] = value
-            data = b"\x01" + msgspec.msgpack.encode(changed)
+            data = b"\x02" + msgspec.msgpack.encode(changed)
             cases[data] = PeerRejection.MALFORMED
         for data, reason in cases.items():
             with self.subTest(data):
@@ -57,6 +84,10 @@
         self.assertEqual(self.received, [])
 
 
+def _item(key, revision):
+    return Item(key, revision, b"text")
+
+
 class _NoDecoder:
     def decode(self, key, value):
         return None
@@ -69,8 +100,11 @@
         clock = SystemClock()
         state = DirectoryState(clock, _NoDecoder())
         address = SocketAddress("127.0.0.1", free_port())
-        pull = DirectoryPull(clock, state, address)
-        await pull.start()
+        readers = StoreReaders(clock, str(address))
+        exchange = DirectoryExchange(state, address)
+        pull = DirectoryPull(clock, state, readers, exchange)
+        await exchange.start()
+        self.addAsyncCleanup(exchange.stop)
         self.addAsyncCleanup(pull.stop)
         return state, pull, str(address)
 
@@ -80,18 +114,49 @@
         newer.apply_listing(Listing(9, items))
         state, pull, _ = await self._start()
         state.note_failure(0.0)
-        pull.note_revision(address, 9, 0)
+        pull.note_revision(address, 9, 0, is_near=True)
         await asyncio.sleep(0.2)
         self.assertEqual(state.revision, 9)
         # Bytes that are no text are of no use to any decoder.
         self.assertEqual([item.key for item in state.listing().items], ["op/x"])
 
+    async def test_only_changes_are_read_by_a_router_that_knows_the_rest(self):
+        newer, _, address = await self._start()
+        state, pull, _ = await self._start()
+        for known in (newer, state):
+            known.apply_listing(
+                Listing(5, (Item("a", 4, b"x"), Item("b", 5, b"y")))
+            )
+        newer.apply_changes(
+            Changes(
+                8, (Item("a", 6, None), Item("b", 7, b"\xff"), _item("c", 8))
+            )
+        )
+        state.note_failure(0.0)
+        pull.note_revision(address, 8, 0, is_near=True)
+        await asyncio.sleep(0.2)
+        # A value that is no text any more does not leave the old one in force.
+        self.assertEqual(state.listing().items, (_item("c", 8),))
+
+    async def test_a_peer_that_lags_too_does_not_end_the_patience(self):
+        """Each update of such a peer let the router wait anew, for ever."""
+        newer, _, address = await self._start()
+        state, pull, _ = await self._start()
+        state.apply_listing(Listing(5, (_item("op", 5),)))
+        state.note_contact()
+        newer.apply_listing(Listing(9, ()))
+        for _ in range(10):
+            pull.note_revision(address, 9, 0, is_near=True)
+            pull.refresh()
+            await asyncio.sleep(0.03)
+        self.assertEqual(state.revision, 9)
+
     async def test_a_router_that_reads_the_store_waits_for_it(self):
         state, pull, address = await self._start()
         state.apply_listing(Listing(5, ()))
         newer, _, address = await self._start()
         newer.apply_listing(Listing(9, ()))
-        pull.note_revision(address, 9, 0)
+        pull.note_revision(address, 9, 0, is_near=True)
         state.note_contact()
         await asyncio.sleep(0.05)
         # Its configuration is unknown, so it does not wait either.
@@ -105,7 +170,7 @@
         older.apply_listing(Listing(4, (Item("a", 4, b"x"),)))
         for peer in (address, f"127.0.0.1:{free_port()}"):
             with self.subTest(peer):
-                pull.note_revision(peer, 99, 0)
+                pull.note_revision(peer, 99, 0, is_near=True)
                 await asyncio.sleep(0.15)
                 self.assertEqual(state.revision, 5)
                 self.assertEqual(state.listing().items, ())
--- a/crowwinch/fleet/tests/test_peer_table.py
+++ b/crowwinch/fleet/tests/test_peer_table.py
@@ -11,11 +11,13 @@
 def _update(control, life=1, sequence=0, members=(), leaving=False):
     return FleetUpdate(
         router=control,
+        availability_zone="az",
         life=life,
         sequence=sequence,
         control=control,
         version=1,
         revision=1,
+        reading="fresh",
         is_leaving=leaving,
         targets=[],
         workspaces=[],
--- a/crowwinch/fleet/tests/test_service.py
+++ b/crowwinch/fleet/tests/test_service.py
@@ -4,7 +4,7 @@
 import unittest
 
 from crowwinch.coordination import ManualClock, TimerService
-from crowwinch.directory import DirectoryState
+from crowwinch.directory import DirectoryState, StoreReaders
 from crowwinch.fleet import FleetService
 from crowwinch.forwarding import GatewaySettings, SocketAddress
 from crowwinch.forwarding.tests.support import make_sharing
@@ -61,6 +61,7 @@
                 timers,
                 _make_settings(f"127.0.0.{number}", port),
                 DirectoryState(self.clock, DocumentCodec()),
+                StoreReaders(self.clock, f"127.0.0.{number}"),
                 sharing,
                 lambda: False,
                 lambda reason: None,
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -18,6 +18,7 @@
 from crowwinch.directory import (
     DirectoryState,
     DirectoryWatcher,
+    StoreReaders,
     TargetState,
 )
 from crowwinch.errors import PeerRejection, RefusalReason, RetryReason
@@ -101,6 +102,7 @@
         self._store = StoreClient(settings.store)
         self._state = DirectoryState(self._clock, DocumentCodec())
         self._state.subscribe(self._on_directory)
+        self._readers = StoreReaders(self._clock, str(settings.control))
         self._targets = TargetSet(settings.availability_zone, self._forget)
         self._sharing = self._build_sharing()
         codec = HeaderCodec()
@@ -131,6 +133,7 @@
             self._timers,
             settings,
             self._state,
+            self._readers,
             self._sharing,
             lambda: self._is_stopping,
             lambda reason: self._metrics.count_reason(
@@ -144,7 +147,13 @@
             self._client,
             self._callers,
             self._fleet,
-            DirectoryWatcher(self._timers, self._store, self._state, self._rng),
+            DirectoryWatcher(
+                self._timers,
+                self._store,
+                self._state,
+                self._readers,
+                self._rng,
+            ),
         ]
 
     @property
