Divide the tests of classes over three processes

Cause: the tests of classes took 250 of the 261 s of a whole run, in one process; the model of 90 routers adds 80 s. Test modules were given one of 16 slices of ports by their index; the 17th shared the slice of the first.

Change: three processes, and 32 slices of ports.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -22,7 +22,7 @@
 _PORTS = (16384, 32768)
 # Test modules that run side by side draw from slices of their own.
 PORT_SLICE_VARIABLE = "TEST_PORT_SLICE"
-PORT_SLICES = 16
+PORT_SLICES = 32
 
 
 def free_port() -> int:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,7 +5,7 @@
 
 Each module of tests of whole processes runs in a process of its own, several at
 a time, since these tests mostly wait. The tests of single classes need a
-processor and run beside them in one process.
+processor and run beside them in a few processes.
 """
 
 import argparse
@@ -28,6 +28,9 @@
 # A fleet of a test keeps up to two cores busy for moments; with more at a time
 # their waits would say more about the machine than about the fleet.
 _CORES_PER_MODULE = 2
+# Tests of classes keep a processor busy; in one process they would take longer
+# than all others together.
+_CLASS_PARTS = 3
 # Modules that take longest start first, so that none is left alone at the end.
 _LONGEST = (
     "test_fault_matrix",
@@ -125,8 +128,9 @@
 
 def _run_all() -> int:
     started = time.monotonic()
+    classes = _modules(_CLASSES)
     parts = [
-        _modules(_CLASSES),
+        *(classes[part::_CLASS_PARTS] for part in range(_CLASS_PARTS)),
         *(
             [module]
             for module in sorted(_modules([_PROCESSES]), key=_by_length)
