Tell every router of a large fleet shares and reads of prompts

Cause: an update goes to 12 routers in turn. Shares went with every fourth update, so that in fleets of 17, 25 or 49 routers the same 12 heard them always and the others never; in a fleet of 90 a router heard them after up to 3 s. A prompt that was read away from its home was told with one update, so only 12 routers knew, and the others had it read again elsewhere.

Change: an update goes to the routers to which none was sent for the longest time; the table records when each was told shares, as it does for members; reads stay in the updates of one whole turn.

Fleets of up to 13 routers are not affected.

--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -1,5 +1,6 @@
 """Which other routers there are and what they said last."""
 
+import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -29,6 +30,10 @@
 # Later updates with members only make up for lost ones. In a fleet that is
 # served in turn each router gets them from more others, and so less often.
 _MEMBERS_PERIOD_S = 3.0
+# Updates are sent a little earlier or later than planned.
+_TOLERANCE_S = 0.02
+# Shares are counted over seconds, so they need not be told with every update.
+_SHARES_PERIOD_S = 0.2
 
 
 @dataclass(slots=True)
@@ -38,6 +43,7 @@
     sent: float = float("-inf")
     found: float = float("-inf")
     informed: float = float("-inf")
+    told_shares: float = float("-inf")
     life: int = 0
     sequence: int = -1
     is_leaving: bool = False
@@ -60,7 +66,6 @@
         self._own_control = own_control
         self._seeds: frozenset[str] = frozenset()
         self._peers: dict[str, _Peer] = {}
-        self._turn = 0
         self._told = 0
         self._started = clock.monotonic()
         self.add_seeds(seeds)
@@ -124,9 +129,7 @@
             is_silent = now - peer.heard > _SILENCE_S
             if not is_silent or now - peer.sent >= period:
                 due.append(peer)
-        if len(due) > _FAN_OUT:
-            self._turn = (self._turn + _FAN_OUT) % len(due)
-            due = (due + due)[self._turn : self._turn + _FAN_OUT]
+        due = heapq.nsmallest(_FAN_OUT, due, key=lambda peer: peer.sent)
         for peer in due:
             peer.sent = now
         return [peer.control for peer in due]
@@ -145,6 +148,18 @@
                 uninformed.append(control)
         return uninformed
 
+    def take_due_for_shares(self, destinations: Iterable[str]) -> list[str]:
+        """Returns those of some routers that are to be told shares now."""
+        now = self._clock.monotonic()
+        period = _SHARES_PERIOD_S * self.rounds
+        due = []
+        for control in destinations:
+            peer = self._peers[control]
+            if now - peer.told_shares >= period - _TOLERANCE_S:
+                peer.told_shares = now
+                due.append(control)
+        return due
+
     def members_to_tell(self) -> list[str]:
         """Returns addresses of some live routers, others in each call."""
         live = self.live
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -1,5 +1,6 @@
 """Tells the other routers what this one does, and hears them."""
 
+import collections
 import itertools
 import logging
 from collections.abc import Callable, Iterable
@@ -34,8 +35,6 @@
 # A long prompt is told at once. The delay lets one update tell all requests
 # that are decided together.
 _LONG_PROMPT_DELAY_S = 0.002
-# Shares are counted over seconds, so they need not be told with every update.
-_UPDATES_PER_SHARES = 4
 _MOST_CRASHES = 32
 # A router counts as lost for the reading of the store after this time, or after
 # this many turns in a fleet to which updates go in turn.
@@ -82,6 +81,10 @@
         self._neighbours: dict[str, float] = {}
         self._subscription: Subscription | None = None
         self._extra_update: Subscription | None = None
+        # Reads to tell, with the update from which all routers know them.
+        self._reads: collections.deque[tuple[int, PrefixReport]] = (
+            collections.deque()
+        )
         self._silence_s = _SHORTEST_SILENCE_S
         self._live: frozenset[str] = frozenset()
 
@@ -171,17 +174,42 @@
         if not destinations:
             return
         update = self._build_update()
-        uninformed = self._table.take_uninformed(destinations)
-        if uninformed:
-            members = self._table.members_to_tell()
+        needs_members = set(self._table.take_uninformed(destinations))
+        needs_shares = set(self._table.take_due_for_shares(destinations))
+        groups = collections.defaultdict(list)
+        for control in destinations:
+            needs = (control in needs_members, control in needs_shares)
+            groups[needs].append(control)
+        for (tells_members, tells_shares), controls in groups.items():
             self._endpoint.send(
-                msgspec.structs.replace(update, members=members),
-                _hosts(uninformed),
+                msgspec.structs.replace(
+                    update,
+                    members=(
+                        self._table.members_to_tell() if tells_members else []
+                    ),
+                    workspaces=(
+                        self._workspace_reports() if tells_shares else None
+                    ),
+                ),
+                [control.rpartition(":")[0] for control in controls],
             )
-        informed = [
-            control for control in destinations if control not in uninformed
+
+    def _workspace_reports(self) -> list[WorkspaceReport]:
+        return [
+            WorkspaceReport(use.workspace, round(use.asked), round(use.served))
+            for use in self._sharing.shares.own_use()
         ]
-        self._endpoint.send(update, _hosts(informed))
+
+    def _prefix_reports(self, sequence: int) -> list[PrefixReport]:
+        """Returns reads away from home that some routers were not told yet."""
+        end = sequence + self._table.rounds
+        self._reads.extend(
+            (end, PrefixReport(target, path))
+            for target, path in self._sharing.prefixes.take_reads_to_tell()
+        )
+        while self._reads and self._reads[0][0] <= sequence:
+            self._reads.popleft()
+        return [report for _, report in self._reads]
 
     def _note_changes(self) -> None:
         """Logs routers that were lost or found since the last call."""
@@ -213,16 +241,7 @@
                 )
                 for use in sharing.loads.own_use()
             ],
-            workspaces=(
-                [
-                    WorkspaceReport(
-                        use.workspace, round(use.asked), round(use.served)
-                    )
-                    for use in sharing.shares.own_use()
-                ]
-                if sequence % _UPDATES_PER_SHARES == 0
-                else None
-            ),
+            workspaces=None,
             members=[],
             crashes=[
                 CrashReport(digest, count)
@@ -230,10 +249,7 @@
                     -_MOST_CRASHES:
                 ]
             ],
-            prefixes=[
-                PrefixReport(target, path)
-                for target, path in sharing.prefixes.take_reads_to_tell()
-            ],
+            prefixes=self._prefix_reports(sequence),
         )
 
     def _receive(self, update: FleetUpdate) -> None:
@@ -277,7 +293,3 @@
                 update.version,
                 is_near=self._is_near(update),
             )
-
-
-def _hosts(controls: Iterable[str]) -> list[str]:
-    return [control.rpartition(":")[0] for control in controls]
--- a/crowwinch/fleet/tests/test_store_reading.py
+++ b/crowwinch/fleet/tests/test_store_reading.py
@@ -1,312 +1,48 @@
-"""Fleets of 8 to 90 routers that hear of changes from a few readers.
-
-All parts but the network and the store are those of a router. Time is that of
-a manual clock and nothing leaves the process, so that each run is the same.
-"""
+"""Fleets of 8 to 90 routers that hear of changes from a few readers."""
 
 import asyncio
-import random
 import unittest
-from unittest import mock
-
-from crowwinch.coordination import ManualClock, TimerService
-from crowwinch.directory import (
-    Changes,
-    DirectoryState,
-    DirectoryWatcher,
-    HistoryLostError,
-    Item,
-    Listing,
-    StoreError,
-    StoreReaders,
-)
-from crowwinch.fleet import FleetService
-from crowwinch.fleet._directory_exchange import (
-    DirectoryFetchError,
-    build_page,
-)
-from crowwinch.forwarding import GatewaySettings, SocketAddress
-from crowwinch.forwarding.tests.support import make_sharing
-
-_STEP_S = 0.05
-_ZONES = 5
-_PORT = 9
+
+from crowwinch.fleet._directory_exchange import DirectoryFetchError
+from crowwinch.fleet.tests.support import ZONES, FleetModel
+
 # Bound of the smaller sites for a change of configuration or of a target.
 _BOUND_S = 2.0
-# The client gives up a call this long after the end of its wait.
-_CALL_TIMEOUT_S = 1.0
-_HISTORY = 200
 # A few for each availability zone: a watch each 0.7 s and batches of changes.
-_MOST_CALLS_PER_S = 4 * _ZONES
+_MOST_CALLS_PER_S = 4 * ZONES
 # Retries of a fleet that gets no answer, and the first call of each router.
 _MOST_CALLS_IN_OUTAGE_PER_S = 30 + 90 / 6.0
 _SIZES = (8, 30, 90)
-# Turns of the loop in which everything that is due has run.
-_TURNS = 8
-
-
-class _Decoder:
-    def decode(self, key, value):
-        return None
-
-
-class _Store:
-    """A store of one item that fails in chosen ways for chosen routers."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.revision = 1
-        self.calls = 0
-        self.is_down = False
-        self.turned_away = set()
-        self.silent = set()
-        self.written = {}
-        self._waiting = []
-
-    def write(self):
-        self.revision += 1
-        self.written[self.revision] = self.clock.monotonic()
-
-    def client(self, name):
-        return _StoreClient(self, name)
-
-    async def call(self, name, seconds, is_due):
-        """Answers when a condition holds or the wait has ended."""
-        self.calls += 1
-        if self.is_down or name in self.turned_away:
-            raise StoreError("refused")
-        end = self.clock.monotonic() + seconds
-        future = asyncio.get_running_loop().create_future()
-        self._waiting.append((future, name, end, is_due))
-        await future
-
-    def step(self, frozen):
-        """Answers the calls that are due."""
-        now = self.clock.monotonic()
-        waiting, self._waiting = self._waiting, []
-        for entry in waiting:
-            future, name, end, is_due = entry
-            is_silent = name in self.silent
-            if future.done():
-                continue
-            if name in frozen:
-                self._waiting.append(entry)
-            elif self.is_down or (is_silent and now >= end + _CALL_TIMEOUT_S):
-                future.set_exception(StoreError("no answer"))
-            elif not is_silent and (now >= end or is_due()):
-                future.set_result(None)
-            else:
-                self._waiting.append(entry)
-
-
-class _StoreClient:
-    def __init__(self, store, name):
-        self._store = store
-        self._name = name
-
-    async def list_items(self):
-        store = self._store
-        await store.call(self._name, 0.0, lambda: True)
-        return Listing(store.revision, (_item(store.revision),))
-
-    async def watch(self, revision, wait_s):
-        store = self._store
-        if store.revision - revision > _HISTORY:
-            raise HistoryLostError("gone")
-        await store.call(self._name, wait_s, lambda: store.revision > revision)
-        items = (_item(store.revision),) if store.revision > revision else ()
-        return Changes(store.revision, items)
-
-
-class _Network:
-    """Delivers updates and pages, but for routers that are cut or frozen."""
-
-    def __init__(self):
-        self.endpoints = {}
-        self.states = {}
-        self.frozen = set()
-        self.severed = lambda one, other: False
-        self._updates = []
-
-    def send(self, source, update, hosts):
-        self._updates.extend((source, host, update) for host in hosts)
-
-    def step(self):
-        updates, self._updates = self._updates, []
-        for source, host, update in updates:
-            endpoint = self.endpoints.get(host)
-            if endpoint is None or self._is_cut(source, host):
-                continue
-            endpoint(update)
-
-    def page(self, source, host, after):
-        if self._is_cut(source, host):
-            raise DirectoryFetchError(host)
-        return build_page(self.states[host], after)
-
-    def _is_cut(self, source, host):
-        return bool({source, host} & self.frozen) or self.severed(source, host)
-
-
-def _make_endpoint(network):
-    class _Endpoint:
-        def __init__(self, host, port, receive, count_rejection):
-            self._host = host
-            network.endpoints[host] = receive
-
-        async def start(self):
-            pass
-
-        async def stop(self):
-            pass
-
-        def send(self, update, hosts):
-            network.send(self._host, update, hosts)
-
-    return _Endpoint
-
-
-def _make_exchange(network):
-    class _Exchange:
-        def __init__(self, state, address):
-            self._host = address.host
-            network.states[address.host] = state
-
-        async def start(self):
-            pass
-
-        async def stop(self):
-            pass
-
-        async def fetch(self, control, after):
-            host = control.rpartition(":")[0]
-            return network.page(self._host, host, after)
-
-    return _Exchange
-
-
-def _item(revision):
-    return Item("key", revision, b"text")
-
-
-def _make_settings(host, zone, seeds):
-    address = SocketAddress(host, _PORT)
-    return GatewaySettings(
-        name=host,
-        address=host,
-        availability_zone=zone,
-        caller=address,
-        readiness=address,
-        control=address,
-        peer_port=_PORT,
-        metrics_port=_PORT,
-        seeds=tuple(SocketAddress(seed, _PORT) for seed in seeds),
-        store=address,
-        memory_bytes=1,
-        max_descriptors=1,
-        drain_s=1.0,
-        stop_grace_s=1.0,
-        address_reuse_s=1.0,
-        retry_ratio=0.2,
-        retry_window_s=10.0,
-        share_window_s=4.0,
-    )
-
-
-class _Router:
-    def __init__(self, clock, store, settings):
-        self.host = settings.address
-        self.zone = settings.availability_zone
-        self.timers = TimerService(clock)
-        self.state = DirectoryState(clock, _Decoder())
-        self.readers = StoreReaders(clock, str(settings.control))
-        self.service = FleetService(
-            self.timers,
-            settings,
-            self.state,
-            self.readers,
-            make_sharing(clock),
-            lambda: False,
-            lambda reason: None,
-        )
-        self.watcher = DirectoryWatcher(
-            self.timers,
-            store.client(self.host),
-            self.state,
-            self.readers,
-            random.Random(self.host),
-        )
 
 
 class StoreReadingTest(unittest.TestCase):
     """Guards against late changes and against calls that grow with a fleet."""
 
     async def _start(self, size):
-        self.clock = ManualClock(100.0, unix_start=1_000_000.0)
-        self.store = _Store(self.clock)
-        self.network = _Network()
-        hosts = [f"10.0.{n // 10}.{n % 10}" for n in range(size)]
-        with (
-            mock.patch(
-                "crowwinch.fleet._service.FleetEndpoint",
-                _make_endpoint(self.network),
-            ),
-            mock.patch(
-                "crowwinch.fleet._service.DirectoryExchange",
-                _make_exchange(self.network),
-            ),
-        ):
-            self.routers = [
-                _Router(
-                    self.clock,
-                    self.store,
-                    _make_settings(host, f"zone-{n % _ZONES}", hosts[:3]),
-                )
-                for n, host in enumerate(hosts)
-            ]
-        for router in self.routers:
-            await router.service.start()
-            await router.watcher.start()
+        self.fleet = FleetModel(size)
+        await self.fleet.start()
         self.late = {}
         await self._pass(5.0)
 
-    async def _stop(self):
-        for router in self.routers:
-            await router.watcher.stop()
-            await router.service.stop()
-
     async def _pass(self, seconds, writes_every_s=None):
-        """Lets time pass, with changes at a regular rate."""
-        start = self.clock.monotonic()
-        next_write = start
-        while (now := self.clock.monotonic()) < start + seconds:
-            if writes_every_s is not None and now >= next_write:
-                self.store.write()
-                next_write += writes_every_s
-            self.clock.move_to(now + _STEP_S)
-            for router in self.routers:
-                if router.host not in self.network.frozen:
-                    router.timers.run_due()
-            self.network.step()
-            self.store.step(self.network.frozen)
-            for _ in range(_TURNS):
-                await asyncio.sleep(0)
-            self._note_lateness()
+        await self.fleet.run(seconds, writes_every_s, self._note_lateness)
 
     def _note_lateness(self):
         """Records for each router how late it is with the oldest change."""
-        now = self.clock.monotonic()
-        for router in self.routers:
+        now = self.fleet.clock.monotonic()
+        for router in self.fleet.routers:
             unknown = [
                 at
-                for revision, at in self.store.written.items()
+                for revision, at in self.fleet.store.written.items()
                 if revision > router.state.revision
             ]
             late = now - min(unknown) if unknown else 0.0
             self.late[router.host] = max(self.late.get(router.host, 0.0), late)
 
     def _reading(self):
-        return [router for router in self.routers if router.readers.is_reading]
+        return [
+            router for router in self.fleet.routers if router.readers.is_reading
+        ]
 
     def _assert_in_time(self, without=()):
         late = {
@@ -317,13 +53,13 @@
         self.assertEqual(late, {})
 
     def _forget_changes(self):
-        self.store.written.clear()
+        self.fleet.store.written.clear()
         self.late.clear()
 
     async def _calls_per_s(self, seconds, writes_every_s=None):
-        before = self.store.calls
+        before = self.fleet.store.calls
         await self._pass(seconds, writes_every_s)
-        return (self.store.calls - before) / seconds
+        return (self.fleet.store.calls - before) / seconds
 
     def _play(self, scenario, sizes=_SIZES):
         """Plays a scenario with fleets of each size."""
@@ -331,7 +67,7 @@
         async def play(size):
             await self._start(size)
             await scenario()
-            await self._stop()
+            await self.fleet.stop()
 
         for size in sizes:
             with self.subTest(size):
@@ -341,8 +77,8 @@
         """A fifth of 90 routers knew fewer than 8 others after 5 s."""
 
         async def scenario():
-            known = [router.service.live_peers for router in self.routers]
-            self.assertEqual(known, [len(self.routers) - 1] * len(known))
+            known = [router.service.live_peers for router in self.fleet.routers]
+            self.assertEqual(known, [len(self.fleet.routers) - 1] * len(known))
 
         self._play(scenario)
 
@@ -358,17 +94,21 @@
 
     def test_readers_that_are_frozen(self):
         async def scenario():
-            self.network.frozen = {router.host for router in self._reading()}
-            if len(self.network.frozen) == len(self.routers):
-                self.network.frozen.pop()
+            self.fleet.network.frozen = {
+                router.host for router in self._reading()
+            }
+            if len(self.fleet.network.frozen) == len(self.fleet.routers):
+                self.fleet.network.frozen.pop()
             await self._pass(6.0, writes_every_s=0.5)
-            self._assert_in_time(without=self.network.frozen)
+            self._assert_in_time(without=self.fleet.network.frozen)
 
         self._play(scenario)
 
     def test_readers_whose_connections_fall_silent(self):
         async def scenario():
-            self.store.silent = {router.host for router in self._reading()}
+            self.fleet.store.silent = {
+                router.host for router in self._reading()
+            }
             await self._pass(6.0, writes_every_s=0.5)
             self._assert_in_time()
 
@@ -378,7 +118,7 @@
     def test_readers_that_the_store_turns_away(self):
         async def scenario():
             turned_away = {router.host for router in self._reading()}
-            self.store.turned_away = set(sorted(turned_away)[:6])
+            self.fleet.store.turned_away = set(sorted(turned_away)[:6])
             await self._pass(6.0, writes_every_s=0.5)
             self._assert_in_time()
 
@@ -386,8 +126,8 @@
 
     def test_all_but_one_are_turned_away(self):
         async def scenario():
-            self.store.turned_away = {
-                router.host for router in self.routers[:-1]
+            self.fleet.store.turned_away = {
+                router.host for router in self.fleet.routers[:-1]
             }
             await self._pass(6.0, writes_every_s=0.5)
             self._assert_in_time()
@@ -396,24 +136,24 @@
 
     def test_an_outage_of_the_store(self):
         async def scenario():
-            self.store.is_down = True
+            self.fleet.store.is_down = True
             calls = await self._calls_per_s(6.0)
             self.assertLessEqual(calls, _MOST_CALLS_IN_OUTAGE_PER_S)
-            for router in self.routers:
+            for router in self.fleet.routers:
                 self.assertFalse(router.state.is_connected, router.host)
-            self.store.is_down = False
-            self.store.write()
+            self.fleet.store.is_down = False
+            self.fleet.store.write()
             await self._pass(4.0)
             self._assert_in_time()
-            for router in self.routers:
+            for router in self.fleet.routers:
                 self.assertTrue(router.state.is_connected, router.host)
 
         self._play(scenario)
 
     def test_zones_that_are_cut_from_each_other(self):
         async def scenario():
-            zones = {router.host: router.zone for router in self.routers}
-            self.network.severed = lambda one, other, zones=zones: (
+            zones = {router.host: router.zone for router in self.fleet.routers}
+            self.fleet.network.severed = lambda one, other, zones=zones: (
                 zones[one] != zones[other]
             )
             await self._pass(6.0, writes_every_s=0.5)
@@ -423,8 +163,8 @@
 
     def test_a_router_that_no_other_hears(self):
         async def scenario():
-            alone = self.routers[-1].host
-            self.network.severed = lambda one, other, alone=alone: (
+            alone = self.fleet.routers[-1].host
+            self.fleet.network.severed = lambda one, other, alone=alone: (
                 alone in (one, other)
             )
             await self._pass(6.0, writes_every_s=0.5)
@@ -436,15 +176,15 @@
         """It hears updates, but its connections to other routers fail."""
 
         async def scenario():
-            alone = self.routers[-1].host
-            page = self.network.page
+            alone = self.fleet.routers[-1].host
+            page = self.fleet.network.page
 
             def page_but(source, host, after, page=page, alone=alone):
                 if source == alone:
                     raise DirectoryFetchError(host)
                 return page(source, host, after)
 
-            self.network.page = page_but
+            self.fleet.network.page = page_but
             await self._pass(6.0, writes_every_s=0.5)
             self._assert_in_time()
 
