Add a randomized soak of the gateway

Cause: tests of whole processes play one fault or a chosen pair.

Change: tests/soak starts routers, targets, the store and a relay as separate processes, injects random faults from outside with signals and the relay, and checks what callers and targets see. The relay can delay and reset links; a target's runs are written to a file, which outlives it. The checks are tested with planted violations of each kind.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: run serve test lint format measure measure-scale slopes binary generate
+.PHONY: run serve test soak lint format measure measure-scale slopes binary generate
 
 VENV := .venv
 PYTHON := $(VENV)/bin/python
@@ -20,6 +20,12 @@
 test: $(STAMP)
 	$(PYTHON) -m tools.run_tests
 
+# Plays the soak of the gateway with a range of seeds, 24 s each.
+FIRST_SEED ?= 1
+LAST_SEED ?= 50
+soak: $(STAMP)
+	$(PYTHON) -m tests.soak $(FIRST_SEED) $(LAST_SEED)
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- a/standins/operators_platform.py
+++ b/standins/operators_platform.py
@@ -8,7 +8,9 @@
 import argparse
 import asyncio
 import base64
+import contextlib
 import json
+import pathlib
 import time
 
 from aiohttp import web
@@ -140,10 +142,17 @@
 class PlatformTarget:
     """A target that runs requests and counts the runs of each."""
 
-    def __init__(self, name: str, is_engine: bool) -> None:
-        """Stores what the target is."""
+    def __init__(self, name: str, is_engine: bool, run_log: str = "") -> None:
+        """Stores what the target is.
+
+        Args:
+            name: Identifier of the target.
+            is_engine: Whether it answers with a stream.
+            run_log: File to which each run is added, which outlives the target.
+        """
         self._name = name
         self._is_engine = is_engine
+        self._run_log = pathlib.Path(run_log) if run_log else None
         self._runs: dict[str, int] = {}
         self._work_s = 0.02
 
@@ -172,6 +181,9 @@
         body = await request.read()
         attempt = request.headers["X-Crowwinch-Attempt-Id"]
         self._runs[attempt] = self._runs.get(attempt, 0) + 1
+        if self._run_log is not None:
+            with self._run_log.open("a") as log:
+                log.write(f"{time.time():.3f} {self._name} {attempt}\n")
         headers = {
             "X-Crowwinch-Attempt-Id": attempt,
             "X-Crowwinch-Server-Seal": f"seal-{self._name}",
@@ -181,18 +193,23 @@
             return web.Response(body=body, headers=headers)
         headers["Content-Type"] = "text/event-stream"
         response = web.StreamResponse(headers=headers)
-        await response.prepare(request)
         after = int(request.headers.get("Last-Event-Id", 0))
-        for number in range(after + 1, _WORDS + 1):
-            await asyncio.sleep(self._work_s)
-            await response.write(f"id: {number}\ndata: w{number}\n\n".encode())
-        await response.write_eof()
+        # A router that is killed leaves its connections at any moment.
+        with contextlib.suppress(ConnectionResetError):
+            await response.prepare(request)
+            for number in range(after + 1, _WORDS + 1):
+                await asyncio.sleep(self._work_s)
+                event = f"id: {number}\ndata: w{number}\n\n"
+                await response.write(event.encode())
+            await response.write_eof()
         return response
 
 
 def _build(arguments: argparse.Namespace) -> web.Application:
     if arguments.target:
-        return PlatformTarget(arguments.target, arguments.engine).application()
+        return PlatformTarget(
+            arguments.target, arguments.engine, arguments.run_log
+        ).application()
     application = web.Application()
     application.add_routes(Store().routes())
     return application
@@ -202,6 +219,7 @@
     parser.add_argument(
         "--target", default="", help="run a target, not a store"
     )
+    parser.add_argument("--run-log", default="", help="file for the runs")
     parser.add_argument("--engine", action="store_true", help="stream events")
 
 
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,9 +1,10 @@
-"""A TCP relay whose two directions can be cut, held and healed.
+"""A TCP relay whose two directions can be cut, held, delayed and healed.
 
 A cut direction swallows the bytes, as a network does that drops packets: the
 connections stay open and neither end gets an error. Connections that were cut
 are closed when the direction heals, since bytes are missing in them. A held
 direction keeps the bytes and passes them on, in order, when it is released.
+A closed link resets its connections and each new one.
 """
 
 import argparse
@@ -28,17 +29,22 @@
         self._held: dict[str, frozenset[str]] = {}
         self._holding: set[str] = set()
         self._released = asyncio.Event()
+        self._delays: dict[str, float] = {}
+        self._closed: set[str] = set()
+        self._open: dict[str, set[asyncio.StreamWriter]] = {}
 
     def application(self) -> web.Application:
         """Returns the routes."""
         application = web.Application()
-        application.router.add_put("/links/{link}", self._open)
+        application.router.add_put("/links/{link}", self._add_link)
         application.router.add_put("/cuts", self._set_cuts)
         application.router.add_put("/holds", self._set_holds)
         application.router.add_get("/holds", self._list_holding)
+        application.router.add_put("/delays", self._set_delays)
+        application.router.add_put("/closed", self._set_closed)
         return application
 
-    async def _open(self, request: web.Request) -> web.Response:
+    async def _add_link(self, request: web.Request) -> web.Response:
         """Takes {"port": number}; answers with the port of the link."""
         link = request.match_info["link"]
         port = (await request.json())["port"]
@@ -49,6 +55,7 @@
         )
         self._servers[link] = server
         self._damaged[link] = set()
+        self._open[link] = set()
         return web.json_response({"port": server.sockets[0].getsockname()[1]})
 
     async def _set_cuts(self, request: web.Request) -> web.Response:
@@ -76,6 +83,19 @@
         del request
         return web.json_response(sorted(self._holding))
 
+    async def _set_delays(self, request: web.Request) -> web.Response:
+        """Takes {link: seconds} for each chunk, in both directions."""
+        self._delays = await request.json()
+        return web.Response(status=204)
+
+    async def _set_closed(self, request: web.Request) -> web.Response:
+        """Takes the links to close; other links are open."""
+        self._closed = set(await request.json())
+        for link in self._closed:
+            for writer in self._open[link]:
+                writer.transport.abort()
+        return web.Response(status=204)
+
     async def _serve(
         self,
         link: str,
@@ -83,6 +103,9 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        if link in self._closed:
+            writer.transport.abort()
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(
                 "127.0.0.1", port
@@ -91,6 +114,7 @@
             writer.close()
             return
         writers = (writer, far_writer)
+        self._open[link].update(writers)
         # When the relay ends, the stream protocol would log a task that ends
         # as cancelled as an error.
         with contextlib.suppress(asyncio.CancelledError):
@@ -112,6 +136,8 @@
                 if way in self._cut.get(link, ()):
                     self._damaged[link].update(writers)
                     continue
+                if delay := self._delays.get(link):
+                    await asyncio.sleep(delay)
                 while way in self._held.get(link, ()):
                     self._holding.add(link)
                     await self._released.wait()
@@ -125,6 +151,7 @@
             for each in writers:
                 each.close()
             self._damaged[link].difference_update(writers)
+            self._open[link].difference_update(writers)
 
 
 def main() -> None:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -119,8 +119,14 @@
         self.targets[name] = target
         self.register(name, service)
 
-    def register(self, name: str, service: str, state: str = "ready") -> None:
-        """Writes the entry of a target."""
+    def register(
+        self,
+        name: str,
+        service: str,
+        state: str = "ready",
+        born: float = 0.001,
+    ) -> None:
+        """Writes the entry of a target that started at a Unix time."""
         address = self.targets[name].url.removeprefix("http://")
         entry = {
             "Service": service,
@@ -129,7 +135,7 @@
             "Slots": 8,
             "State": state,
             "Sequence": 1,
-            "born": 1,
+            "born": int(born * 1000),
         }
         self.put(f"servers/{name}", json.dumps(entry).encode())
 
@@ -151,6 +157,11 @@
         """Returns the IP address of a router."""
         return f"127.0.1.{index + 1}"
 
+    def store_address(self, index: int) -> str:
+        """Returns the address at which a router finds the store."""
+        del index
+        return self.store.url.removeprefix("http://")
+
     def start_router(self, index: int) -> None:
         """Starts a router."""
         caller, readiness, control, peer, metrics = self._ports
@@ -168,7 +179,7 @@
             "[Limits]\nMemoryMb = 300\nMaxFds = 4100\n"
             "[Bounds]\nDrainMs = 2000\nGraceS = 8\nReuseAfterS = 2\n"
             "RetryBudgetRatio = 0.2\nBudgetWindowS = 10\n"
-            f'[Platform]\nAddress = "{self.store.url[7:]}"\n'
+            f'[Platform]\nAddress = "{self.store_address(index)}"\n'
         )
         with open(self.log(index), "ab") as log:
             handle = subprocess.Popen(
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized runs of real router processes under faults from outside."""
--- /dev/null
+++ b/tests/soak/_fleet.py
@@ -0,0 +1,180 @@
+"""The processes of a soak, and when each of them was disturbed."""
+
+import json
+import signal
+import time
+from dataclasses import dataclass
+
+from standins.processes import Process, call, start_standin
+from tests.platform_fleet import PlatformFleet, configuration
+
+ROUTERS = 4
+DESKS = ("i-desk-1", "i-desk-2")
+ENGINES = ("i-llm-1", "i-llm-2", "i-llm-3")
+# A part of the fleet counts as calm again this long after a disturbance, as on
+# the operators' smaller sites.
+CONTACT_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """What was disturbed and when, in Unix seconds.
+
+    Attributes:
+        part: `router-N`, a target's name, or `store`.
+        start: When it began.
+        end: When it ended, infinite while it lasts.
+        what: Kind of the fault.
+    """
+
+    part: str
+    start: float
+    end: float
+    what: str
+
+
+class SoakFleet(PlatformFleet):
+    """A fleet whose links to the store and to targets can be disturbed."""
+
+    def __init__(self) -> None:
+        """Starts the store and the relay."""
+        super().__init__(ROUTERS)
+        self.run_log = self.path / "runs.log"
+        self.run_log.touch()
+        self.disturbances: list[Disturbance] = []
+        # Exit codes of routers that ended without being told to.
+        self.ended_by_themselves: list[tuple[str, int]] = []
+        self._relay = start_standin("relay")
+        self._cuts: dict[str, list[str]] = {}
+        self._delays: dict[str, float] = {}
+        self._closed: set[str] = set()
+        self._store_links = [
+            self._open_link(f"store-{index}", self.store.url)
+            for index in range(ROUTERS)
+        ]
+
+    def start(self) -> None:
+        """Starts targets and routers and waits until they serve."""
+        self.start_target(ENGINES[-1], "llm")
+        super().start()
+
+    def stop(self) -> None:
+        """Ends all processes that were started."""
+        super().stop()
+        self._relay.kill()
+        assert self._relay.handle.stdout is not None
+        self._relay.handle.stdout.close()
+
+    def store_address(self, index: int) -> str:
+        """Returns a router's own way to the store."""
+        return self._store_links[index]
+
+    def start_target(self, name: str, service: str) -> None:
+        """Starts a target behind the relay and registers it."""
+        options = ("--engine",) if service == "llm" else ()
+        target = start_standin(
+            "operators_platform",
+            "--target",
+            name,
+            "--run-log",
+            str(self.run_log),
+            *options,
+        )
+        target.operator_url = target.url
+        target.url = "http://" + self._open_link(name, target.url)
+        self.targets[name] = target
+        self.register(name, service, born=time.time())
+
+    def note(
+        self, part: str, start: float, end: float, what: str
+    ) -> Disturbance:
+        """Records a disturbance."""
+        disturbance = Disturbance(part, start, end, what)
+        self.disturbances.append(disturbance)
+        return disturbance
+
+    def end(self, disturbance: Disturbance) -> None:
+        """Records that a disturbance has ended."""
+        self.disturbances.remove(disturbance)
+        self.note(
+            disturbance.part, disturbance.start, time.time(), disturbance.what
+        )
+
+    def is_calm(self, part: str, start: float, end: float) -> bool:
+        """Returns whether a part was not disturbed shortly before or within."""
+        return not any(
+            each.part == part
+            and each.start <= end
+            and each.end + CONTACT_S >= start
+            for each in self.disturbances
+        )
+
+    def cut(self, link: str, ways: list[str]) -> None:
+        """Swallows what passes on a link; no ways heal it."""
+        self._cuts[link] = ways
+        self._put("cuts", self._cuts)
+
+    def delay(self, link: str, seconds: float) -> None:
+        """Delays each chunk on a link."""
+        self._delays[link] = seconds
+        self._put("delays", self._delays)
+
+    def close(self, link: str, *, is_closed: bool) -> None:
+        """Resets all connections of a link until it is opened again."""
+        (self._closed.add if is_closed else self._closed.discard)(link)
+        self._put("closed", sorted(self._closed))
+
+    def heal_links(self) -> None:
+        """Ends all disturbances of links."""
+        self._cuts.clear()
+        self._delays.clear()
+        self._closed.clear()
+        for what, value in (("cuts", {}), ("delays", {}), ("closed", [])):
+            self._put(what, value)
+
+    def publish(self, version: int) -> float:
+        """Writes a configuration whose second key is that of its version.
+
+        Returns:
+            When the store had it, in Unix seconds.
+        """
+        keys = ["key-1", version_key(version)]
+        tenants = [{"Name": "tenant", "ApiKeys": keys}]
+        self.put("op/config", configuration(version, Tenants=tenants))
+        return time.time()
+
+    def note_ended_routers(self) -> None:
+        """Records routers that ended by themselves; call it often."""
+        for index, router in enumerate(self.routers):
+            if router is not None and router.handle.poll() is not None:
+                code = router.handle.returncode
+                self.ended_by_themselves.append((f"router-{index}", code))
+                self.routers[index] = None
+
+    def take_router(self, index: int) -> Process | None:
+        """Returns a router that is about to be stopped by the soak."""
+        router, self.routers[index] = self.routers[index], None
+        return router
+
+    def signal_all(self, number: signal.Signals) -> None:
+        """Sends a signal to all processes that run."""
+        for process in [*self.routers, *self.targets.values(), self.store]:
+            if process is not None:
+                process.signal(number)
+
+    def _open_link(self, name: str, url: str) -> str:
+        port = int(url.rpartition(":")[2])
+        _, answer = call(
+            "PUT",
+            f"{self._relay.url}/links/{name}",
+            json.dumps({"port": port}).encode(),
+        )
+        return f"127.0.0.1:{json.loads(answer)['port']}"
+
+    def _put(self, what: str, value: object) -> None:
+        call("PUT", f"{self._relay.url}/{what}", json.dumps(value).encode())
+
+
+def version_key(version: int) -> str:
+    """Returns the key that only one version of the configuration holds."""
+    return f"version-{version}"
--- /dev/null
+++ b/tests/soak/_load.py
@@ -0,0 +1,146 @@
+"""Callers that keep their connections and record every answer."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+
+import aiohttp
+
+from tests.platform_fleet import HOST, KEY, WORDS
+from tests.soak._fleet import ROUTERS, SoakFleet
+
+# Path, whether it may run again, and whether it is a stream.
+KINDS = {
+    "desk": ("/desk/a", False, False),
+    "look": ("/look/a", True, False),
+    "chat": ("/chat/a", False, True),
+    "plan": ("/plan/a", True, True),
+}
+DEADLINE_S = 4.0
+_CALLERS_PER_ROUTER = 6
+# Beyond the deadline, so that an answer which comes too late is seen.
+_TIMEOUT_S = 12.0
+_LONGEST_PAUSE_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One request as its caller saw it; times are Unix seconds.
+
+    Attributes:
+        attempt: Identifier of the request.
+        kind: A key of `KINDS`.
+        router: Number of the router that was asked.
+        start: When it was sent.
+        end: When the answer ended.
+        status: Status of the answer, 0 if there was no complete one.
+        is_sound: Whether the answer is a target's whole answer to this
+            request.
+        error: Why there was no complete answer.
+        key: Key that was sent.
+    """
+
+    attempt: str
+    kind: str
+    router: int
+    start: float
+    end: float
+    status: int
+    is_sound: bool
+    error: str
+    key: str
+
+
+class Load:
+    """Sends requests of all kinds to all routers until it is stopped."""
+
+    def __init__(self, fleet: SoakFleet, rng: random.Random) -> None:
+        """Stores whom to ask; nothing is sent until `run`."""
+        self._fleet = fleet
+        self._rng = rng
+        self._is_stopping = False
+        self._urls = [router.url for router in fleet.routers]
+        self.records: list[Record] = []
+        self._sent = 0
+
+    def stop(self) -> None:
+        """Lets `run` return when all requests have their answers."""
+        self._is_stopping = True
+
+    async def run(self) -> None:
+        """Sends requests until `stop`."""
+        await asyncio.gather(
+            *(
+                self._call_often(index)
+                for index in range(ROUTERS)
+                for _ in range(_CALLERS_PER_ROUTER)
+            )
+        )
+
+    async def ask(
+        self,
+        session: aiohttp.ClientSession,
+        index: int,
+        kind: str,
+        key: str = KEY,
+    ) -> Record:
+        """Sends one request and records its answer."""
+        path, _, is_stream = KINDS[kind]
+        self._sent += 1
+        attempt = f"soak-{self._sent}"
+        body = attempt.encode()
+        expected = WORDS if is_stream else body
+        headers = {
+            "Host": HOST,
+            "X-Api-Key": key,
+            "X-Crowwinch-Attempt-Id": attempt,
+            "X-Crowwinch-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+        }
+        start = time.time()
+        status, is_sound, error = 0, True, ""
+        try:
+            async with session.post(
+                self._urls[index] + path, data=body, headers=headers
+            ) as answer:
+                received = await answer.read()
+                status = answer.status
+                is_sound = status >= 300 or (
+                    received == expected
+                    and "X-Crowwinch-Server-Seal" in answer.headers
+                    and answer.headers["X-Crowwinch-Attempt-Id"] == attempt
+                )
+        except (aiohttp.ClientError, TimeoutError, OSError) as failure:
+            error = repr(failure)
+        record = Record(
+            attempt,
+            kind,
+            index,
+            start,
+            time.time(),
+            status,
+            is_sound,
+            error,
+            key,
+        )
+        self.records.append(record)
+        return record
+
+    async def _call_often(self, index: int) -> None:
+        async with open_session() as session:
+            while not self._is_stopping:
+                kind = self._rng.choice(tuple(KINDS))
+                record = await self.ask(session, index, kind)
+                is_refused = record.status in (0, 429, 503)
+                longest = (
+                    4 * _LONGEST_PAUSE_S if is_refused else _LONGEST_PAUSE_S
+                )
+                await asyncio.sleep(self._rng.uniform(0, longest))
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Returns a session that keeps its connection."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=1),
+        timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
+    )
--- /dev/null
+++ b/tests/soak/_run.py
@@ -0,0 +1,135 @@
+"""One run of the soak from a seed."""
+
+import asyncio
+import random
+import signal
+import time
+from dataclasses import dataclass
+
+from tests.platform_fleet import KEY
+from tests.soak._faults import Faults
+from tests.soak._fleet import ROUTERS, SoakFleet, version_key
+from tests.soak._load import KINDS, Load, open_session
+from tests.soak._promises import Promises
+
+_CONFIG_APPLY_S = 2.0
+_RECOVERY_S = 12.0
+_WATCH_PERIOD_S = 0.1
+_PROBE_PERIOD_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """Outcome of one run.
+
+    Attributes:
+        seed: Seed of its faults and its load.
+        served: Requests that were answered with success.
+        asked: Requests that were sent.
+        broken: One line for each broken promise.
+        journal: What was done to the fleet, with Unix times.
+    """
+
+    seed: int
+    served: int
+    asked: int
+    broken: list[str]
+    journal: list[str]
+
+
+class Soak:
+    """Runs a fleet under load and faults and checks what callers see."""
+
+    def __init__(self, seed: int, seconds: float) -> None:
+        """Stores the plan; an odd seed has planned work only."""
+        self._seed = seed
+        self._seconds = seconds
+        self._only_planned = seed % 2 == 1
+        self._is_over = False
+        self._stale: list[str] = []
+
+    def play(self) -> Result:
+        """Plays the run and returns its outcome."""
+        fleet = SoakFleet()
+        try:
+            fleet.start()
+            return asyncio.run(self._play(fleet))
+        finally:
+            fleet.stop()
+
+    async def _play(self, fleet: SoakFleet) -> Result:
+        rng = random.Random(self._seed)
+        load = Load(fleet, random.Random(self._seed))
+        faults = Faults(fleet, rng)
+        running = [
+            asyncio.ensure_future(load.run()),
+            asyncio.ensure_future(self._watch(fleet)),
+            asyncio.ensure_future(self._probe(fleet, load, faults)),
+        ]
+        await faults.run(self._seconds, only_planned=self._only_planned)
+        fleet.signal_all(signal.SIGCONT)
+        fleet.heal_links()
+        unserved = await self._recover(load)
+        self._is_over = True
+        load.stop()
+        await asyncio.gather(*running)
+        broken = Promises(fleet, faults, load.records).broken()
+        broken += self._stale
+        if unserved:
+            broken.append(f"not served again after the faults: {unserved}")
+        served = sum(record.status == 200 for record in load.records)
+        return Result(
+            self._seed, served, len(load.records), broken, faults.journal
+        )
+
+    async def _watch(self, fleet: SoakFleet) -> None:
+        while not self._is_over:
+            fleet.note_ended_routers()
+            await asyncio.sleep(_WATCH_PERIOD_S)
+
+    async def _probe(
+        self, fleet: SoakFleet, load: Load, faults: Faults
+    ) -> None:
+        """Asks calm routers with the keys of the last two versions."""
+        async with open_session() as session:
+            while not self._is_over:
+                await asyncio.sleep(_PROBE_PERIOD_S)
+                if len(faults.versions) < 2:
+                    continue
+                before, last = faults.versions[-2:]
+                index = load_index(load)
+                for version, allowed in ((before, False), (last, True)):
+                    key = version_key(version.number)
+                    record = await load.ask(session, index, "look", key)
+                    is_settled = (
+                        record.start > last.since + _CONFIG_APPLY_S
+                        and faults.versions[-1] is last
+                        and all(
+                            fleet.is_calm(part, last.since, record.end)
+                            for part in (f"router-{index}", "store")
+                        )
+                    )
+                    is_allowed = record.status != 401
+                    if is_settled and is_allowed != allowed:
+                        self._stale.append(
+                            f"version {last} is not in force: {record}"
+                        )
+
+    async def _recover(self, load: Load) -> set[tuple[int, str]]:
+        """Returns what is not served at the end of the time for recovery."""
+        start = len(load.records)
+        end = time.monotonic() + _RECOVERY_S
+        missing = {(index, kind) for index in range(ROUTERS) for kind in KINDS}
+        while missing and time.monotonic() < end:
+            await asyncio.sleep(_WATCH_PERIOD_S)
+            missing -= {
+                (record.router, record.kind)
+                for record in load.records[start:]
+                if record.status == 200 and record.key == KEY
+            }
+        return missing
+
+
+def load_index(load: Load) -> int:
+    """Returns a router for the next probe, each in turn."""
+    return len(load.records) % ROUTERS
--- /dev/null
+++ b/tests/test_platform_soak.py
@@ -0,0 +1,133 @@
+"""The soak: its checks, and short runs of some seeds."""
+
+import itertools
+import pathlib
+import tempfile
+import types
+import unittest
+
+from tests.soak._faults import Leaving
+from tests.soak._fleet import Disturbance, SoakFleet
+from tests.soak._load import Record
+from tests.soak._promises import Promises
+from tests.soak._run import Soak
+
+# One run of planned work only, and one with all faults.
+_SEEDS = (1, 2)
+_SECONDS = 8.0
+
+
+class SoakTest(unittest.TestCase):
+    """Guards against promises that break when faults come together."""
+
+    def test_seeds(self):
+        for seed in _SEEDS:
+            with self.subTest(seed):
+                result = Soak(seed, _SECONDS).play()
+                self.assertEqual(result.broken, [], result.journal)
+                self.assertGreater(result.served, 0)
+
+
+class PromisesTest(unittest.TestCase):
+    """Guards against a soak that overlooks a broken promise."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = types.SimpleNamespace(
+            run_log=pathlib.Path(folder.name) / "runs.log",
+            disturbances=[],
+            ended_by_themselves=[],
+        )
+        self.fleet.is_calm = lambda *args: SoakFleet.is_calm(self.fleet, *args)
+        self.faults = types.SimpleNamespace(leavings=[], late_stops=[])
+        self.records = []
+        self.runs = []
+        self._numbers = itertools.count(1)
+
+    def _ask(self, kind="desk", runs=1, took=0.1, **changes):
+        """Adds a request at 100 s and its runs at one target."""
+        attempt = f"soak-{next(self._numbers)}"
+        values = {
+            "attempt": attempt,
+            "kind": kind,
+            "router": 0,
+            "start": 100.0,
+            "end": 100.0 + took,
+            "status": 200,
+            "is_sound": True,
+            "error": "",
+            "key": "key-1",
+        }
+        self.records.append(Record(**(values | changes)))
+        self.runs += [(100.0, "i-desk-1", attempt)] * runs
+
+    def _disturb(self, part, start, end, what="kill"):
+        self.fleet.disturbances.append(Disturbance(part, start, end, what))
+
+    def _broken(self):
+        lines = [f"{at} {name} {attempt}\n" for at, name, attempt in self.runs]
+        self.fleet.run_log.write_text("".join(lines))
+        broken = Promises(self.fleet, self.faults, self.records).broken()
+        return {line.partition(":")[0] for line in broken}
+
+    def test_nothing_is_broken_by_good_answers(self):
+        self._ask()
+        self._ask("plan", runs=2)
+        self._ask(status=429, runs=0)
+        self._ask(status=502)
+        self._ask(status=0, runs=0, error="refused")
+        self.assertEqual(self._broken(), set())
+
+    def test_an_answer_that_is_not_whole(self):
+        self._ask(is_sound=False)
+        self.assertEqual(self._broken(), {"answers_are_whole"})
+
+    def test_a_run_that_nobody_asked_for(self):
+        self.runs.append((100.0, "i-desk-1", "made-up"))
+        self.assertEqual(self._broken(), {"runs_are_asked_for"})
+
+    def test_a_second_run(self):
+        for kind in ("desk", "chat"):
+            with self.subTest(kind):
+                self._ask(kind, runs=2)
+                self.assertEqual(self._broken(), {"nothing_runs_twice"})
+
+    def test_a_refusal_of_a_request_that_ran(self):
+        for status in (408, 421, 429, 503):
+            with self.subTest(status):
+                self._ask(status=status)
+                self.assertEqual(self._broken(), {"refusals_are_true"})
+                self.records.clear()
+                self.runs.clear()
+
+    def test_an_answer_that_is_lost(self):
+        """Also while its router is stopped, which is planned work."""
+        self._disturb("router-0", 99.0, 102.0, "stop")
+        self._disturb("router-1", 99.0, 102.0)
+        self._disturb("i-desk-2", 90.0, 96.0)
+        self._ask(status=0, error="closed")
+        self.assertEqual(self._broken(), {"answers_are_not_lost"})
+        self._disturb("i-desk-2", 99.0, 99.0)
+        self.assertEqual(self._broken(), set())
+
+    def test_an_answer_that_is_late(self):
+        self._ask(took=4.6)
+        self.assertEqual(self._broken(), {"answers_come_in_time"})
+        self._disturb("router-0", 101.0, 102.0, "frozen")
+        self.assertEqual(self._broken(), set())
+
+    def test_a_run_at_a_target_that_leaves(self):
+        self._ask()
+        self.faults.leavings.append(Leaving("i-desk-1", 97.5, 105.0))
+        self.assertEqual(self._broken(), {"leaving_targets_get_nothing"})
+        self._disturb("store", 97.0, 98.0, "frozen")
+        self.assertEqual(self._broken(), set())
+
+    def test_a_router_that_ends_by_itself(self):
+        self.fleet.ended_by_themselves.append(("router-1", 1))
+        self.assertEqual(self._broken(), {"routers_end_as_told"})
+
+    def test_a_router_that_does_not_stop_in_time(self):
+        self.faults.late_stops.append("router-1")
+        self.assertEqual(self._broken(), {"routers_end_as_told"})
