Play twelve routers in each fourth seed of the soak

Cause: the soak's four routers all read the store, so that routers which hear of changes from others were not played as processes.

Change: each fourth seed has twelve routers; callers are spread over them. Logs of a run that broke a promise can be kept.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,6 +1,7 @@
 """Plays the soak with a range of seeds."""
 
 import argparse
+import pathlib
 import sys
 import time
 
@@ -21,11 +22,16 @@
     parser.add_argument(
         "--seconds", type=float, default=_SECONDS, help="time with faults"
     )
+    parser.add_argument(
+        "--keep",
+        type=pathlib.Path,
+        help="new folder for the logs of runs that broke a promise",
+    )
     arguments = parser.parse_args()
     code = 0
     for seed in range(arguments.first, arguments.last + 1):
         started = time.monotonic()
-        result = Soak(seed, arguments.seconds).play()
+        result = Soak(seed, arguments.seconds).play(arguments.keep)
         print(
             f"seed {seed}: {result.served} of {result.asked} served,"
             f" {len(result.broken)} broken,"
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from tests.soak._fleet import DESKS, ENGINES, ROUTERS, SoakFleet
+from tests.soak._fleet import DESKS, ENGINES, SoakFleet
 
 # Time until a stopped router must have ended, as on the operators' platform.
 GRACE_S = 8.0
@@ -89,7 +89,9 @@
         self.journal.append(f"{time.time():.2f} {part} {what}")
 
     def _take_router(self) -> tuple[int, str] | None:
-        part = self._take(*(f"router-{index}" for index in range(ROUTERS)))
+        part = self._take(
+            *(f"router-{index}" for index in range(len(self._fleet.routers)))
+        )
         return None if part is None else (int(part[7:]), part)
 
     async def _start_again(self, index: int, part: str, began: float) -> None:
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -8,7 +8,6 @@
 from standins.processes import Process, call, start_standin
 from tests.platform_fleet import PlatformFleet, configuration
 
-ROUTERS = 4
 DESKS = ("i-desk-1", "i-desk-2")
 ENGINES = ("i-llm-1", "i-llm-2", "i-llm-3")
 # A part of the fleet counts as calm again this long after a disturbance, as on
@@ -36,9 +35,9 @@
 class SoakFleet(PlatformFleet):
     """A fleet whose links to the store and to targets can be disturbed."""
 
-    def __init__(self) -> None:
+    def __init__(self, routers: int) -> None:
         """Starts the store and the relay."""
-        super().__init__(ROUTERS)
+        super().__init__(routers)
         self.run_log = self.path / "runs.log"
         self.run_log.touch()
         self.disturbances: list[Disturbance] = []
@@ -50,7 +49,7 @@
         self._closed: set[str] = set()
         self._store_links = [
             self._open_link(f"store-{index}", self.store.url)
-            for index in range(ROUTERS)
+            for index in range(routers)
         ]
 
     def start(self) -> None:
--- a/tests/soak/_load.py
+++ b/tests/soak/_load.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from tests.platform_fleet import HOST, KEY, WORDS
-from tests.soak._fleet import ROUTERS, SoakFleet
+from tests.soak._fleet import SoakFleet
 
 # Path, whether it may run again, and whether it is a stream.
 KINDS = {
@@ -18,7 +18,7 @@
     "plan": ("/plan/a", True, True),
 }
 DEADLINE_S = 4.0
-_CALLERS_PER_ROUTER = 6
+_CALLERS = 24
 # Beyond the deadline, so that an answer which comes too late is seen.
 _TIMEOUT_S = 12.0
 _LONGEST_PAUSE_S = 0.05
@@ -72,9 +72,8 @@
         """Sends requests until `stop`."""
         await asyncio.gather(
             *(
-                self._call_often(index)
-                for index in range(ROUTERS)
-                for _ in range(_CALLERS_PER_ROUTER)
+                self._call_often(number % len(self._urls))
+                for number in range(_CALLERS)
             )
         )
 
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -1,17 +1,21 @@
 """One run of the soak from a seed."""
 
 import asyncio
+import pathlib
 import random
+import shutil
 import signal
 import time
 from dataclasses import dataclass
 
 from tests.platform_fleet import KEY
 from tests.soak._faults import Faults
-from tests.soak._fleet import ROUTERS, SoakFleet, version_key
+from tests.soak._fleet import SoakFleet, version_key
 from tests.soak._load import KINDS, Load, open_session
 from tests.soak._promises import Promises
 
+_FEW_ROUTERS = 4
+_MANY_ROUTERS = 12
 _CONFIG_APPLY_S = 2.0
 _RECOVERY_S = 12.0
 _WATCH_PERIOD_S = 0.1
@@ -41,19 +45,31 @@
     """Runs a fleet under load and faults and checks what callers see."""
 
     def __init__(self, seed: int, seconds: float) -> None:
-        """Stores the plan; an odd seed has planned work only."""
+        """Stores the plan.
+
+        An odd seed has planned work only. Each fourth seed plays a fleet in
+        which most routers hear of changes from a few readers of the store.
+        """
         self._seed = seed
+        self._routers = _MANY_ROUTERS if seed % 4 == 0 else _FEW_ROUTERS
         self._seconds = seconds
         self._only_planned = seed % 2 == 1
         self._is_over = False
         self._stale: list[str] = []
 
-    def play(self) -> Result:
-        """Plays the run and returns its outcome."""
-        fleet = SoakFleet()
+    def play(self, kept: pathlib.Path | None = None) -> Result:
+        """Plays the run and returns its outcome.
+
+        Args:
+            kept: Folder for the logs of a run that broke a promise.
+        """
+        fleet = SoakFleet(self._routers)
         try:
             fleet.start()
-            return asyncio.run(self._play(fleet))
+            result = asyncio.run(self._play(fleet))
+            if result.broken and kept is not None:
+                shutil.copytree(fleet.path, kept / f"seed-{self._seed}")
+            return result
         finally:
             fleet.stop()
 
@@ -97,7 +113,7 @@
                 if len(faults.versions) < 2:
                     continue
                 before, last = faults.versions[-2:]
-                index = load_index(load)
+                index = len(load.records) % self._routers
                 for version, allowed in ((before, False), (last, True)):
                     key = version_key(version.number)
                     record = await load.ask(session, index, "look", key)
@@ -119,7 +135,9 @@
         """Returns what is not served at the end of the time for recovery."""
         start = len(load.records)
         end = time.monotonic() + _RECOVERY_S
-        missing = {(index, kind) for index in range(ROUTERS) for kind in KINDS}
+        missing = {
+            (index, kind) for index in range(self._routers) for kind in KINDS
+        }
         while missing and time.monotonic() < end:
             await asyncio.sleep(_WATCH_PERIOD_S)
             missing -= {
@@ -128,8 +146,3 @@
                 if record.status == 200 and record.key == KEY
             }
         return missing
-
-
-def load_index(load: Load) -> int:
-    """Returns a router for the next probe, each in turn."""
-    return len(load.records) % ROUTERS
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -12,8 +12,8 @@
 from tests.soak._promises import Promises
 from tests.soak._run import Soak
 
-# One run of planned work only, and one with all faults.
-_SEEDS = (1, 2)
+# One run of planned work only, one with all faults, and one of a large fleet.
+_SEEDS = (1, 2, 4)
 _SECONDS = 8.0
 
 
