Test how a watch follows the store in a large fleet

Cause: the decision who reads was tested, but not what the watch does with it.

Change: an idle router makes no calls, a reader waits briefly and takes changes together.

--- a/crowwinch/directory/tests/test_watcher.py
+++ b/crowwinch/directory/tests/test_watcher.py
@@ -12,6 +12,7 @@
     HistoryLostError,
     Item,
     Listing,
+    Reading,
     StoreError,
     StoreReaders,
 )
@@ -28,6 +29,7 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.calls = []
+        self.waits = []
 
     async def list_items(self):
         self.calls.append("list")
@@ -35,6 +37,7 @@
 
     async def watch(self, revision, wait_s):
         self.calls.append(f"watch {revision}")
+        self.waits.append(wait_s)
         return await self._next()
 
     async def _next(self):
@@ -49,13 +52,18 @@
 class DirectoryWatcherTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a watch that ends, or repeats without a pause."""
 
-    async def _follow(self, *answers, seconds=0.3):
+    async def _follow(self, *answers, seconds=0.3, peers=(), lists=True):
         timers = TimerService(SystemClock())
         driver = TimerDriver(timers)
         await driver.start()
         store = _Store(*answers)
         state = DirectoryState(timers.clock, _NoDecoder())
         readers = StoreReaders(timers.clock, "router")
+        for number, reading in enumerate(peers):
+            readers.note_peer(f"peer-{number}", reading)
+        if not lists:
+            readers.note_failure()
+            readers.decide(silence_s=60.0)
         watcher = DirectoryWatcher(
             timers, store, state, readers, random.Random(1)
         )
@@ -99,3 +107,26 @@
                 Listing(5, ()), RuntimeError("defect"), Listing(8, ())
             )
         self.assertEqual(state.revision, 8)
+
+    async def test_a_router_that_relies_on_others_makes_no_calls(self):
+        store, _ = await self._follow(peers=[Reading.FRESH] * 8, lists=False)
+        self.assertEqual(store.calls, [])
+
+    async def test_a_reader_of_a_large_fleet_notices_silence_soon(self):
+        """Others rely on it, so that a long watch would make them late."""
+        store, _ = await self._follow(
+            Listing(5, ()), peers=[Reading.NONE] * 8, seconds=0.1
+        )
+        self.assertEqual(store.calls, ["list", "watch 5"])
+        self.assertLess(store.waits[0], 1.0)
+
+    async def test_a_reader_of_a_large_fleet_takes_changes_together(self):
+        """Each change of 25 targets that start was a call of its own."""
+        answers = [
+            Changes(revision, (Item("k", revision, b"v"),))
+            for revision in range(6, 30)
+        ]
+        store, _ = await self._follow(
+            Listing(5, ()), *answers, peers=[Reading.NONE] * 8, seconds=0.7
+        )
+        self.assertLessEqual(len(store.calls), 5)
