Add an experiment that compares ways of sharing engines

Cause: the choice of local decisions over a scheduler stood on an estimate; only this way had been run.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: run serve test soak lint format measure measure-scale slopes binary generate
+.PHONY: run serve test soak experiment lint format measure measure-scale slopes binary generate
 
 VENV := .venv
 PYTHON := $(VENV)/bin/python
@@ -40,6 +40,10 @@
 measure-scale: $(STAMP)
 	$(PYTHON) -m measurements.main --scale
 
+# Compares ways of sharing engines; OPTIONS as of measurements/experiment.py.
+experiment: $(STAMP)
+	$(PYTHON) -m measurements.experiment $(OPTIONS)
+
 # Measures every slope that docs/CAPACITY.md uses.
 slopes: $(STAMP)
 	$(PYTHON) -m measurements.slopes
--- a/crowwinch/sharing/tests/test_admission.py
+++ b/crowwinch/sharing/tests/test_admission.py
@@ -17,7 +17,7 @@
     Work,
     WorkspaceShares,
 )
-from crowwinch.sharing.tests.engine_model import (
+from standins.engine_model import (
     EngineModel,
     Events,
     Job,
--- /dev/null
+++ b/measurements/_sharing_world.py
@@ -0,0 +1,451 @@
+"""Played loads for the ways in which routers can share engines.
+
+The routers' decisions are those of `crowwinch.sharing`; the engines and the
+network are modelled. Time is that of a manual clock.
+"""
+
+import contextlib
+import random
+import time
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from crowwinch.coordination import ManualClock
+from crowwinch.sharing import (
+    Admission,
+    Decision,
+    EngineSpeeds,
+    KeptPrefixes,
+    Placer,
+    TargetHealth,
+    TargetLoads,
+    TargetView,
+    Ticket,
+    Verdict,
+    Work,
+    WorkspaceShares,
+    time_constant,
+)
+from standins.engine_model import EngineModel, Events, Job
+
+DEADLINE_S = 15.0
+_PERIOD_S = 0.05
+# Updates of a router in one period; larger fleets are served in turn.
+_FAN_OUT = 12
+# Routers of one service are a hop of this time apart.
+_HOP_S = 0.001
+# Silence of a scheduler until another router takes over: half a second without
+# a message, and as much until the others have registered with it.
+_TAKEOVER_S = 1.0
+# Time after the last arrival in which answers still come.
+_TAIL_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What is played.
+
+    Attributes:
+        routers: Number of routers.
+        engines: Number of engines.
+        slots: Requests that an engine runs at once.
+        capacity: Service units that all engines do in a second.
+        window_s: Window of the shares.
+        arrivals: Times and requests.
+        seconds: Length of the load.
+        fault: `none`, `frozen`, `cut` or `lagging`.
+    """
+
+    routers: int
+    engines: int
+    slots: int
+    capacity: float
+    window_s: float
+    arrivals: Sequence[tuple[float, Work]]
+    seconds: float
+    fault: str = "none"
+
+    @property
+    def fault_start_s(self) -> float:
+        """When the fault begins."""
+        return self.seconds * 0.4
+
+    @property
+    def fault_end_s(self) -> float:
+        """When the fault ends."""
+        return self.seconds * 0.6
+
+
+@dataclass(slots=True)
+class Node:
+    """One place where decisions are made."""
+
+    loads: TargetLoads
+    prefixes: KeptPrefixes
+    shares: WorkspaceShares
+    admission: Admission
+    # Reads away from home with the number of updates that still tell them.
+    reads: list[tuple[int, tuple[str, str]]] = field(default_factory=list)
+    # Processor time that its decisions took, in seconds.
+    busy_s: float = 0.0
+
+    @contextlib.contextmanager
+    def timed(self) -> Iterator[None]:
+        """Adds the processor time of a block to that of the node."""
+        start = time.process_time()
+        try:
+            yield
+        finally:
+            self.busy_s += time.process_time() - start
+
+    def refresh(self) -> None:
+        """Updates the totals and decides what waits."""
+        with self.timed():
+            self.loads.refresh()
+            self.shares.refresh()
+            self.admission.poll()
+
+    def poll(self) -> None:
+        """Decides what waits."""
+        with self.timed():
+            self.admission.poll()
+
+
+class SharingWorld:
+    """Engines, callers and what all ways of sharing have in common."""
+
+    def __init__(self, load: Load, seed: int) -> None:
+        """Creates the engines; `play` runs the load."""
+        self.load = load
+        self.clock = ManualClock()
+        self.events = Events(self.clock)
+        self.rng = random.Random(seed)
+        self.jobs: list[Job] = []
+        self.all_nodes: list[Node] = []
+        self.views = [
+            TargetView(
+                f"engine-{number}",
+                0,
+                "llm",
+                False,
+                load.slots,
+                memory_tokens=500_000,
+                is_engine=True,
+            )
+            for number in range(load.engines)
+        ]
+        self.engines = {
+            view.identifier: EngineModel(
+                self.events, self.clock, load.slots, lambda: None
+            )
+            for view in self.views
+        }
+
+    def play(self) -> list[Job]:
+        """Plays the load and returns all requests."""
+        for at, work in self.load.arrivals:
+            router = self.rng.randrange(self.load.routers)
+            self.events.at(
+                at,
+                lambda work=work, router=router: self._arrive(work, router),
+            )
+        ticks = int((self.load.seconds + _TAIL_S) / _PERIOD_S)
+        for tick in range(ticks):
+            self.events.at(tick * _PERIOD_S, self.tick)
+        self.events.run()
+        return self.jobs
+
+    def tick(self) -> None:
+        """Runs once in each period."""
+
+    def submit(self, job: Job, router: int) -> None:
+        """Takes a request at a router."""
+        raise NotImplementedError
+
+    @property
+    def is_faulty(self) -> bool:
+        """Whether the fault lasts now."""
+        now = self.clock.monotonic()
+        return self.load.fault_start_s <= now < self.load.fault_end_s
+
+    def make_node(self) -> Node:
+        """Returns the decision classes of a router."""
+        loads = TargetLoads(self.clock)
+        prefixes = KeptPrefixes(self.clock)
+        shares = WorkspaceShares(self.clock, time_constant(self.load.window_s))
+        shares.set_capacity(self.load.capacity)
+        placer = Placer(
+            loads, prefixes, EngineSpeeds(), TargetHealth(self.clock)
+        )
+        admission = Admission(
+            self.clock,
+            placer,
+            shares,
+            lambda service: self.views,
+            self.rng.random,
+        )
+        node = Node(loads, prefixes, shares, admission)
+        self.all_nodes.append(node)
+        return node
+
+    def submit_to(self, node: Node, job: Job, hop_s: float = 0.0) -> None:
+        """Lets a node decide about a request.
+
+        Args:
+            node: Where the decision is made.
+            job: The request.
+            hop_s: Time until the decision reaches the request's router.
+        """
+        node.shares.note_asked(job.work.workspace, job.work.cost)
+        ticket = Ticket(
+            job.work,
+            job.arrived,
+            job.deadline,
+            lambda decision: self._end_wait(node, job, decision, hop_s),
+        )
+        with node.timed():
+            node.admission.submit(ticket)
+
+    def _arrive(self, work: Work, router: int) -> None:
+        now = self.clock.monotonic()
+        job = Job(work, now, now + DEADLINE_S)
+        self.jobs.append(job)
+        self.submit(job, router)
+
+    def _end_wait(
+        self, node: Node, job: Job, decision: Decision, hop_s: float
+    ) -> None:
+        now = self.clock.monotonic()
+        if decision.verdict is not Verdict.SEND:
+            job.refused = now + hop_s
+            return
+        work = job.work
+        job.reservation = node.loads.reserve(
+            decision.target, decision.reading_s, decision.expected_s
+        )
+        node.shares.note_served(work.workspace, work.cost)
+        node.prefixes.note_read(decision.target, work, decision.is_home)
+        engine = self.engines[decision.target]
+        job.on_progress = lambda: self.events.at(
+            self.clock.monotonic() + hop_s, node.poll
+        )
+        self.events.at(now + hop_s, lambda: engine.send(job))
+
+
+class LeastInFlight(SharingWorld):
+    """Each request goes to the engine with the fewest; nothing waits."""
+
+    def submit(self, job: Job, router: int) -> None:
+        """Sends a request at once."""
+        del router
+        min(
+            self.engines.values(),
+            key=lambda engine: engine.active + len(engine.waiting),
+        ).send(job)
+
+
+class OneQueue(SharingWorld):
+    """One place decides at once and sees everything: the bound."""
+
+    def __init__(self, load: Load, seed: int) -> None:
+        """Creates the one node."""
+        super().__init__(load, seed)
+        self._node = self.make_node()
+
+    def tick(self) -> None:
+        """Refreshes the node."""
+        self._node.refresh()
+
+    def submit(self, job: Job, router: int) -> None:
+        """Decides at once."""
+        del router
+        self.submit_to(self._node, job)
+
+
+class Scheduler(SharingWorld):
+    """(a) One router grants each start to the others.
+
+    A frozen or cut scheduler is replaced; its successor knows what the routers
+    have at the engines, but requests wait until then. A lagging one answers
+    late.
+    """
+
+    _LAG_S = 0.4
+
+    def __init__(self, load: Load, seed: int) -> None:
+        """Creates the scheduler."""
+        super().__init__(load, seed)
+        self._node = self.make_node()
+
+    def tick(self) -> None:
+        """Refreshes the scheduler."""
+        self._node.refresh()
+
+    def submit(self, job: Job, router: int) -> None:
+        """Asks the scheduler for a start."""
+        del router
+        now = self.clock.monotonic()
+        hop_s = _HOP_S
+        asked = now + hop_s
+        if self.is_faulty and self.load.fault == "lagging":
+            hop_s = self._LAG_S
+            asked = now + hop_s
+        elif self.load.fault in ("frozen", "cut"):
+            end = self.load.fault_start_s + _TAKEOVER_S
+            if self.load.fault_start_s <= now < end:
+                asked = end + hop_s
+        self.events.at(asked, lambda: self.submit_to(self._node, job, hop_s))
+
+
+class LocalDecisions(SharingWorld):
+    """(b) Each router decides from its own counts and those of the others."""
+
+    def __init__(self, load: Load, seed: int) -> None:
+        """Creates a node for each router."""
+        super().__init__(load, seed)
+        self.nodes = [self.make_node() for _ in range(load.routers)]
+        self._turns = [0] * load.routers
+        # A fifth of the routers has the fault.
+        self._faulty = set(range(0, load.routers, 5))
+
+    def tick(self) -> None:
+        """Lets each router send its counts to the next ones in turn."""
+        for index, node in enumerate(self.nodes):
+            if not self._is_out(index, "frozen"):
+                node.refresh()
+                self._send_update(index, node)
+
+    def submit(self, job: Job, router: int) -> None:
+        """Decides at the router that the request came to."""
+        if self._is_out(router, "frozen"):
+            # Its balancer sends to another one; a connection is tried anew.
+            router = (router + 1) % len(self.nodes)
+        self.submit_to(self.nodes[router], job)
+
+    def _is_out(self, index: int, fault: str) -> bool:
+        return (
+            self.load.fault == fault
+            and self.is_faulty
+            and index in self._faulty
+        )
+
+    def _send_update(self, index: int, node: Node) -> None:
+        others = len(self.nodes) - 1
+        if not others:
+            return
+        rounds = -(-others // _FAN_OUT)
+        node.reads = [(left - 1, read) for left, read in node.reads if left > 1]
+        node.reads += [
+            (rounds, read) for read in node.prefixes.take_reads_to_tell()
+        ]
+        loads = node.loads.own_use()
+        shares = node.shares.own_use()
+        reads = [read for _, read in node.reads]
+        lag_s = 0.4 if self._is_out(index, "lagging") else _HOP_S
+        for step in range(min(_FAN_OUT, others)):
+            peer = (index + 1 + (self._turns[index] + step) % others) % len(
+                self.nodes
+            )
+            is_cut = self._is_out(index, "cut") or self._is_out(peer, "cut")
+            if is_cut or self._is_out(peer, "frozen"):
+                continue
+
+            def deliver(receiver: Node = self.nodes[peer]) -> None:
+                receiver.loads.note_peer(str(index), loads)
+                receiver.shares.note_peer(str(index), shares)
+                receiver.prefixes.note_peer(reads)
+
+            self.events.at(self.clock.monotonic() + lag_s, deliver)
+        self._turns[index] = (self._turns[index] + _FAN_OUT) % others
+
+
+class LocalPlacing(LocalDecisions):
+    """(c) As (b), but a scheduler orders the starts under overload."""
+
+    def __init__(self, load: Load, seed: int) -> None:
+        """Creates the routers and the scheduler."""
+        super().__init__(load, seed)
+        self._scheduler = self.make_node()
+
+    def tick(self) -> None:
+        """Lets the scheduler hear of all that routers sent themselves."""
+        super().tick()
+        for index, node in enumerate(self.nodes):
+            self._scheduler.loads.note_peer(str(index), node.loads.own_use())
+            self._scheduler.shares.note_peer(str(index), node.shares.own_use())
+        self._scheduler.refresh()
+
+    def submit(self, job: Job, router: int) -> None:
+        """Asks the scheduler if more is asked than can be done."""
+        now = self.clock.monotonic()
+        end = self.load.fault_start_s + _TAKEOVER_S
+        is_lost = (
+            self.load.fault in ("frozen", "cut")
+            and self.load.fault_start_s <= now < end
+        )
+        if is_lost or self._scheduler.shares.level == float("inf"):
+            super().submit(job, router)
+            return
+        hop_s = _HOP_S
+        if self.load.fault == "lagging" and self.is_faulty:
+            hop_s = Scheduler._LAG_S
+        self.events.at(
+            now + hop_s, lambda: self.submit_to(self._scheduler, job, hop_s)
+        )
+
+
+POLICIES: Mapping[str, Callable[[Load, int], SharingWorld]] = {
+    "one queue": OneQueue,
+    "scheduler": Scheduler,
+    "local": LocalDecisions,
+    "local and scheduler": LocalPlacing,
+    "least in flight": LeastInFlight,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What callers got.
+
+    Attributes:
+        in_time: Service units answered in time, as part of what was asked.
+        served: Requests with an answer, as part of all.
+        refused: Requests that were refused, as part of all.
+        refusal_s: Mean time to a refusal, 0 without any.
+        worst_workspace: Least part of a workspace's requests in time.
+        read: Prompt tokens read, as part of the prompts that were run.
+        busiest: Cores that the decisions of the busiest router take.
+    """
+
+    in_time: float
+    served: float
+    refused: float
+    refusal_s: float
+    worst_workspace: float
+    read: float
+    busiest: float
+
+
+def outcome(world: SharingWorld) -> Outcome:
+    """Returns what the callers of a played load got."""
+    jobs = world.jobs
+    asked = sum(job.work.cost for job in jobs)
+    ran = [job for job in jobs if job.first_event is not None]
+    refusals = [job.refused - job.arrived for job in jobs if job.refused]
+    by_workspace: dict[str, list[Job]] = {}
+    for job in jobs:
+        by_workspace.setdefault(job.work.workspace, []).append(job)
+    read = sum(engine.tokens_read for engine in world.engines.values())
+    return Outcome(
+        in_time=sum(job.work.cost for job in jobs if job.is_in_time) / asked,
+        served=len(ran) / len(jobs),
+        refused=len(refusals) / len(jobs),
+        refusal_s=sum(refusals) / max(len(refusals), 1),
+        worst_workspace=min(
+            sum(job.is_in_time for job in each) / len(each)
+            for each in by_workspace.values()
+        ),
+        read=read / max(sum(job.work.prompt_tokens for job in ran), 1),
+        busiest=max((node.busy_s for node in world.all_nodes), default=0.0)
+        / world.load.seconds,
+    )
--- a/crowwinch/sharing/tests/engine_model.py
+++ b/standins/engine_model.py
@@ -1,4 +1,4 @@
-"""Engines on a fake clock, for tests that play a load.
+"""Engines on a fake clock, for tests and experiments that play a load.
 
 An engine admits requests in order of arrival, reads one prompt at a time and
 writes the tokens of all running requests in common steps.
@@ -32,6 +32,8 @@
     first_event: float | None = None
     refused: float | None = None
     reservation: Reservation | None = None
+    # Called when the engine has read the prompt, and at the end.
+    on_progress: Callable[[], None] = lambda: None
 
     @property
     def is_in_time(self) -> bool:
@@ -54,6 +56,7 @@
     """Runs calls in order of time."""
 
     def __init__(self, clock: ManualClock) -> None:
+        """Creates an empty plan."""
         self._clock = clock
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -122,6 +125,7 @@
         self.events.at(end, lambda: self._finish(job))
         self._start()
         self.on_progress()
+        job.on_progress()
 
     def _finish(self, job: Job) -> None:
         self.active -= 1
@@ -132,6 +136,7 @@
         if job.reservation is not None:
             job.reservation.finish()
         self.on_progress()
+        job.on_progress()
 
 
 def arrivals(
