Keep the others' shares at a reference time

Cause: after the sums were kept, a report of the shares of another router still computed a decay for each of its workspaces several times.

Change: counts of others are kept as they would have been at a reference time, so that adding a report takes one exponential. The order in which routers are chosen as readers is remembered.

The sums are the same: the test that compares them with each report passes, and so does the one for a changed time constant.

--- a/crowwinch/directory/_readers.py
+++ b/crowwinch/directory/_readers.py
@@ -1,6 +1,7 @@
 """Which routers read the store themselves."""
 
 import enum
+import functools
 import zlib
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -25,6 +26,7 @@
 # A router that knows of a change and cannot get it from others for this long
 # reads the store itself. A request to another router fails after 0.6 s.
 _LONGEST_LAG_S = 0.8
+_NAMES_CACHED = 1_024
 
 
 class Reading(enum.Enum):
@@ -191,6 +193,7 @@
         return _rank(name) < _rank(self._own_name)
 
 
+@functools.lru_cache(maxsize=_NAMES_CACHED)
 def _rank(name: str) -> tuple[int, str]:
     """Returns an order that spreads the readers over availability zones."""
     return zlib.crc32(name.encode()), name
--- a/crowwinch/sharing/_shares.py
+++ b/crowwinch/sharing/_shares.py
@@ -10,6 +10,12 @@
 _NEGLIGIBLE = 1.0
 # A router that has been silent this long no longer counts.
 _PEER_EXPIRY_S = 10.0
+# Time constants after which the reference of the others' counts is moved; the
+# factor is then 5e8.
+_LONGEST_SCALE = 20.0
+
+# Units asked for and served, as they would have been at the reference time.
+_Scaled = tuple[float, float]
 
 
 def time_constant(window_s: float) -> float:
@@ -113,10 +119,12 @@
         self._clock = clock
         self._time_constant_s = time_constant_s
         self._own: dict[str, _Use] = {}
-        self._peers: dict[str, tuple[float, dict[str, _Use]]] = {}
-        # Sums over the other routers. Counts with one time constant fade
-        # alike, so a sum need not be formed anew when nothing is reported.
-        self._remote: dict[str, _Use] = {}
+        self._peers: dict[str, tuple[float, dict[str, _Scaled]]] = {}
+        # Sums over the other routers. All counts fade alike, so they are kept
+        # as they would have been at the reference time: a count that is added
+        # needs no computation for those that are there.
+        self._remote: dict[str, _Scaled] = {}
+        self._reference = clock.monotonic()
         self._capacity_per_s: float | None = None
         self._level = math.inf
         self._totals: dict[str, float] = {}
@@ -134,11 +142,25 @@
 
     def set_time_constant(self, time_constant_s: float) -> None:
         """Changes the time constant of all counts."""
-        if time_constant_s != self._time_constant_s:
-            self._time_constant_s = time_constant_s
-            self._remote = {}
-            for _, counts in self._peers.values():
-                self._add_remote(counts, 1.0)
+        now = self._clock.monotonic()
+        previous_s, self._time_constant_s = (
+            self._time_constant_s,
+            time_constant_s,
+        )
+        self._remote = {}
+        for peer, (heard, counts) in self._peers.items():
+            # As reported, and faded since then with the new time constant.
+            factor = math.exp(
+                (self._reference - heard) / previous_s
+                + (heard - now) / time_constant_s
+            )
+            scaled = {
+                workspace: (asked * factor, served * factor)
+                for workspace, (asked, served) in counts.items()
+            }
+            self._peers[peer] = (heard, scaled)
+            self._add_remote(scaled, 1.0)
+        self._reference = now
 
     def set_capacity(self, units_per_s: float | None) -> None:
         """Sets what all targets serve a second, None if unknown."""
@@ -173,12 +195,12 @@
     def note_peer(self, peer: str, uses: Sequence[WorkspaceUse]) -> None:
         """Replaces the counts of another router."""
         now = self._clock.monotonic()
+        scale = self._scale(now)
+        counts = {
+            use.workspace: (use.asked * scale, use.served * scale)
+            for use in uses
+        }
         self._forget_peer(peer)
-        counts = {}
-        for use in uses:
-            counts[use.workspace] = _Use(DecayingCount(), DecayingCount())
-            counts[use.workspace].asked.set(use.asked, now)
-            counts[use.workspace].served.set(use.served, now)
         self._peers[peer] = (now, counts)
         self._add_remote(counts, 1.0)
 
@@ -188,17 +210,25 @@
         for peer, (heard, _) in list(self._peers.items()):
             if now - heard > _PEER_EXPIRY_S:
                 self._forget_peer(peer)
-        self._drop_negligible(now)
+        scale = self._scale(now)
         asked: dict[str, float] = {}
         self._totals = {}
-        for counts in (self._own, self._remote):
-            for workspace, use in counts.items():
-                asked[workspace] = asked.get(workspace, 0.0) + use.asked.value(
-                    now, self._time_constant_s
-                )
-                self._totals[workspace] = self._totals.get(
-                    workspace, 0.0
-                ) + use.served.value(now, self._time_constant_s)
+        for workspace, (asked_there, served_there) in list(
+            self._remote.items()
+        ):
+            if max(asked_there, served_there) < _NEGLIGIBLE * scale:
+                # Only rounding errors are left, or next to nothing.
+                del self._remote[workspace]
+                continue
+            asked[workspace] = asked_there / scale
+            self._totals[workspace] = served_there / scale
+        for workspace, use in self._own.items():
+            asked[workspace] = asked.get(workspace, 0.0) + use.asked.value(
+                now, self._time_constant_s
+            )
+            self._totals[workspace] = self._totals.get(
+                workspace, 0.0
+            ) + use.served.value(now, self._time_constant_s)
         busy = [units for units in self._totals.values() if units >= 1.0]
         self._mean = sum(busy) / len(busy) if busy else 0.0
         if self._capacity_per_s is None:
@@ -234,36 +264,36 @@
             return 0.0
         return (self.served(workspace) + units / 2) / max(self._level, 1.0)
 
-    def _drop_negligible(self, now: float) -> None:
-        """Forgets sums of which only rounding errors are left."""
-        negligible = [
-            workspace
-            for workspace, use in self._remote.items()
-            if max(
-                use.asked.value(now, self._time_constant_s),
-                use.served.value(now, self._time_constant_s),
-            )
-            < _NEGLIGIBLE
-        ]
-        for workspace in negligible:
-            del self._remote[workspace]
+    def _scale(self, now: float) -> float:
+        """Returns the factor from counts of now to those at the reference."""
+        age = (now - self._reference) / self._time_constant_s
+        if age > _LONGEST_SCALE:
+            self._move_reference(now)
+            return 1.0
+        return math.exp(age)
+
+    def _move_reference(self, now: float) -> None:
+        """Keeps the factor between counts small enough for a float."""
+        factor = math.exp((self._reference - now) / self._time_constant_s)
+        for counts in (
+            self._remote,
+            *(each for _, each in self._peers.values()),
+        ):
+            for workspace, (asked, served) in counts.items():
+                counts[workspace] = (asked * factor, served * factor)
+        self._reference = now
 
     def _forget_peer(self, peer: str) -> None:
         _, counts = self._peers.pop(peer, (0.0, {}))
         self._add_remote(counts, -1.0)
 
-    def _add_remote(self, counts: Mapping[str, _Use], sign: float) -> None:
-        now = self._clock.monotonic()
-        constant_s = self._time_constant_s
-        for workspace, use in counts.items():
-            asked = use.asked.value(now, constant_s)
-            served = use.served.value(now, constant_s)
-            total = self._remote.get(workspace)
-            if total is None:
-                total = _Use(DecayingCount(), DecayingCount())
-                self._remote[workspace] = total
-            total.asked.add(sign * asked, now, constant_s)
-            total.served.add(sign * served, now, constant_s)
+    def _add_remote(self, counts: Mapping[str, _Scaled], sign: float) -> None:
+        for workspace, (asked, served) in counts.items():
+            asked_sum, served_sum = self._remote.get(workspace, (0.0, 0.0))
+            self._remote[workspace] = (
+                asked_sum + sign * asked,
+                served_sum + sign * served,
+            )
 
     def _add(self, workspace: str, asked: float, served: float) -> None:
         now = self._clock.monotonic()
--- a/crowwinch/sharing/tests/test_shares.py
+++ b/crowwinch/sharing/tests/test_shares.py
@@ -138,6 +138,16 @@
             self.shares.served("a"), 1e5 * math.exp(-2.0), delta=1.0
         )
 
+    def test_a_long_time_without_reports(self):
+        """Guards against a factor between counts that no float can hold."""
+        self.shares.note_peer("peer", [WorkspaceUse("a", 1e5, 1e5)])
+        self.clock.move_to(1e6)
+        self.shares.refresh()
+        self.assertEqual(self.shares.served("a"), 0.0)
+        self.shares.note_peer("peer", [WorkspaceUse("a", 1e5, 1e5)])
+        self.shares.refresh()
+        self.assertAlmostEqual(self.shares.served("a"), 1e5)
+
     def test_a_refresh_does_not_count_the_reports_of_all_routers(self):
         """It took half of the processor time of a fleet of 90 routers."""
         uses = [WorkspaceUse(name, 1e5, 1e5) for name in "abcdef"]
