--- a/crowwinch/fleet/tests/support.py
+++ b/crowwinch/fleet/tests/support.py
@@ -181,8 +181,9 @@
     return Item("key", revision, b"text")
 
 
-def _make_settings(host, zone, seeds):
-    address = SocketAddress(host, _PORT)
+def make_settings(host, zone, seeds, port=_PORT):
+    """Returns the settings of a router that uses one port for everything."""
+    address = SocketAddress(host, port)
     return GatewaySettings(
         name=host,
         address=host,
@@ -190,9 +191,9 @@
         caller=address,
         readiness=address,
         control=address,
-        peer_port=_PORT,
-        metrics_port=_PORT,
-        seeds=tuple(SocketAddress(seed, _PORT) for seed in seeds),
+        peer_port=port,
+        metrics_port=port,
+        seeds=tuple(SocketAddress(seed, port) for seed in seeds),
         store=address,
         memory_bytes=1,
         max_descriptors=1,
@@ -257,7 +258,7 @@
                 _Router(
                     self.clock,
                     self.store,
-                    _make_settings(host, f"zone-{n % ZONES}", hosts[:3]),
+                    make_settings(host, f"zone-{n % ZONES}", hosts[:3]),
                 )
                 for n, host in enumerate(hosts)
             ]
--- a/crowwinch/fleet/tests/test_service.py
+++ b/crowwinch/fleet/tests/test_service.py
@@ -6,7 +6,7 @@
 from crowwinch.coordination import ManualClock, TimerService
 from crowwinch.directory import DirectoryState, StoreReaders
 from crowwinch.fleet import FleetService
-from crowwinch.forwarding import GatewaySettings, SocketAddress
+from crowwinch.fleet.tests.support import make_settings
 from crowwinch.forwarding.tests.support import make_sharing
 from crowwinch.platform import DocumentCodec
 from standins.processes import free_port
@@ -19,29 +19,6 @@
 _DELIVERY_TURNS = 5
 
 
-def _make_settings(address, port):
-    return GatewaySettings(
-        name=address,
-        address=address,
-        availability_zone="az",
-        caller=SocketAddress(address, 1),
-        readiness=SocketAddress(address, 2),
-        control=SocketAddress(address, port),
-        peer_port=port,
-        metrics_port=3,
-        seeds=tuple(SocketAddress(seed, port) for seed in _SEEDS),
-        store=SocketAddress("127.0.0.1", 4),
-        memory_bytes=1,
-        max_descriptors=1,
-        drain_s=1.0,
-        stop_grace_s=1.0,
-        address_reuse_s=1.0,
-        retry_ratio=0.2,
-        retry_window_s=10.0,
-        share_window_s=4.0,
-    )
-
-
 class FleetServiceTest(unittest.IsolatedAsyncioTestCase):
     """Guards against routers that decide without knowing of each other.
 
@@ -59,7 +36,7 @@
             sharing = make_sharing(self.clock)
             service = FleetService(
                 timers,
-                _make_settings(f"127.0.0.{number}", port),
+                make_settings(f"127.0.0.{number}", "az", _SEEDS, port),
                 DirectoryState(self.clock, DocumentCodec()),
                 StoreReaders(self.clock, f"127.0.0.{number}"),
                 sharing,
--- /dev/null
+++ b/measurements/_sharing_policies.py
@@ -0,0 +1,177 @@
+"""The ways in which routers can share engines."""
+
+from collections.abc import Callable, Mapping
+
+from measurements._sharing_world import Load, Node, SharingWorld
+from standins.engine_model import Job
+
+# Updates of a router in one period; larger fleets are served in turn.
+_FAN_OUT = 12
+# Routers of one service are a hop of this time apart.
+_HOP_S = 0.001
+# Delay of each message of a router that lags.
+_LAG_S = 0.4
+# Silence of a scheduler until another router takes over: half a second without
+# a message, and as much until the others have registered with it.
+_TAKEOVER_S = 1.0
+
+
+class LeastInFlight(SharingWorld):
+    """Each request goes to the engine with the fewest; nothing waits."""
+
+    def submit(self, job: Job, router: int) -> None:
+        """Sends a request at once."""
+        del router
+        min(
+            self.engines.values(),
+            key=lambda engine: engine.active + len(engine.waiting),
+        ).send(job)
+
+
+class OneQueue(SharingWorld):
+    """One place decides at once and sees everything: the bound."""
+
+    def __init__(self, load: Load, seed: int) -> None:
+        """Creates the one node."""
+        super().__init__(load, seed)
+        self._node = self.make_node()
+
+    def submit(self, job: Job, router: int) -> None:
+        """Decides at once."""
+        del router
+        self.submit_to(self._node, job)
+
+
+class Scheduler(SharingWorld):
+    """(a) One router grants each start to the others.
+
+    A frozen or cut scheduler is replaced; its successor knows what the routers
+    have at the engines, but requests wait until then. A lagging one answers
+    late.
+    """
+
+    def __init__(self, load: Load, seed: int) -> None:
+        """Creates the scheduler."""
+        super().__init__(load, seed)
+        self._node = self.make_node()
+
+    def submit(self, job: Job, router: int) -> None:
+        """Asks the scheduler for a start."""
+        del router
+        now = self.clock.monotonic()
+        hop_s = _HOP_S
+        asked = now + hop_s
+        if self.is_faulty and self.load.fault == "lagging":
+            hop_s = _LAG_S
+            asked = now + hop_s
+        elif _has_no_scheduler(self.load, now):
+            asked = self.load.fault_start_s + _TAKEOVER_S + hop_s
+        self.events.at(asked, lambda: self.submit_to(self._node, job, hop_s))
+
+
+class LocalDecisions(SharingWorld):
+    """(b) Each router decides from its own counts and those of the others."""
+
+    def __init__(self, load: Load, seed: int) -> None:
+        """Creates a node for each router."""
+        super().__init__(load, seed)
+        self.nodes = [self.make_node() for _ in range(load.routers)]
+        self._turns = [0] * load.routers
+        # A fifth of the routers has the fault.
+        self._faulty = set(range(0, load.routers, 5))
+
+    def tick(self) -> None:
+        """Lets each router send its counts to the next ones in turn."""
+        for index, node in enumerate(self.nodes):
+            if not self._is_out(index, "frozen"):
+                node.refresh()
+                self._send_update(index, node)
+
+    def submit(self, job: Job, router: int) -> None:
+        """Decides at the router that the request came to."""
+        if self._is_out(router, "frozen"):
+            # Its balancer sends to another one; a connection is tried anew.
+            router = (router + 1) % len(self.nodes)
+        self.submit_to(self.nodes[router], job)
+
+    def _is_out(self, index: int, fault: str) -> bool:
+        return (
+            self.load.fault == fault
+            and self.is_faulty
+            and index in self._faulty
+        )
+
+    def _send_update(self, index: int, node: Node) -> None:
+        others = len(self.nodes) - 1
+        if not others:
+            return
+        rounds = -(-others // _FAN_OUT)
+        node.reads = [(left - 1, read) for left, read in node.reads if left > 1]
+        node.reads += [
+            (rounds, read) for read in node.prefixes.take_reads_to_tell()
+        ]
+        loads = node.loads.own_use()
+        shares = node.shares.own_use()
+        reads = [read for _, read in node.reads]
+        lag_s = _LAG_S if self._is_out(index, "lagging") else _HOP_S
+        for step in range(min(_FAN_OUT, others)):
+            peer = (index + 1 + (self._turns[index] + step) % others) % len(
+                self.nodes
+            )
+            is_cut = self._is_out(index, "cut") or self._is_out(peer, "cut")
+            if is_cut or self._is_out(peer, "frozen"):
+                continue
+
+            def deliver(receiver: Node = self.nodes[peer]) -> None:
+                receiver.loads.note_peer(str(index), loads)
+                receiver.shares.note_peer(str(index), shares)
+                receiver.prefixes.note_peer(reads)
+
+            self.events.at(self.clock.monotonic() + lag_s, deliver)
+        self._turns[index] = (self._turns[index] + _FAN_OUT) % others
+
+
+class LocalPlacing(LocalDecisions):
+    """(c) As (b), but a scheduler orders the starts under overload."""
+
+    def __init__(self, load: Load, seed: int) -> None:
+        """Creates the routers and the scheduler."""
+        super().__init__(load, seed)
+        self._scheduler = self.make_node()
+
+    def tick(self) -> None:
+        """Lets the scheduler hear of all that routers sent themselves."""
+        super().tick()
+        for index, node in enumerate(self.nodes):
+            self._scheduler.loads.note_peer(str(index), node.loads.own_use())
+            self._scheduler.shares.note_peer(str(index), node.shares.own_use())
+        self._scheduler.refresh()
+
+    def submit(self, job: Job, router: int) -> None:
+        """Asks the scheduler if more is asked than can be done."""
+        now = self.clock.monotonic()
+        is_lost = _has_no_scheduler(self.load, now)
+        if is_lost or self._scheduler.shares.level == float("inf"):
+            super().submit(job, router)
+            return
+        hop_s = _HOP_S
+        if self.load.fault == "lagging" and self.is_faulty:
+            hop_s = _LAG_S
+        self.events.at(
+            now + hop_s, lambda: self.submit_to(self._scheduler, job, hop_s)
+        )
+
+
+POLICIES: Mapping[str, Callable[[Load, int], SharingWorld]] = {
+    "one queue": OneQueue,
+    "scheduler": Scheduler,
+    "local": LocalDecisions,
+    "local and scheduler": LocalPlacing,
+    "least in flight": LeastInFlight,
+}
+
+
+def _has_no_scheduler(load: Load, now: float) -> bool:
+    """Returns whether a lost scheduler has no successor yet."""
+    since = now - load.fault_start_s
+    return load.fault in ("frozen", "cut") and 0.0 <= since < _TAKEOVER_S
--- a/measurements/experiment.py
+++ b/measurements/experiment.py
@@ -6,13 +6,9 @@
 import sys
 from collections.abc import Sequence
 
-from crowwinch.sharing import PromptPart, Work
-from measurements._sharing_world import (
-    POLICIES,
-    Load,
-    Outcome,
-    outcome,
-)
+from measurements._sharing_policies import POLICIES
+from measurements._sharing_world import Load, Outcome, outcome
+from standins.engine_model import PromptMix, make_work
 
 _FAULTS = ("none", "frozen", "cut", "lagging")
 _SECONDS = 12.0
@@ -48,13 +44,14 @@
     engines = max(round(routers / _ROUTERS_PER_ENGINE), 2)
     rng = random.Random(seed)
     rate = engines * _RATE_PER_ENGINE * times
+    mix = PromptMix(4 * engines, 3_000, 7.0, 400)
     arrivals = []
     time = rng.expovariate(rate)
     names = list(_WORKSPACES)
     weights = list(_WORKSPACES.values())
     while time < seconds:
         workspace = rng.choices(names, weights)[0]
-        arrivals.append((time, _make_work(rng, workspace, engines)))
+        arrivals.append((time, make_work(rng, workspace, mix)))
         time += rng.expovariate(rate)
     return Load(
         routers=routers,
@@ -75,24 +72,6 @@
     return outcome(world)
 
 
-def _make_work(rng: random.Random, workspace: str, engines: int) -> Work:
-    own = int(min(rng.lognormvariate(7.0, 1.0), 40_000))
-    shared = rng.randrange(4 * engines)
-    parts = (
-        PromptPart(f"{workspace}-{shared}", 3_000),
-        PromptPart(f"own-{rng.random()}", own),
-    )
-    return Work(
-        service="llm",
-        workspace=workspace,
-        model="m",
-        parts=parts,
-        prompt_tokens=3_000 + own,
-        output_tokens=rng.randrange(50, 400),
-        target_latency_s=0.8,
-    )
-
-
 def _mean(outcomes: Sequence[Outcome], name: str) -> float:
     return statistics.fmean(getattr(each, name) for each in outcomes)
 
--- a/measurements/tests/test_experiment.py
+++ b/measurements/tests/test_experiment.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from measurements._sharing_world import POLICIES, outcome
+from measurements._sharing_policies import POLICIES
+from measurements._sharing_world import outcome
 from measurements.experiment import make_load, play
 
 _ROUTERS = 8
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -139,6 +139,26 @@
         job.on_progress()
 
 
+@dataclass(frozen=True, slots=True)
+class PromptMix:
+    """Sizes of the requests of a load.
+
+    Attributes:
+        shared_parts: Different shared parts of each workspace.
+        shared_tokens: Size of a shared part.
+        own_log_mean: Mean of the logarithm of the tokens that are not shared.
+        longest_output: Bound of the tokens of an answer.
+    """
+
+    shared_parts: int
+    shared_tokens: int
+    own_log_mean: float
+    longest_output: int
+
+
+_MIX = PromptMix(30, 4_000, 7.5, 500)
+
+
 def arrivals(
     rates: dict[str, float], seconds: float, seed: int
 ) -> list[tuple[float, Work]]:
@@ -148,16 +168,17 @@
     for workspace, rate in rates.items():
         time = rng.expovariate(rate)
         while time < seconds:
-            load.append((time, _work(rng, workspace)))
+            load.append((time, make_work(rng, workspace, _MIX)))
             time += rng.expovariate(rate)
     return sorted(load, key=lambda entry: entry[0])
 
 
-def _work(rng: random.Random, workspace: str) -> Work:
-    own = int(min(rng.lognormvariate(7.5, 1.0), 40_000))
-    shared = rng.randrange(30)
+def make_work(rng: random.Random, workspace: str, mix: PromptMix) -> Work:
+    """Returns a request of a workspace."""
+    own = int(min(rng.lognormvariate(mix.own_log_mean, 1.0), 40_000))
+    shared = rng.randrange(mix.shared_parts)
     parts = (
-        PromptPart(f"{workspace}-{shared}", 4_000),
+        PromptPart(f"{workspace}-{shared}", mix.shared_tokens),
         PromptPart(f"own-{rng.random()}", own),
     )
     return Work(
@@ -165,7 +186,7 @@
         workspace=workspace,
         model="m",
         parts=parts,
-        prompt_tokens=4_000 + own,
-        output_tokens=rng.randrange(50, 500),
+        prompt_tokens=mix.shared_tokens + own,
+        output_tokens=rng.randrange(50, mix.longest_output),
         target_latency_s=0.8,
     )
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -1,7 +1,6 @@
 """The processes of a soak, and when each of them was disturbed."""
 
 import json
-import signal
 import time
 from dataclasses import dataclass
 
@@ -123,14 +122,6 @@
         (self._closed.add if is_closed else self._closed.discard)(link)
         self._put("closed", sorted(self._closed))
 
-    def heal_links(self) -> None:
-        """Ends all disturbances of links."""
-        self._cuts.clear()
-        self._delays.clear()
-        self._closed.clear()
-        for what, value in (("cuts", {}), ("delays", {}), ("closed", [])):
-            self._put(what, value)
-
     def publish(self, version: int) -> float:
         """Writes a configuration whose second key is that of its version.
 
@@ -155,12 +146,6 @@
         router, self.routers[index] = self.routers[index], None
         return router
 
-    def signal_all(self, number: signal.Signals) -> None:
-        """Sends a signal to all processes that run."""
-        for process in [*self.routers, *self.targets.values(), self.store]:
-            if process is not None:
-                process.signal(number)
-
     def _open_link(self, name: str, url: str) -> str:
         port = int(url.rpartition(":")[2])
         _, answer = call(
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -4,7 +4,6 @@
 import pathlib
 import random
 import shutil
-import signal
 import time
 from dataclasses import dataclass
 
@@ -83,8 +82,6 @@
             asyncio.ensure_future(self._probe(fleet, load, faults)),
         ]
         await faults.run(self._seconds, only_planned=self._only_planned)
-        fleet.signal_all(signal.SIGCONT)
-        fleet.heal_links()
         unserved = await self._recover(load)
         self._is_over = True
         load.stop()
