Accept all connections that wait in one turn of the event loop

The server of uvloop accepts one connection in each turn of the loop: 200 waiting connections took 201 turns, four with the loop of asyncio. Ruled out: descriptors (1,931 of 4,100), a loop that is late.

Change: the router accepts by itself, up to 64 connections a turn.

--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -12,6 +12,7 @@
 from crowwinch.errors import RefusalError, RefusalReason
 from crowwinch.forwarding._call import Call, read_body
 from crowwinch.forwarding._forwarder import Forwarder
+from crowwinch.forwarding._listener import ConnectionListener
 from crowwinch.forwarding._messages import WireCodec
 from crowwinch.forwarding._model import RequestLimits, SocketAddress
 
@@ -22,7 +23,6 @@
 # Connections are kept a little longer than callers may stay idle.
 _IDLE_MARGIN_S = 2.0
 _SHUTDOWN_TIMEOUT_S = 0.2
-_BACKLOG = 1024
 _MAX_HEADERS = 128
 # Part of the process's memory that bodies of requests may take.
 _BODY_MEMORY_SHARE = 0.2
@@ -151,7 +151,7 @@
         self._refuses = False
         self._factory: _CallerProtocolFactory | None = None
         self._runner: web.ServerRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._listener: ConnectionListener | None = None
 
     @property
     def active(self) -> int:
@@ -161,8 +161,8 @@
     @property
     def port(self) -> int:
         """The port in use once started."""
-        assert self._runner is not None, "the server was not started"
-        return self._runner.addresses[0][1]
+        assert self._listener is not None, "the server was not started"
+        return self._listener.port
 
     async def start(self) -> None:
         """Starts to listen; port 0 takes a free one."""
@@ -174,16 +174,13 @@
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
-        self._site = web.TCPSite(
-            self._runner,
-            self._address.host,
-            self._address.port,
-            backlog=_BACKLOG,
-        )
-        await self._site.start()
+        self._listener = ConnectionListener(self._address, factory)
+        await self._listener.start()
 
     async def stop(self) -> None:
         """Closes the port and all connections."""
+        if self._listener is not None:
+            await self._listener.stop()
         if self._runner is not None:
             await self._runner.cleanup()
 
