--- a/crowwinch/coordination/_loop_lag.py
+++ b/crowwinch/coordination/_loop_lag.py
@@ -5,6 +5,9 @@
 _PERIOD_S = 0.05
 # Turns of a router with time to spare take a few milliseconds.
 _LATE_S = 0.02
+# A full queue of 1,024 new connections is accepted within this time at 60 a
+# second.
+_LATE_MEMORY_S = 20.0
 # A loop that was late stays so for a while, since what piled up comes first.
 _FADE_PER_PERIOD = 0.9
 
@@ -21,6 +24,7 @@
         self._timers = timers
         self._expected = 0.0
         self._seconds = 0.0
+        self._late_at = float("-inf")
 
     @property
     def seconds(self) -> float:
@@ -32,6 +36,12 @@
         """Whether the process lacks processor time."""
         return self._seconds > _LATE_S
 
+    @property
+    def was_late(self) -> bool:
+        """Whether what is read now may have waited for long."""
+        now = self._timers.clock.monotonic()
+        return now - self._late_at < _LATE_MEMORY_S
+
     async def start(self) -> None:
         """Starts to measure."""
         self._expected = self._timers.clock.monotonic() + _PERIOD_S
@@ -44,4 +54,6 @@
         now = self._timers.clock.monotonic()
         late = max(now - self._expected, 0.0)
         self._seconds = max(late, self._seconds * _FADE_PER_PERIOD)
+        if self.is_late:
+            self._late_at = now
         self._expected = now + _PERIOD_S
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -23,9 +23,9 @@
 _DEFAULT_DEADLINE_S = 60.0
 # A refused caller may return when a lost configuration was read again.
 _NOT_READY_RETRY_S = 1.0
-# Turns of the event loop in which the end of a connection is read, the
-# connection is closed and its request is cancelled.
-_TURNS_TO_READ = 4
+# Turns of the event loop in which the end of a connection is read and its
+# request is cancelled. Each of them takes up to 60 ms in a late process.
+_TURNS_TO_READ = 2
 # Waiting requests are decided at most once in this time.
 _POLL_S = 0.02
 # A prompt with less to read before it than this part of its own counts as read
@@ -53,7 +53,7 @@
         metrics: Metrics,
         random: Callable[[], float],
         describe_state: Callable[[], Mapping[str, object]] = dict,
-        is_late: Callable[[], bool] = lambda: False,
+        was_late: Callable[[], bool] = lambda: False,
     ) -> None:
         """Stores the parts that a request needs.
 
@@ -68,10 +68,11 @@
             random: Returns a number from 0 to 1.
             describe_state: Returns the age and version of what this router
                 knows, for the log.
-            is_late: Returns whether the process lacks processor time.
+            was_late: Returns whether the process lacked processor time lately,
+                so that it may read requests long after they were sent.
         """
         self._clock = clock
-        self._is_late = is_late
+        self._was_late = was_late
         self._routing = routing
         self._targets = targets
         self._sharing = sharing
@@ -107,7 +108,7 @@
         run: RequestRun | None = None
         try:
             run = self._begin(call)
-            if self._is_late():
+            if self._was_late():
                 await _read_sockets()
             async with asyncio.timeout(run.deadline - self._clock.monotonic()):
                 await self._serve(run)
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -263,7 +263,7 @@
                 codec,
                 self.metrics,
                 random.Random(1).random,
-                is_late=lambda: is_late,
+                was_late=lambda: is_late,
             ),
             lambda: self.routing.limits if self.routing else RequestLimits(),
             100_000_000,
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -121,12 +121,12 @@
                 self._metrics,
                 self._rng.random,
                 self._describe_state,
-                self._is_late,
+                lambda: self._lag.was_late,
             ),
             self._limits,
             settings.memory_bytes,
             settings.max_descriptors,
-            self._is_late,
+            lambda: self._lag.is_late,
         )
         self._is_stopping = False
         self._stopped = asyncio.Event()
@@ -278,9 +278,6 @@
             "lag_s": round(self._lag.seconds, 3),
         }
 
-    def _is_late(self) -> bool:
-        return self._lag.is_late
-
     def _limits(self) -> RequestLimits:
         routing = self._state.routing
         return RequestLimits() if routing is None else routing.limits
