--- a/crowwinch/coordination/_loop_lag.py
+++ b/crowwinch/coordination/_loop_lag.py
@@ -31,14 +31,12 @@
         """Recent lateness in seconds."""
         return self._seconds
 
-    @property
-    def is_late(self) -> bool:
-        """Whether the process lacks processor time."""
-        return self._seconds > _LATE_S
-
     @property
     def was_late(self) -> bool:
-        """Whether what is read now may have waited for long."""
+        """Whether the process lacks processor time now and then.
+
+        What it reads may have waited for long.
+        """
         now = self._timers.clock.monotonic()
         return now - self._late_at < _LATE_MEMORY_S
 
@@ -54,6 +52,6 @@
         now = self._timers.clock.monotonic()
         late = max(now - self._expected, 0.0)
         self._seconds = max(late, self._seconds * _FADE_PER_PERIOD)
-        if self.is_late:
+        if late > _LATE_S:
             self._late_at = now
         self._expected = now + _PERIOD_S
--- a/crowwinch/coordination/tests/test_loop_lag.py
+++ b/crowwinch/coordination/tests/test_loop_lag.py
@@ -31,3 +31,15 @@
             self._run(0.05)
         self.assertLess(self.lag.seconds, 0.4)
         self.assertGreater(self.lag.seconds, 0.1)
+
+    def test_what_waited_may_be_read_long_after_the_loop_caught_up(self):
+        """Guards against requests that waited 15 s and were decided as new."""
+        self._run(0.05)
+        self.assertFalse(self.lag.was_late)
+        self._run(0.15)
+        for _ in range(300):
+            self.assertTrue(self.lag.was_late)
+            self._run(0.05)
+        for _ in range(200):
+            self._run(0.05)
+        self.assertFalse(self.lag.was_late)
--- a/crowwinch/forwarding/_listener.py
+++ b/crowwinch/forwarding/_listener.py
@@ -31,18 +31,18 @@
         self,
         address: SocketAddress,
         make_protocol: Callable[[], asyncio.Protocol],
-        is_late: Callable[[], bool] = lambda: False,
+        was_late: Callable[[], bool] = lambda: False,
     ) -> None:
         """Stores where to listen and what handles a connection.
 
         Args:
             address: Where to listen.
             make_protocol: Returns what handles a connection.
-            is_late: Returns whether the process lacks processor time.
+            was_late: Returns whether the process lacked processor time lately.
         """
         self._address = address
         self._make_protocol = make_protocol
-        self._is_late = is_late
+        self._was_late = was_late
         self._socket: socket.socket | None = None
         self._retry: asyncio.TimerHandle | None = None
         self._openings: set[asyncio.Task[None]] = set()
@@ -80,7 +80,7 @@
         loop.add_reader(self._socket, self._accept)
 
     def _accept(self) -> None:
-        for _ in range(1 if self._is_late() else _MOST_PER_TURN):
+        for _ in range(1 if self._was_late() else _MOST_PER_TURN):
             try:
                 connection, _address = self._socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -126,7 +126,7 @@
         limits: Callable[[], RequestLimits],
         memory_bytes: int,
         max_descriptors: int,
-        is_late: Callable[[], bool] = lambda: False,
+        was_late: Callable[[], bool] = lambda: False,
     ) -> None:
         """Stores the parts; call `start` inside the event loop.
 
@@ -138,14 +138,14 @@
             limits: Returns what callers may send.
             memory_bytes: Memory of the process.
             max_descriptors: Limit of open files and sockets of the process.
-            is_late: Returns whether the process lacks processor time.
+            was_late: Returns whether the process lacked processor time lately.
         """
         self._clock = clock
         self._address = address
         self._codec = codec
         self._forwarder = forwarder
         self._limits = limits
-        self._is_late = is_late
+        self._was_late = was_late
         self._kept_connections = int(max_descriptors * _KEPT_SHARE)
         self._body_capacity = int(memory_bytes * _BODY_MEMORY_SHARE)
         self._body_bytes = 0
@@ -178,7 +178,7 @@
         )
         await self._runner.setup()
         self._listener = ConnectionListener(
-            self._address, factory, self._is_late
+            self._address, factory, self._was_late
         )
         await self._listener.start()
 
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -218,7 +218,7 @@
         is_engine: bool = False,
         limits: RequestLimits | None = None,
         max_descriptors: int = 4_000,
-        is_late: bool = False,
+        was_late: bool = False,
     ) -> None:
         self._scripted = targets
         self.clock = SystemClock()
@@ -263,12 +263,12 @@
                 codec,
                 self.metrics,
                 random.Random(1).random,
-                was_late=lambda: is_late,
+                was_late=lambda: was_late,
             ),
             lambda: self.routing.limits if self.routing else RequestLimits(),
             100_000_000,
             max_descriptors,
-            lambda: is_late,
+            lambda: was_late,
         )
 
     async def start(self) -> None:
--- a/crowwinch/forwarding/tests/test_listener.py
+++ b/crowwinch/forwarding/tests/test_listener.py
@@ -40,11 +40,11 @@
         caller = socket.create_connection(("127.0.0.1", port), timeout=5.0)
         self.addCleanup(caller.close)
 
-    def _run(self, check, is_late=False):
+    def _run(self, check, was_late=False):
         async def run():
             address = SocketAddress("127.0.0.1", 0)
             listener = ConnectionListener(
-                address, lambda: _Protocol(self.made), lambda: is_late
+                address, lambda: _Protocol(self.made), lambda: was_late
             )
             await listener.start()
             try:
@@ -87,7 +87,7 @@
                 await asyncio.sleep(0)
             self.assertLessEqual(len(self.made), _MOST_TURNS)
 
-        self._run(check, is_late=True)
+        self._run(check, was_late=True)
 
     def test_connections_are_accepted_again_after_descriptors_ran_out(self):
         async def check(listener):
@@ -125,7 +125,7 @@
         target = ScriptedTarget(good)
 
         async def run():
-            router = Router([target], is_late=True)
+            router = Router([target], was_late=True)
             await router.start()
             # Leaves a connection to the target, which needs no turn to open.
             await router.call(attempt_id="attempt-0")
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -126,7 +126,7 @@
             self._limits,
             settings.memory_bytes,
             settings.max_descriptors,
-            lambda: self._lag.is_late,
+            lambda: self._lag.was_late,
         )
         self._is_stopping = False
         self._stopped = asyncio.Event()
