Count connections whose callers left before they were accepted

What callers saw: ready routers of the grown sites served no new connection for 7 to 17 s (docs/incidents/no-new-connections.md).

Cause: not shown by the logs. A full queue of callers that have left, a lack of descriptors and a standing event loop differ in how many connections are accepted and how many of them have ended, and neither was logged.

Change: each accepted connection is counted as opened or left by its caller; a line a second sums them up while callers leave. Gauges of open connections and of the lateness of the event loop. No decision changes.

Conclusion: the share of connections whose callers had left tells the hypotheses apart.

--- a/crowwinch/forwarding/_listener.py
+++ b/crowwinch/forwarding/_listener.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import logging
+import select
 import socket
 from collections.abc import Callable
 
 from crowwinch.forwarding._model import SocketAddress
+from crowwinch.observability import Metrics
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -16,6 +18,8 @@
 _MOST_PER_TURN = 64
 # Without a free descriptor nothing is accepted for this long.
 _RETRY_S = 0.1
+# Callers that left unread are summed up in one line each second.
+_SUMMARY_PERIOD_S = 1.0
 
 
 class ConnectionListener:
@@ -31,6 +35,7 @@
         self,
         address: SocketAddress,
         make_protocol: Callable[[], asyncio.Protocol],
+        metrics: Metrics,
         was_late: Callable[[], bool] = lambda: False,
     ) -> None:
         """Stores where to listen and what handles a connection.
@@ -38,11 +43,16 @@
         Args:
             address: Where to listen.
             make_protocol: Returns what handles a connection.
+            metrics: Counts accepted connections.
             was_late: Returns whether the process lacked processor time lately.
         """
         self._address = address
         self._make_protocol = make_protocol
+        self._metrics = metrics
         self._was_late = was_late
+        self._accepted = 0
+        self._left = 0
+        self._summary: asyncio.TimerHandle | None = None
         self._socket: socket.socket | None = None
         self._retry: asyncio.TimerHandle | None = None
         self._openings: set[asyncio.Task[None]] = set()
@@ -68,8 +78,9 @@
         """Closes the port; accepted connections stay open."""
         if self._socket is None:
             return
-        if self._retry is not None:
-            self._retry.cancel()
+        for timer in (self._retry, self._summary):
+            if timer is not None:
+                timer.cancel()
         asyncio.get_running_loop().remove_reader(self._socket)
         self._socket.close()
         self._socket = None
@@ -95,10 +106,30 @@
                 self._retry = loop.call_later(_RETRY_S, self._resume)
                 return
             connection.setblocking(False)
+            self._count(connection)
             opening = asyncio.ensure_future(self._open(connection))
             self._openings.add(opening)
             opening.add_done_callback(self._openings.discard)
 
+    def _count(self, connection: socket.socket) -> None:
+        self._accepted += 1
+        has_left = _has_left(connection)
+        self._left += has_left
+        outcome = "caller_left" if has_left else "opened"
+        self._metrics.count("connections", "outcome", outcome)
+        if has_left and self._summary is None:
+            self._summary = asyncio.get_running_loop().call_later(
+                _SUMMARY_PERIOD_S, self._summarize
+            )
+
+    def _summarize(self) -> None:
+        self._summary = None
+        _LOGGER.warning(
+            "callers left before their connections were accepted",
+            extra={"accepted": self._accepted, "left": self._left},
+        )
+        self._accepted = self._left = 0
+
     async def _open(self, connection: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         try:
@@ -107,3 +138,10 @@
             # The caller has closed it meanwhile.
             _LOGGER.debug("connection not opened", extra={"cause": str(error)})
             connection.close()
+
+
+def _has_left(connection: socket.socket) -> bool:
+    """Returns whether the other side of a connection has closed it."""
+    poll = select.poll()
+    poll.register(connection, select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -15,6 +15,7 @@
 from crowwinch.forwarding._listener import ConnectionListener
 from crowwinch.forwarding._messages import WireCodec
 from crowwinch.forwarding._model import RequestLimits, SocketAddress
+from crowwinch.observability import Metrics
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -124,6 +125,7 @@
         codec: WireCodec,
         forwarder: Forwarder,
         limits: Callable[[], RequestLimits],
+        metrics: Metrics,
         memory_bytes: int,
         max_descriptors: int,
         was_late: Callable[[], bool] = lambda: False,
@@ -136,6 +138,7 @@
             codec: Translates headers.
             forwarder: Serves requests.
             limits: Returns what callers may send.
+            metrics: Counters and gauges.
             memory_bytes: Memory of the process.
             max_descriptors: Limit of open files and sockets of the process.
             was_late: Returns whether the process lacked processor time lately.
@@ -145,6 +148,8 @@
         self._codec = codec
         self._forwarder = forwarder
         self._limits = limits
+        self._metrics = metrics
+        metrics.gauge("open_connections", lambda: self._open_connections)
         self._was_late = was_late
         self._kept_connections = int(max_descriptors * _KEPT_SHARE)
         self._body_capacity = int(memory_bytes * _BODY_MEMORY_SHARE)
@@ -167,6 +172,10 @@
         assert self._listener is not None, "the server was not started"
         return self._listener.port
 
+    @property
+    def _open_connections(self) -> int:
+        return 0 if self._factory is None else self._factory.open
+
     async def start(self) -> None:
         """Starts to listen; port 0 takes a free one."""
         factory = _CallerProtocolFactory(self._handle, self._limits)
@@ -178,7 +187,7 @@
         )
         await self._runner.setup()
         self._listener = ConnectionListener(
-            self._address, factory, self._was_late
+            self._address, factory, self._metrics, self._was_late
         )
         await self._listener.start()
 
@@ -201,8 +210,7 @@
         """Returns whether connections end with their next answer."""
         if self._closes:
             return True
-        is_started = self._factory is not None
-        return is_started and self._factory.open > self._kept_connections
+        return self._open_connections > self._kept_connections
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = self._clock.monotonic()
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -266,6 +266,7 @@
                 was_late=lambda: was_late,
             ),
             lambda: self.routing.limits if self.routing else RequestLimits(),
+            self.metrics,
             100_000_000,
             max_descriptors,
             lambda: was_late,
--- a/crowwinch/forwarding/tests/test_listener.py
+++ b/crowwinch/forwarding/tests/test_listener.py
@@ -16,7 +16,9 @@
     ScriptedTarget,
     good,
 )
+from crowwinch.observability import Metrics
 
+_LISTENER = "crowwinch.forwarding._listener"
 _CONNECTIONS = 100
 # Turns of the event loop from an accepted connection to a protocol.
 _MOST_TURNS = 10
@@ -35,16 +37,24 @@
 
     def setUp(self):
         self.made = []
+        self.metrics = Metrics()
 
     def _connect(self, port):
         caller = socket.create_connection(("127.0.0.1", port), timeout=5.0)
         self.addCleanup(caller.close)
+        return caller
+
+    def _connections(self, outcome):
+        return self.metrics.value("connections", "outcome", outcome)
 
     def _run(self, check, was_late=False):
         async def run():
             address = SocketAddress("127.0.0.1", 0)
             listener = ConnectionListener(
-                address, lambda: _Protocol(self.made), lambda: was_late
+                address,
+                lambda: _Protocol(self.made),
+                self.metrics,
+                lambda: was_late,
             )
             await listener.start()
             try:
@@ -89,12 +99,30 @@
 
         self._run(check, was_late=True)
 
+    def test_callers_that_left_are_counted(self):
+        """Guards against a queue of callers that left, seen by nobody."""
+
+        async def check(listener):
+            for _ in range(3):
+                self._connect(listener.port)
+            for _ in range(2):
+                self._connect(listener.port).close()
+            with self.assertLogs(_LISTENER, "WARNING") as logs:
+                await asyncio.sleep(1.1)
+            self.assertEqual(len(logs.records), 1)
+            self.assertEqual(logs.records[0].accepted, 5)
+            self.assertEqual(logs.records[0].left, 2)
+            self.assertEqual(self._connections("opened"), 3)
+            self.assertEqual(self._connections("caller_left"), 2)
+
+        self._run(check)
+
     def test_connections_are_accepted_again_after_descriptors_ran_out(self):
         async def check(listener):
             full = OSError(errno.EMFILE, "Too many open files")
             with (
                 mock.patch.object(socket.socket, "accept", side_effect=full),
-                self.assertLogs("crowwinch.forwarding._listener", "ERROR"),
+                self.assertLogs(_LISTENER, "ERROR"),
             ):
                 self._connect(listener.port)
                 await asyncio.sleep(0.05)
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -99,6 +99,7 @@
         self._metrics.declare_reasons("refusals", RefusalReason)
         self._metrics.declare_reasons("retries", RetryReason)
         self._metrics.declare_reasons("peer_rejections", PeerRejection)
+        self._metrics.gauge("loop_lag_seconds", lambda: self._lag.seconds)
         self._store = StoreClient(settings.store)
         self._state = DirectoryState(self._clock, DocumentCodec())
         self._state.subscribe(self._on_directory)
@@ -124,6 +125,7 @@
                 lambda: self._lag.was_late,
             ),
             self._limits,
+            self._metrics,
             settings.memory_bytes,
             settings.max_descriptors,
             lambda: self._lag.was_late,
