Add a test that a ready router answers new callers in a crowd

What callers saw: ready routers of the grown sites served no new connection for 7 to 17 s.

Cause: a standing queue of connections whose callers have left; not fixed here.

--- /dev/null
+++ b/tests/crowd.py
@@ -0,0 +1,107 @@
+"""A crowd of callers on new connections, and a limit of processor time."""
+
+import asyncio
+import os
+import signal
+import threading
+import time
+from dataclasses import dataclass
+
+import uvloop
+
+from tests.platform_fleet import HOST, KEY
+
+# Callers leave if their request was not read within this time, as those of the
+# operators' platform do.
+PATIENCE_S = 1.0
+# A core's share is a quota of each tenth of a second.
+_QUOTA_PERIOD_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Visit:
+    """One request on a connection of its own.
+
+    Attributes:
+        start: Monotonic time at which the connection was asked for.
+        seconds: Time to the status of the answer, or until the caller left.
+        status: Status of the answer, 0 if there was none.
+    """
+
+    start: float
+    seconds: float
+    status: int
+
+
+async def visit(host: str, port: int, path: str, attempt: str) -> Visit:
+    """Sends a request on a new connection and waits for its status."""
+    request = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {KEY}\r\n"
+        f"X-Crowwinch-Attempt-Id: {attempt}\r\nContent-Length: 4\r\n\r\nbody"
+    )
+    start = time.monotonic()
+    status = 0
+    writer = None
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(request.encode())
+            line = await reader.readline()
+            status = int(line.split()[1]) if line else 0
+    except (TimeoutError, OSError):
+        status = 0
+    finally:
+        if writer is not None:
+            writer.close()
+    return Visit(start, time.monotonic() - start, status)
+
+
+async def crowd(
+    host: str, port: int, path: str, per_s: float, seconds: float
+) -> list[Visit]:
+    """Sends requests at a steady rate, whatever becomes of those before."""
+    visits = []
+    started = time.monotonic()
+    for number in range(int(per_s * seconds)):
+        due = started + number / per_s
+        await asyncio.sleep(max(due - time.monotonic(), 0))
+        visits.append(
+            asyncio.ensure_future(visit(host, port, path, f"crowd-{number}"))
+        )
+    return list(await asyncio.gather(*visits))
+
+
+def run_crowd(
+    host: str, port: int, path: str, per_s: float, seconds: float
+) -> list[Visit]:
+    """Runs `crowd` in an event loop of its own."""
+    return uvloop.run(crowd(host, port, path, per_s, seconds))
+
+
+class ProcessorQuota:
+    """Lets a process run for a share of each tenth of a second only."""
+
+    def __init__(self, pid: int, share: float) -> None:
+        """Stores which process may run for which share of the time."""
+        self._pid = pid
+        self._share = share
+        self._is_lifted = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def __enter__(self) -> "ProcessorQuota":
+        """Starts to limit the process."""
+        self._thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        """Lets the process run freely."""
+        self._is_lifted.set()
+        self._thread.join()
+        os.kill(self._pid, signal.SIGCONT)
+
+    def _run(self) -> None:
+        while not self._is_lifted.is_set():
+            os.kill(self._pid, signal.SIGCONT)
+            time.sleep(_QUOTA_PERIOD_S * self._share)
+            os.kill(self._pid, signal.SIGSTOP)
+            self._is_lifted.wait(_QUOTA_PERIOD_S * (1 - self._share))
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -157,6 +157,10 @@
         """Returns the IP address of a router."""
         return f"127.0.1.{index + 1}"
 
+    def caller_address(self, index: int) -> tuple[str, int]:
+        """Returns where a router listens for callers."""
+        return self.address(index), self._ports[0]
+
     def store_address(self, index: int) -> str:
         """Returns the address at which a router finds the store."""
         del index
