Move the content of refusals into a module of their own

Change: status, headers and body of a refusal leave the callers' side of one request, so that requests without one can be refused too. No behaviour changes.

--- a/crowwinch/forwarding/_call.py
+++ b/crowwinch/forwarding/_call.py
@@ -3,18 +3,12 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-import msgspec
 from aiohttp import web
 from multidict import CIMultiDict
 
-from crowwinch.errors import RefusalError, RefusalReason, RunState
+from crowwinch.errors import RefusalError
 from crowwinch.forwarding._messages import RequestHead
-
-_JSON = "application/json"
-_BAD_GATEWAY = 502
-_UNAVAILABLE = 503
-# Statuses by which callers know that a request has not run.
-_NOT_RUN = frozenset((429, _UNAVAILABLE))
+from crowwinch.forwarding._refusals import body_of, headers_of, status_of
 
 
 class Call:
@@ -135,23 +129,11 @@
 
     async def refuse(self, refusal: RefusalError) -> None:
         """Sends a refusal with its reason and whether the request ran."""
-        headers = CIMultiDict({"Content-Type": _JSON})
-        if refusal.retry_after_s is not None:
-            headers["Retry-After"] = f"{refusal.retry_after_s:.2f}"
-        document = {
-            "error": {
-                "message": str(refusal),
-                "type": "crowwinch_error",
-                "code": refusal.code,
-                "run_state": refusal.run_state.name.lower(),
-                "request_id": self._head.attempt_id,
-            }
-        }
         await self.answer(
-            _status_of(refusal),
+            status_of(refusal),
             "",
-            headers.items(),
-            msgspec.json.encode(document),
+            headers_of(refusal),
+            body_of(refusal, self._head.attempt_id),
         )
 
     def abort(self) -> None:
@@ -167,21 +149,6 @@
         self._status = response.status
 
 
-def _status_of(refusal: RefusalError) -> int:
-    """Returns the status of a refusal.
-
-    A crash suspect is no mistake of its caller, so it gets no 4xx status. 429
-    and 503 promise that the request did not run; after a run that gave no
-    answer, a request that finds no place for its repeat gets 502.
-    """
-    status = refusal.status
-    if refusal.reason is RefusalReason.CRASH_SUSPECT:
-        status = _UNAVAILABLE
-    if refusal.run_state is not RunState.NOT_RUN and status in _NOT_RUN:
-        return _BAD_GATEWAY
-    return status
-
-
 async def read_body(
     request: web.BaseRequest, limit: int, timeout_s: float
 ) -> bytes | None:
