Refuse connections that wait over 50 ms in a late router

Cause: a late router accepts one connection in each turn of the event loop. What it leaves waits in the queue of the kernel, which holds 1,024 connections, first in, first out. Once it takes longer than callers wait, each connection that is accepted has been left by its caller, and no caller that still waits is ever reached, however long the crowd goes on. Ruled out: descriptors (1,866 of 4,100) and a standing loop (lag_s 0.1 at most).

Change: all connections are accepted at once and wait in the router. A late router opens one a turn, the newest as soon as the oldest has waited for 25 ms. After 50 ms a connection is refused with 503 and Retry-After, without parsing its request, and its caller has an answer at once. Connections whose callers have left are closed before they cost anything.

Its callers now wait 1.5 s for an answer, the deadline of plain services, and 1 s for a connection; before they allowed 1 s for both.

--- a/crowwinch/errors.py
+++ b/crowwinch/errors.py
@@ -41,6 +41,7 @@
     CALLER_GONE = 23
     IDEMPOTENCY_KEY_UNUSED = 24
     ANSWER_NOT_KEPT = 25
+    ROUTER_OVERLOADED = 26
 
 
 class RetryReason(enum.IntEnum):
--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +12,7 @@
 from crowwinch.coordination import Clock
 from crowwinch.errors import RefusalError, RefusalReason
 from crowwinch.forwarding._call import Call, read_body
+from crowwinch.forwarding._early_refusals import EarlyRefusals
 from crowwinch.forwarding._forwarder import Forwarder
 from crowwinch.forwarding._listener import ConnectionListener
 from crowwinch.forwarding._messages import WireCodec
@@ -33,7 +35,7 @@
 # crowd used up all of them, and requests were read seconds late.
 _KEPT_SHARE = 0.4
 # Another router takes the request at once.
-_STOPPING_RETRY_S = 0.05
+_OTHER_ROUTER_RETRY_S = 0.05
 # Never sent: the caller has left before its answer.
 _CALLER_GONE_STATUS = 499
 
@@ -187,7 +189,14 @@
         )
         await self._runner.setup()
         self._listener = ConnectionListener(
-            self._address, factory, self._metrics, self._was_late
+            self._clock,
+            self._address,
+            factory,
+            EarlyRefusals(
+                self._codec.attempt_header, self._no_time, self._metrics
+            ),
+            self._metrics,
+            self._was_late,
         )
         await self._listener.start()
 
@@ -212,6 +221,14 @@
             return True
         return self._open_connections > self._kept_connections
 
+    def _no_time(self) -> RefusalError:
+        return RefusalError(
+            RefusalReason.ROUTER_OVERLOADED,
+            "the router has no time for new connections",
+            # Callers of one crowd come back at different times.
+            retry_after_s=_OTHER_ROUTER_RETRY_S * random.uniform(1.0, 2.0),
+        )
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = self._clock.monotonic()
         self._active += 1
@@ -234,7 +251,7 @@
                 RefusalError(
                     RefusalReason.SHUTTING_DOWN,
                     "the router is stopping",
-                    retry_after_s=_STOPPING_RETRY_S,
+                    retry_after_s=_OTHER_ROUTER_RETRY_S,
                 ),
             )
         if self._body_bytes > self._body_capacity:
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from crowwinch.coordination import SystemClock
+from crowwinch.errors import RefusalError, RefusalReason
 from crowwinch.forwarding import (
     CallerServer,
     Engine,
@@ -395,3 +396,10 @@
     @property
     def sends(self):
         return sum(len(target.seen) for target in self.targets)
+
+
+def refusal():
+    """Returns a refusal as a router without time gives it."""
+    return RefusalError(
+        RefusalReason.ROUTER_OVERLOADED, "no time", retry_after_s=0.05
+    )
--- a/crowwinch/forwarding/tests/test_listener.py
+++ b/crowwinch/forwarding/tests/test_listener.py
@@ -3,27 +3,42 @@
 import asyncio
 import errno
 import socket
+import time
 import unittest
 from unittest import mock
 
 import uvloop
 
+from crowwinch.coordination import SystemClock
 from crowwinch.forwarding import SocketAddress
+from crowwinch.forwarding._early_refusals import EarlyRefusals
 from crowwinch.forwarding._listener import ConnectionListener
 from crowwinch.forwarding.tests.support import (
     KEY,
     Router,
     ScriptedTarget,
     good,
+    refusal,
 )
 from crowwinch.observability import Metrics
 
 _LISTENER = "crowwinch.forwarding._listener"
 _CONNECTIONS = 100
+# A turn of a late router, and when none of its connections may wait any more.
+_TURN_S = 0.005
+_LATEST_REFUSAL_S = 0.2
 # Turns of the event loop from an accepted connection to a protocol.
 _MOST_TURNS = 10
 
 
+def _has_refusal(caller):
+    caller.setblocking(False)
+    try:
+        return caller.recv(12) == b"HTTP/1.1 503"
+    except BlockingIOError:
+        return False
+
+
 class _Protocol(asyncio.Protocol):
     def __init__(self, made):
         self._made = made
@@ -51,8 +66,10 @@
         async def run():
             address = SocketAddress("127.0.0.1", 0)
             listener = ConnectionListener(
+                SystemClock(),
                 address,
                 lambda: _Protocol(self.made),
+                EarlyRefusals("X-Attempt", refusal, self.metrics),
                 self.metrics,
                 lambda: was_late,
             )
@@ -99,6 +116,58 @@
 
         self._run(check, was_late=True)
 
+    def test_a_late_process_opens_or_refuses_what_waits(self):
+        """Guards against callers that wait until they give up.
+
+        All connections waited in the queue of the kernel, where those of
+        callers that had left came first.
+        """
+
+        async def check(listener):
+            callers = [
+                self._connect(listener.port) for _ in range(_CONNECTIONS)
+            ]
+            for caller in callers:
+                caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            started = time.monotonic()
+            while sum(map(self._connections, ("opened", "refused"))) < 100:
+                await asyncio.sleep(0)
+                time.sleep(_TURN_S)
+            self.assertLess(time.monotonic() - started, _LATEST_REFUSAL_S)
+            self.assertGreater(self._connections("refused"), 0)
+            refused = [caller for caller in callers if _has_refusal(caller)]
+            self.assertEqual(len(refused), self._connections("refused"))
+
+        self._run(check, was_late=True)
+
+    def test_a_late_process_opens_all_that_come_slowly(self):
+        """Guards against refusals by a router that has time again."""
+
+        async def check(listener):
+            for _ in range(20):
+                self._connect(listener.port).sendall(b"GET / HTTP/1.1\r\n")
+                await asyncio.sleep(_TURN_S)
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(self.made), 20)
+            self.assertEqual(self._connections("refused"), 0)
+
+        self._run(check, was_late=True)
+
+    def test_what_waits_at_the_end_is_refused(self):
+        """Guards against connections that end without a word at a stop."""
+
+        async def check(listener):
+            callers = [self._connect(listener.port) for _ in range(20)]
+            for caller in callers:
+                caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            while not self._connections("opened"):
+                await asyncio.sleep(0)
+            await listener.stop()
+            self.assertGreater(self._connections("refused"), 0)
+            self.assertTrue(_has_refusal(callers[-1]))
+
+        self._run(check, was_late=True)
+
     def test_callers_that_left_are_counted(self):
         """Guards against a queue of callers that left, seen by nobody."""
 
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -11,9 +11,10 @@
 
 from tests.platform_fleet import HOST, KEY
 
-# Callers leave if their request was not read within this time, as those of the
-# operators' platform do.
-PATIENCE_S = 1.0
+# Callers of the operators' platform allow a connection this long to open.
+_CONNECT_TIMEOUT_S = 1.0
+# They wait this long for a plain service.
+_DEADLINE_S = 1.5
 # A core's share is a quota of each tenth of a second.
 _QUOTA_PERIOD_S = 0.1
 
@@ -37,14 +38,17 @@
     """Sends a request on a new connection and waits for its status."""
     request = (
         f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {KEY}\r\n"
-        f"X-Crowwinch-Attempt-Id: {attempt}\r\nContent-Length: 4\r\n\r\nbody"
+        f"X-Crowwinch-Attempt-Id: {attempt}\r\n"
+        f"X-Crowwinch-Deadline-Ms: {_DEADLINE_S * 1000:.0f}\r\n"
+        "Content-Length: 4\r\n\r\nbody"
     )
     start = time.monotonic()
     status = 0
     writer = None
     try:
-        async with asyncio.timeout(PATIENCE_S):
-            reader, writer = await asyncio.open_connection(host, port)
+        async with asyncio.timeout(_DEADLINE_S):
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(host, port)
             writer.write(request.encode())
             line = await reader.readline()
             status = int(line.split()[1]) if line else 0
