Say not ready while a router refuses connections for lack of time

Cause: the balancer sends all connections of a caller to one router, also those on which it comes back after a refusal, as long as that router says that it is ready. The router said so whatever it refused: readiness told only whether it knew a configuration.

Open connections are served on. If fewer than half of a zone's routers are ready, the balancer uses all of them.

--- a/crowwinch/forwarding/_listener.py
+++ b/crowwinch/forwarding/_listener.py
@@ -11,6 +11,7 @@
 from crowwinch.coordination import Clock
 from crowwinch.forwarding._early_refusals import EarlyRefusals
 from crowwinch.forwarding._model import SocketAddress
+from crowwinch.forwarding._overload import OverloadDetector
 from crowwinch.observability import Metrics
 
 _LOGGER = logging.getLogger(__name__)
@@ -64,6 +65,7 @@
         address: SocketAddress,
         make_protocol: Callable[[], asyncio.Protocol],
         refusals: EarlyRefusals,
+        overload: OverloadDetector,
         metrics: Metrics,
         was_late: Callable[[], bool] = lambda: False,
     ) -> None:
@@ -74,6 +76,7 @@
             address: Where to listen.
             make_protocol: Returns what handles a connection.
             refusals: Refuses requests that have waited too long.
+            overload: Is told of connections that have waited too long.
             metrics: Counts accepted connections.
             was_late: Returns whether the process lacked processor time lately.
         """
@@ -81,6 +84,7 @@
         self._address = address
         self._make_protocol = make_protocol
         self._refusals = refusals
+        self._overload = overload
         self._metrics = metrics
         self._was_late = was_late
         self._waiting: deque[_Waiting] = deque()
@@ -189,6 +193,7 @@
             take = self._waiting.pop if is_standing else self._waiting.popleft
             self._open(take())
         while self._waiting and now - self._waiting[0].since > _LONGEST_WAIT_S:
+            self._overload.note_refusal()
             self._refuse(self._waiting.popleft())
         if self._waiting:
             loop = asyncio.get_running_loop()
--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -17,6 +17,7 @@
 from crowwinch.forwarding._listener import ConnectionListener
 from crowwinch.forwarding._messages import WireCodec
 from crowwinch.forwarding._model import RequestLimits, SocketAddress
+from crowwinch.forwarding._overload import OverloadDetector
 from crowwinch.observability import Metrics
 
 _LOGGER = logging.getLogger(__name__)
@@ -153,6 +154,7 @@
         self._metrics = metrics
         metrics.gauge("open_connections", lambda: self._open_connections)
         self._was_late = was_late
+        self._overload = OverloadDetector(clock, random.random)
         self._kept_connections = int(max_descriptors * _KEPT_SHARE)
         self._body_capacity = int(memory_bytes * _BODY_MEMORY_SHARE)
         self._body_bytes = 0
@@ -168,6 +170,11 @@
         """Requests that are not answered yet."""
         return self._active
 
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether other routers should take new connections."""
+        return self._overload.is_overloaded
+
     @property
     def port(self) -> int:
         """The port in use once started."""
@@ -195,6 +202,7 @@
             EarlyRefusals(
                 self._codec.attempt_header, self._no_time, self._metrics
             ),
+            self._overload,
             self._metrics,
             self._was_late,
         )
--- a/crowwinch/forwarding/tests/test_listener.py
+++ b/crowwinch/forwarding/tests/test_listener.py
@@ -13,6 +13,7 @@
 from crowwinch.forwarding import SocketAddress
 from crowwinch.forwarding._early_refusals import EarlyRefusals
 from crowwinch.forwarding._listener import ConnectionListener
+from crowwinch.forwarding._overload import OverloadDetector
 from crowwinch.forwarding.tests.support import (
     KEY,
     Router,
@@ -53,6 +54,7 @@
     def setUp(self):
         self.made = []
         self.metrics = Metrics()
+        self.overload = OverloadDetector(SystemClock(), lambda: 0.0)
 
     def _connect(self, port):
         caller = socket.create_connection(("127.0.0.1", port), timeout=5.0)
@@ -70,6 +72,7 @@
                 address,
                 lambda: _Protocol(self.made),
                 EarlyRefusals("X-Attempt", refusal, self.metrics),
+                self.overload,
                 self.metrics,
                 lambda: was_late,
             )
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -100,6 +100,7 @@
         self._metrics.declare_reasons("retries", RetryReason)
         self._metrics.declare_reasons("peer_rejections", PeerRejection)
         self._metrics.gauge("loop_lag_seconds", lambda: self._lag.seconds)
+        self._metrics.gauge("ready", lambda: self.is_ready)
         self._store = StoreClient(settings.store)
         self._state = DirectoryState(self._clock, DocumentCodec())
         self._state.subscribe(self._on_directory)
@@ -163,7 +164,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer is to send new connections."""
-        return self._state.routing is not None and not self._is_stopping
+        return (
+            self._state.routing is not None
+            and not self._is_stopping
+            and not self._callers.is_overloaded
+        )
 
     def _build_sharing(self) -> SharingState:
         settings = self._settings
