Open new connections only after short turns in a late router

Cause: a request takes about six turns of the event loop. The router opened one connection a turn however long that turn was, so what it had open grew until a turn took 50 to 100 ms, and all of them were late.

Change: a late router opens a connection after a turn of at most 10 ms only, and one each 0.25 s in any case; the rest is refused after its 50 ms as before.

Evidence: the new test saw 46 or more openings in a second of turns of 20 ms without the change; at most 7 are allowed.

--- a/crowwinch/forwarding/_listener.py
+++ b/crowwinch/forwarding/_listener.py
@@ -24,6 +24,11 @@
 # A late process refuses connections that it has not opened by then. The
 # shortest goals for answers are 0.125 s; the rest is left to another router.
 _LONGEST_WAIT_S = 0.05
+# A request takes about six turns of the event loop. A late process opens no
+# connection after a longer turn, so that those it has opened end in time, apart
+# from one now and then.
+_LONGEST_TURN_S = 0.01
+_LONGEST_PAUSE_S = 0.25
 # Above this wait of the oldest, the newest is opened first: the oldest would
 # only be opened when most of its time is gone, and all after it too.
 _NEWEST_FIRST_S = 0.025
@@ -88,6 +93,9 @@
         self._metrics = metrics
         self._was_late = was_late
         self._waiting: deque[_Waiting] = deque()
+        # Monotonic times of the last turn and of the last opening in one.
+        self._turned_at = float("-inf")
+        self._opened_at = float("-inf")
         self._accepted = 0
         self._left = 0
         self._summary: asyncio.TimerHandle | None = None
@@ -187,7 +195,10 @@
                 self._open(self._waiting.popleft())
             return
         now = self._clock.monotonic()
-        if self._waiting:
+        has_time = now - self._turned_at <= _LONGEST_TURN_S
+        is_pausing = now - self._opened_at > _LONGEST_PAUSE_S
+        if self._waiting and (has_time or is_pausing):
+            self._opened_at = now
             oldest_s = now - self._waiting[0].since
             is_standing = oldest_s > _NEWEST_FIRST_S
             take = self._waiting.pop if is_standing else self._waiting.popleft
@@ -196,6 +207,7 @@
             self._overload.note_refusal()
             self._refuse(self._waiting.popleft())
         if self._waiting:
+            self._turned_at = self._clock.monotonic()
             loop = asyncio.get_running_loop()
             self._next_turn = loop.call_soon(self._open_waiting)
 
--- a/crowwinch/forwarding/tests/test_listener.py
+++ b/crowwinch/forwarding/tests/test_listener.py
@@ -27,6 +27,7 @@
 _CONNECTIONS = 100
 # A turn of a late router, and when none of its connections may wait any more.
 _TURN_S = 0.005
+_LONG_TURN_S = 0.02
 _LATEST_REFUSAL_S = 0.2
 # Turns of the event loop from an accepted connection to a protocol.
 _MOST_TURNS = 10
@@ -143,6 +144,21 @@
 
         self._run(check, was_late=True)
 
+    def test_a_late_process_opens_few_connections_between_long_turns(self):
+        """Guards against requests that are served late, all of them."""
+
+        async def check(listener):
+            started = time.monotonic()
+            while time.monotonic() - started < 1.0:
+                for _ in range(5):
+                    self._connect(listener.port).sendall(b"GET / HTTP/1.1\r\n")
+                await asyncio.sleep(0)
+                time.sleep(_LONG_TURN_S)
+            self.assertGreater(self._connections("opened"), 2)
+            self.assertLess(self._connections("opened"), 8)
+
+        self._run(check, was_late=True)
+
     def test_a_late_process_opens_all_that_come_slowly(self):
         """Guards against refusals by a router that has time again."""
 
