Count refusals of a stopping router, also when the caller has left

Cause: refusals of the callers' server were written without handling a connection that its caller had closed meanwhile, and did not reach the metrics; those of the forwarder do both.

Change: such a caller is counted in callers_gone, and each refusal by its reason.

Evidence: the new test saw the error of aiohttp.server before.

--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -308,6 +308,12 @@
                 "status": refusal.status,
             },
         )
-        await call.refuse(refusal)
+        self._metrics.count_reason("refusals", refusal.reason)
+        self._metrics.count("requests", "code", refusal.code)
+        try:
+            await call.refuse(refusal)
+        except ConnectionError:
+            # The caller left before its refusal.
+            self._metrics.count("callers_gone")
         call.response.force_close()
         return call.response
--- a/crowwinch/forwarding/tests/test_streams.py
+++ b/crowwinch/forwarding/tests/test_streams.py
@@ -1,6 +1,7 @@
 """Time limits, callers that leave, and streams of events."""
 
 import asyncio
+import socket
 
 from crowwinch.forwarding import RouteKind, Target
 from crowwinch.forwarding.tests.support import (
@@ -97,6 +98,18 @@
         self.assertEqual((reply.status, reply.is_kept), (503, False))
         self.assertIn(b'"run_state":"not_run"', reply.body)
 
+    async def test_a_caller_that_left_before_its_refusal(self):
+        """Guards against an error and a traceback for each such caller."""
+        router = await self.router(good)
+        router.server.refuse_new()
+        address = ("127.0.0.1", router.server.port)
+        with socket.create_connection(address) as caller:
+            await asyncio.sleep(0.05)
+            caller.sendall(b"GET /a/x HTTP/1.1\r\nHost: host.example\r\n\r\n")
+        with self.assertNoLogs("aiohttp.server", "ERROR"):
+            await asyncio.sleep(0.05)
+        self.assertEqual(router.metrics.value("callers_gone"), 1)
+
 
 class StreamTest(RouterTest):
     """Guards against events that are lost, doubled, joined or held back."""
