Tell refused callers to return when the balancer has noticed the overload

Cause: Retry-After was 0.05 to 0.1 s, as for a router that stops. The balancer sends a caller to the same router until it has asked for readiness twice, which takes up to two seconds.

Change: from the start of a hold on, Retry-After is the rest of two seconds, and 0.05 s after them; 0 to 0.25 s at random come on top, so that callers of one crowd do not return together.

Evidence: the new test of retry_after_s uses a new name.

--- a/crowwinch/forwarding/_overload.py
+++ b/crowwinch/forwarding/_overload.py
@@ -11,12 +11,16 @@
 # that go on for this long, with no longer pause, show a lack of processor time.
 _LASTING_S = 0.5
 _LONGEST_PAUSE_S = 0.25
-# The balancer asks once a second and takes a router out after two answers, so a
-# shorter time would hardly be noticed.
+# The balancer asks once a second and takes a router out after two answers.
+_NOTICED_S = 2.0
+# A shorter time would end just after the balancer has noticed.
 _SHORTEST_HOLD_S = 4.0
 _LONGEST_HOLD_S = 32.0
 # Holds of several routers do not end together.
 _HOLD_SPREAD = 0.5
+# Callers of one crowd do not return together.
+_SHORTEST_RETRY_S = 0.05
+_RETRY_SPREAD_S = 0.25
 
 
 class OverloadDetector:
@@ -38,6 +42,7 @@
         self._random = random
         self._first_refusal = float("-inf")
         self._last_refusal = float("-inf")
+        self._since = float("-inf")
         self._until = float("-inf")
         self._hold_s = _SHORTEST_HOLD_S
 
@@ -46,6 +51,17 @@
         """Whether this router should get no new connections."""
         return self._clock.monotonic() < self._until
 
+    def retry_after_s(self) -> float:
+        """Returns after how many seconds a refused caller may come back.
+
+        Until the balancer has noticed, it sends callers here again.
+        """
+        unnoticed = 0.0
+        if self.is_overloaded:
+            unnoticed = self._since + _NOTICED_S - self._clock.monotonic()
+        spread = _RETRY_SPREAD_S * self._random()
+        return _SHORTEST_RETRY_S + max(unnoticed, 0.0) + spread
+
     def note_refusal(self) -> None:
         """Records that a connection was refused for lack of time."""
         now = self._clock.monotonic()
@@ -64,7 +80,7 @@
         if now - self._until > _LONGEST_HOLD_S:
             self._hold_s = _SHORTEST_HOLD_S
         hold_s = self._hold_s * (1 + _HOLD_SPREAD * self._random())
-        self._until = now + hold_s
+        self._since, self._until = now, now + hold_s
         _LOGGER.warning(
             "not ready for new connections: no processor time",
             extra={"hold_s": round(hold_s, 1)},
--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -233,8 +233,7 @@
         return RefusalError(
             RefusalReason.ROUTER_OVERLOADED,
             "the router has no time for new connections",
-            # Callers of one crowd come back at different times.
-            retry_after_s=_OTHER_ROUTER_RETRY_S * random.uniform(1.0, 2.0),
+            retry_after_s=self._overload.retry_after_s(),
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/crowwinch/forwarding/tests/test_overload.py
+++ b/crowwinch/forwarding/tests/test_overload.py
@@ -70,6 +70,15 @@
         self.assertGreater(second, 1.5 * first)
         self.assertAlmostEqual(third, first, delta=0.3)
 
+    def test_callers_return_when_the_balancer_has_noticed(self):
+        """Guards against callers that return to the same router at once."""
+        self.assertLess(self.overload.retry_after_s(), 0.1)
+        with self.assertLogs(_LOGGER, "WARNING"):
+            self._refuse(0.55)
+        self.assertGreater(self.overload.retry_after_s(), 1.5)
+        self._move(2.5)
+        self.assertLess(self.overload.retry_after_s(), 0.1)
+
 
 if __name__ == "__main__":
     unittest.main()
