--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -1,7 +1,6 @@
 """A crowd of callers on new connections, and a limit of processor time."""
 
 import asyncio
-import os
 import signal
 import threading
 import time
@@ -9,6 +8,7 @@
 
 import uvloop
 
+from standins.processes import Process
 from tests.platform_fleet import HOST, KEY
 
 # Callers of the operators' platform allow a connection this long to open.
@@ -85,9 +85,9 @@
 class ProcessorQuota:
     """Lets a process run for a share of each tenth of a second only."""
 
-    def __init__(self, pid: int, share: float) -> None:
+    def __init__(self, process: Process, share: float) -> None:
         """Stores which process may run for which share of the time."""
-        self._pid = pid
+        self._process = process
         self._share = share
         self._is_lifted = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -101,11 +101,11 @@
         """Lets the process run freely."""
         self._is_lifted.set()
         self._thread.join()
-        os.kill(self._pid, signal.SIGCONT)
+        self._process.signal(signal.SIGCONT)
 
     def _run(self) -> None:
         while not self._is_lifted.is_set():
-            os.kill(self._pid, signal.SIGCONT)
+            self._process.signal(signal.SIGCONT)
             time.sleep(_QUOTA_PERIOD_S * self._share)
-            os.kill(self._pid, signal.SIGSTOP)
+            self._process.signal(signal.SIGSTOP)
             self._is_lifted.wait(_QUOTA_PERIOD_S * (1 - self._share))
--- a/tests/soak/_load.py
+++ b/tests/soak/_load.py
@@ -137,9 +137,9 @@
                 await asyncio.sleep(self._rng.uniform(0, longest))
 
 
-def open_session() -> aiohttp.ClientSession:
+def open_session(timeout_s: float = _TIMEOUT_S) -> aiohttp.ClientSession:
     """Returns a session that keeps its connection."""
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=1),
-        timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
+        timeout=aiohttp.ClientTimeout(total=timeout_s),
     )
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -20,9 +20,21 @@
     """All checks of one run."""
 
     def __init__(
-        self, fleet: SoakFleet, faults: Faults, records: Sequence[Record]
+        self,
+        fleet: SoakFleet,
+        faults: Faults,
+        records: Sequence[Record],
+        crowds: Sequence[Record] = (),
     ) -> None:
-        """Takes what was seen from outside."""
+        """Takes what was seen from outside.
+
+        Args:
+            fleet: The fleet and its disturbances.
+            faults: What was planned.
+            records: All requests.
+            crowds: Those of crowds on new connections, also in `records`.
+        """
+        self._crowds = crowds
         self._fleet = fleet
         self._faults = faults
         self._records = records
@@ -42,6 +54,7 @@
             self._refusals_are_true,
             self._answers_are_not_lost,
             self._answers_come_in_time,
+            self._crowds_are_answered,
             self._leaving_targets_get_nothing,
             self._routers_end_as_told,
         )
@@ -104,6 +117,14 @@
             if is_late and self._fleet.is_calm(part, record.start, record.end):
                 yield f"{took:.2f} s: {record}"
 
+    def _crowds_are_answered(self) -> Iterator[str]:
+        """A router without time refuses callers instead of leaving them."""
+        for record in self._crowds:
+            part = f"router-{record.router}"
+            is_calm = self._fleet.is_calm(part, record.start, record.end)
+            if record.status == 0 and is_calm:
+                yield str(record)
+
     def _leaving_targets_get_nothing(self) -> Iterator[str]:
         for leaving in self._faults.leavings:
             first = leaving.since + _DRAIN_S + _CLOCK_SLACK_S
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from tests.platform_fleet import KEY
+from tests.soak._crowds import Crowds
 from tests.soak._faults import Faults
 from tests.soak._fleet import SoakFleet, version_key
 from tests.soak._load import KINDS, Load, open_session
@@ -47,12 +48,14 @@
         """Stores the plan.
 
         An odd seed has planned work only. Each fourth seed plays a fleet in
-        which most routers hear of changes from a few readers of the store.
+        which most routers hear of changes from a few readers of the store. Each
+        third seed sends crowds to routers with little processor time.
         """
         self._seed = seed
         self._routers = _MANY_ROUTERS if seed % 4 == 0 else _FEW_ROUTERS
         self._seconds = seconds
         self._only_planned = seed % 2 == 1
+        self._has_crowds = seed % 3 == 0
         self._is_over = False
         self._stale: list[str] = []
 
@@ -81,18 +84,26 @@
             asyncio.ensure_future(self._watch(fleet)),
             asyncio.ensure_future(self._probe(fleet, load, faults)),
         ]
+        crowds = Crowds(fleet, load, random.Random(self._seed))
+        if self._has_crowds:
+            running.append(asyncio.ensure_future(crowds.run(self._seconds)))
         await faults.run(self._seconds, only_planned=self._only_planned)
         unserved = await self._recover(load)
         self._is_over = True
         load.stop()
         await asyncio.gather(*running)
-        broken = Promises(fleet, faults, load.records).broken()
+        promises = Promises(fleet, faults, load.records, crowds.records)
+        broken = promises.broken()
         broken += self._stale
         if unserved:
             broken.append(f"not served again after the faults: {unserved}")
         served = sum(record.status == 200 for record in load.records)
         return Result(
-            self._seed, served, len(load.records), broken, faults.journal
+            self._seed,
+            served,
+            len(load.records),
+            broken,
+            sorted(faults.journal + crowds.journal),
         )
 
     async def _watch(self, fleet: SoakFleet) -> None:
--- a/tests/test_crowd_processes.py
+++ b/tests/test_crowd_processes.py
@@ -33,7 +33,7 @@
         host, port = self.fleet.caller_address(0)
         asked = []
         with (
-            ProcessorQuota(self.fleet.routers[0].handle.pid, _SHARE),
+            ProcessorQuota(self.fleet.routers[0], _SHARE),
             concurrent.futures.ThreadPoolExecutor(1) as pool,
         ):
             visits = pool.submit(
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -12,8 +12,9 @@
 from tests.soak._promises import Promises
 from tests.soak._run import Soak
 
-# One run of planned work only, one with all faults, and one of a large fleet.
-_SEEDS = (1, 2, 4)
+# One run of planned work only, one with all faults, one of planned work and
+# crowds, and one of a large fleet.
+_SEEDS = (1, 2, 3, 4)
 _SECONDS = 8.0
 
 
@@ -65,12 +66,19 @@
     def _disturb(self, part, start, end, what="kill"):
         self.fleet.disturbances.append(Disturbance(part, start, end, what))
 
-    def _broken(self):
+    def _broken(self, crowds=()):
         lines = [f"{at} {name} {attempt}\n" for at, name, attempt in self.runs]
         self.fleet.run_log.write_text("".join(lines))
-        broken = Promises(self.fleet, self.faults, self.records).broken()
+        promises = Promises(self.fleet, self.faults, self.records, crowds)
+        broken = promises.broken()
         return {line.partition(":")[0] for line in broken}
 
+    def test_a_caller_of_a_crowd_without_an_answer(self):
+        self._ask(status=0, runs=0, error="timeout")
+        self.assertEqual(self._broken(self.records), {"crowds_are_answered"})
+        self._disturb("router-0", 99.0, 101.0)
+        self.assertEqual(self._broken(self.records), set())
+
     def test_nothing_is_broken_by_good_answers(self):
         self._ask()
         self._ask("plan", runs=2)
