Do not wait for cut streams when the callers' server stops

Cause: a stopping router ends what is left 1.2 s before it is killed. The HTTP library then waited twice for 0.2 s for requests that were not answered, though the router had waited for them before.

Change: that time is 0.02 s.

--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -26,7 +26,9 @@
 _BODY_TIMEOUT_S = 15.0
 # Connections are kept a little longer than callers may stay idle.
 _IDLE_MARGIN_S = 2.0
-_SHUTDOWN_TIMEOUT_S = 0.2
+# The HTTP library waits this long twice for requests that are not answered when
+# the server stops. A stopping router has waited for them before.
+_SHUTDOWN_TIMEOUT_S = 0.02
 _MAX_HEADERS = 128
 # Part of the process's memory that bodies of requests may take.
 _BODY_MEMORY_SHARE = 0.2
--- a/crowwinch/forwarding/tests/test_streams.py
+++ b/crowwinch/forwarding/tests/test_streams.py
@@ -98,6 +98,17 @@
         self.assertEqual((reply.status, reply.is_kept), (503, False))
         self.assertIn(b'"run_state":"not_run"', reply.body)
 
+    async def test_a_server_with_open_streams_stops_at_once(self):
+        """Guards against a router that is killed at the end of its grace."""
+        router = await self.router(_silent)
+        caller = await router.connect()
+        await caller.send()
+        await asyncio.sleep(0.05)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        await router.server.stop()
+        self.assertLess(loop.time() - started, 0.2)
+
     async def test_a_caller_that_left_before_its_refusal(self):
         """Guards against an error and a traceback for each such caller."""
         router = await self.router(good)
