Leave time for answers when a crowd is refused

Cause: a late router refused all connections that had waited for 50 ms in one turn of its loop. With little processor time each turn went to refusals, requests that were open got one turn in 0.1 s or more, and six turns took longer than their callers wait. Reproduced beside 14 busy processes.

Change: at most 16 refusals a turn, which take as long as one answer. A late router opens a connection each 0.1 s (0.25 s) at least. Connections closed unread are counted and logged.

--- a/crowwinch/forwarding/_listener.py
+++ b/crowwinch/forwarding/_listener.py
@@ -21,20 +21,26 @@
 # Connections accepted in one turn of the event loop; requests on open ones wait
 # for these few milliseconds at most.
 _MOST_PER_TURN = 64
+# Connections refused in one turn. They take about the time of one answer, so
+# that half of it is left to answers however many callers there are.
+_MOST_REFUSALS = 16
 # A late process refuses connections that it has not opened by then. The
 # shortest goals for answers are 0.125 s; the rest is left to another router.
 _LONGEST_WAIT_S = 0.05
 # A request takes about six turns of the event loop. A late process opens no
-# connection after a longer turn, so that those it has opened end in time, apart
-# from one now and then.
+# connection after a longer turn, so that those it has opened end in time, but
+# one after this pause in any case.
 _LONGEST_TURN_S = 0.01
-_LONGEST_PAUSE_S = 0.25
+_LONGEST_PAUSE_S = 0.1
+# What could not even be refused by then is closed unread, for a tenth of the
+# time that a refusal takes. Callers may send their requests again after it.
+_LONGEST_UNANSWERED_S = 0.25
 # Above this wait of the oldest, the newest is opened first: the oldest would
 # only be opened when most of its time is gone, and all after it too.
 _NEWEST_FIRST_S = 0.025
 # Without a free descriptor nothing is accepted for this long.
 _RETRY_S = 0.1
-# Callers that left unread are summed up in one line each second.
+# Connections that ended unread are summed up in one line each second.
 _SUMMARY_PERIOD_S = 1.0
 
 
@@ -96,8 +102,10 @@
         # Monotonic times of the last turn and of the last opening in one.
         self._turned_at = float("-inf")
         self._opened_at = float("-inf")
+        # Connections since the first of a summary.
         self._accepted = 0
         self._left = 0
+        self._closed = 0
         self._summary: asyncio.TimerHandle | None = None
         self._socket: socket.socket | None = None
         self._retry: asyncio.TimerHandle | None = None
@@ -173,19 +181,26 @@
         connection.close()
         self._left += 1
         self._metrics.count("connections", "outcome", "caller_left")
+        self._plan_summary()
+        return False
+
+    def _plan_summary(self) -> None:
         if self._summary is None:
             self._summary = asyncio.get_running_loop().call_later(
                 _SUMMARY_PERIOD_S, self._summarize
             )
-        return False
 
     def _summarize(self) -> None:
         self._summary = None
         _LOGGER.warning(
-            "callers left before their connections were accepted",
-            extra={"accepted": self._accepted, "left": self._left},
+            "connections ended before they were read",
+            extra={
+                "accepted": self._accepted,
+                "left": self._left,
+                "closed": self._closed,
+            },
         )
-        self._accepted = self._left = 0
+        self._accepted = self._left = self._closed = 0
 
     def _open_waiting(self) -> None:
         """Opens what this turn has time for; refuses what waited too long."""
@@ -203,15 +218,34 @@
             is_standing = oldest_s > _NEWEST_FIRST_S
             take = self._waiting.pop if is_standing else self._waiting.popleft
             self._open(take())
-        while self._waiting and now - self._waiting[0].since > _LONGEST_WAIT_S:
-            self._overload.note_refusal()
-            self._refuse(self._waiting.popleft())
+        self._end_waits(now)
         if self._waiting:
             self._turned_at = self._clock.monotonic()
             loop = asyncio.get_running_loop()
             self._next_turn = loop.call_soon(self._open_waiting)
 
+    def _end_waits(self, now: float) -> None:
+        """Refuses what has waited too long, or closes it unread."""
+        refusals = 0
+        while self._waiting:
+            waited_s = now - self._waiting[0].since
+            if waited_s > _LONGEST_UNANSWERED_S:
+                self._close(self._waiting.popleft())
+            elif waited_s > _LONGEST_WAIT_S and refusals < _MOST_REFUSALS:
+                refusals += 1
+                self._refuse(self._waiting.popleft())
+            else:
+                break
+
+    def _close(self, waiting: _Waiting) -> None:
+        self._overload.note_refusal()
+        self._closed += 1
+        self._metrics.count("connections", "outcome", "closed_unread")
+        self._plan_summary()
+        waiting.connection.close()
+
     def _refuse(self, waiting: _Waiting) -> None:
+        self._overload.note_refusal()
         waited_s = self._clock.monotonic() - waiting.since
         if self._refusals.refuse(waiting.connection, waited_s):
             self._metrics.count("connections", "outcome", "refused")
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -1,6 +1,7 @@
 """A crowd of callers on new connections, and a limit of processor time."""
 
 import asyncio
+import pathlib
 import signal
 import threading
 import time
@@ -17,6 +18,9 @@
 _DEADLINE_S = 1.5
 # A core's share is a quota of each tenth of a second.
 _QUOTA_PERIOD_S = 0.1
+# A process that waited for this part of the time in which it could run has not
+# got its quota, since others kept the processors busy.
+_LARGEST_WAITING_SHARE = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +37,11 @@
     seconds: float
     status: int
 
+    @property
+    def is_held(self) -> bool:
+        """Whether the caller waited in vain until it left."""
+        return not self.status and self.seconds >= _CONNECT_TIMEOUT_S
+
 
 async def visit(host: str, port: int, path: str, attempt: str) -> Visit:
     """Sends a request on a new connection and waits for its status."""
@@ -90,10 +99,19 @@
         self._process = process
         self._share = share
         self._is_lifted = threading.Event()
+        self._run_ns = 0
+        self._wait_ns = 0
         self._thread = threading.Thread(target=self._run, daemon=True)
 
+    @property
+    def was_given(self) -> bool:
+        """Whether the process got its share, once the limit has ended."""
+        could_run_ns = self._run_ns + self._wait_ns
+        return self._wait_ns < _LARGEST_WAITING_SHARE * could_run_ns
+
     def __enter__(self) -> "ProcessorQuota":
         """Starts to limit the process."""
+        self._run_ns, self._wait_ns = self._scheduled_ns()
         self._thread.start()
         return self
 
@@ -101,8 +119,21 @@
         """Lets the process run freely."""
         self._is_lifted.set()
         self._thread.join()
+        run_ns, wait_ns = self._scheduled_ns()
+        self._run_ns = run_ns - self._run_ns
+        self._wait_ns = wait_ns - self._wait_ns
         self._process.signal(signal.SIGCONT)
 
+    def _scheduled_ns(self) -> tuple[int, int]:
+        """Returns how long the process ran and waited for a processor."""
+        path = pathlib.Path(f"/proc/{self._process.handle.pid}/schedstat")
+        try:
+            run_ns, wait_ns, _ = path.read_text().split()
+        except (OSError, ValueError):
+            # The process has ended.
+            return 0, 0
+        return int(run_ns), int(wait_ns)
+
     def _run(self) -> None:
         while not self._is_lifted.is_set():
             self._process.signal(signal.SIGCONT)
