--- a/tests/soak/_load.py
+++ b/tests/soak/_load.py
@@ -39,6 +39,7 @@
             request.
         error: Why there was no complete answer.
         key: Key that was sent.
+        patience_s: Time after which the caller leaves.
     """
 
     attempt: str
@@ -50,6 +51,13 @@
     is_sound: bool
     error: str
     key: str
+    patience_s: float = _TIMEOUT_S
+
+    @property
+    def has_left(self) -> bool:
+        """Whether the caller left before its deadline."""
+        took = self.end - self.start
+        return not self.status and self.patience_s <= took < DEADLINE_S
 
 
 class Load:
@@ -121,6 +129,7 @@
             is_sound,
             error,
             key,
+            session.timeout.total or _TIMEOUT_S,
         )
         self.records.append(record)
         return record
