Finish the renames of forwarding and the scheduling dispatcher

Change: _repeat_policy.py and _request_run.py are named after RetryPolicy and RequestContext; silent_for and excuse_silence of RouterDispatcher are unanswered_s and restart_answer_timeout; run is context in delivery.

--- a/crowwinch/forwarding/_delivery.py
+++ b/crowwinch/forwarding/_delivery.py
@@ -8,11 +8,11 @@
     Exchange,
     TargetResponse,
 )
-from crowwinch.forwarding._request_run import RequestContext
+from crowwinch.forwarding._request_context import RequestContext
 
 
 async def deliver(
-    run: RequestContext,
+    context: RequestContext,
     exchange: Exchange,
     response: TargetResponse,
     on_event: Callable[[], None],
@@ -20,7 +20,7 @@
     """Relays a buffered response, an event stream or a large body.
 
     Args:
-        run: State of the request.
+        context: State of the request.
         exchange: Source of the body.
         response: Head of the response, and its body if it was buffered.
         on_event: Called when a buffered response or complete events have
@@ -29,7 +29,7 @@
     Raises:
         AttemptError: If the response is incomplete.
     """
-    call = run.call
+    call = context.call
     if response.body is not None:
         on_event()
         if call.is_started:
@@ -41,7 +41,7 @@
             response.status, response.reason, response.headers, response.body
         )
     elif response.is_stream:
-        await _relay_events(run, exchange, response, on_event)
+        await _relay_events(context, exchange, response, on_event)
     else:
         await call.start(response.status, response.reason, response.headers)
         async for data in exchange.chunks():
@@ -50,7 +50,7 @@
 
 
 async def _relay_events(
-    run: RequestContext,
+    context: RequestContext,
     exchange: Exchange,
     response: TargetResponse,
     on_event: Callable[[], None],
@@ -60,14 +60,14 @@
     The head is sent with the first event, so that another target can respond if
     the stream breaks before it.
     """
-    call = run.call
+    call = context.call
     splitter = EventSplitter()
     async for data in exchange.chunks():
         events = splitter.feed(data)
         if not events:
             continue
         on_event()
-        run.last_event_id = splitter.last_id or run.last_event_id
+        context.last_event_id = splitter.last_id or context.last_event_id
         if not call.is_started:
             await call.start(response.status, response.reason, response.headers)
         await call.write(events)
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -10,9 +10,9 @@
 from crowwinch.forwarding._exchange import AttemptError, Exchange
 from crowwinch.forwarding._messages import AttemptHead, WireCodec
 from crowwinch.forwarding._model import Route, RoutingTable
-from crowwinch.forwarding._repeat_policy import RetryPolicy
+from crowwinch.forwarding._request_context import RequestContext
 from crowwinch.forwarding._request_log import CALLER_GONE, SERVED, RequestLog
-from crowwinch.forwarding._request_run import RequestContext
+from crowwinch.forwarding._retry_policy import RetryPolicy
 from crowwinch.forwarding._sharing_state import Placement, SharingState
 from crowwinch.forwarding._target_client import TargetClient
 from crowwinch.forwarding._target_set import TargetSet
--- a/crowwinch/forwarding/_request_log.py
+++ b/crowwinch/forwarding/_request_log.py
@@ -7,7 +7,7 @@
 from crowwinch.coordination import Clock
 from crowwinch.errors import RefusalReason, RetryReason
 from crowwinch.forwarding._call import Call
-from crowwinch.forwarding._request_run import RequestContext
+from crowwinch.forwarding._request_context import RequestContext
 from crowwinch.observability import Metrics
 from crowwinch.sharing import WorkspaceShares
 
--- a/crowwinch/forwarding/_repeat_policy.py
+++ b/crowwinch/forwarding/_retry_policy.py
@@ -5,7 +5,7 @@
 from crowwinch.coordination import Clock
 from crowwinch.errors import RefusalError, RefusalReason, RetryReason
 from crowwinch.forwarding._exchange import AttemptError, TargetResponse
-from crowwinch.forwarding._request_run import RequestContext
+from crowwinch.forwarding._request_context import RequestContext
 from crowwinch.forwarding._sharing_state import SharingState
 
 _LOGGER = logging.getLogger(__name__)
--- a/crowwinch/platform/tests/test_headers.py
+++ b/crowwinch/platform/tests/test_headers.py
@@ -127,7 +127,7 @@
         self.assertEqual(_encode(("Last-Event-Id", "3"))["Last-Event-Id"], "3")
 
 
-class AnswerHeadTest(unittest.TestCase):
+class ResponseHeadTest(unittest.TestCase):
     """Guards against missed or false not-executed marks of targets."""
 
     def test_not_executed_answers_are_recognized(self):
--- a/crowwinch/scheduling/_dispatcher.py
+++ b/crowwinch/scheduling/_dispatcher.py
@@ -206,11 +206,11 @@
         self._scheduler = None
         self._echoes.disconnect()
 
-    def silent_for(self) -> float:
+    def unanswered_s(self) -> float:
         """Returns for how long an answer has been overdue, in seconds."""
         return self._echoes.unanswered_s()
 
-    def excuse_silence(self) -> None:
+    def restart_answer_timeout(self) -> None:
         """Restarts the measurement of silence after a pause of this process."""
         self._echoes.restart_answer_timeout()
 
--- a/crowwinch/scheduling/_service.py
+++ b/crowwinch/scheduling/_service.py
@@ -336,10 +336,10 @@
         was_paused = now - self._last_check_at > _MAX_CHECK_INTERVAL_S
         self._last_check_at = now
         if was_paused:
-            self._dispatcher.excuse_silence()
+            self._dispatcher.restart_answer_timeout()
             return
         scheduler = self._selected
-        timed_out = self._dispatcher.silent_for() >= SCHEDULER_TIMEOUT_S
+        timed_out = self._dispatcher.unanswered_s() >= SCHEDULER_TIMEOUT_S
         if timed_out and scheduler not in (None, self._name):
             _LOGGER.warning("scheduler timed out", extra={"member": scheduler})
             self._suspected_until[scheduler] = now + SUSPECT_DURATION_S
