--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -285,6 +285,7 @@
                 "read_again": decision.recompute_tokens,
                 "ahead_s": round(decision.waiting_s, 3),
                 "expected_s": round(decision.expected_s, 3),
+                "delay_s": round(decision.expected_s - decision.forecast_s, 3),
                 "waited_s": round(started - call.arrived, 3),
             }
         )
@@ -314,10 +315,10 @@
                 raise AttemptError(
                     f"target answered {response.status}", may_have_run=True
                 )
-            first_event = _FirstEventRecorder(
+            events = _EventRecorder(
                 self, context, reservation, started, decision
             )
-            await deliver(context, exchange, response, first_event.record_event)
+            await deliver(context, exchange, response, events.record_event)
             self._sharing.health.record_response(
                 decision.target, response.status < 500
             )
@@ -394,8 +395,8 @@
         await asyncio.sleep(0)
 
 
-class _FirstEventRecorder:
-    """Records the time to the first event of a response."""
+class _EventRecorder:
+    """Records the times of the events of one attempt."""
 
     def __init__(
         self,
@@ -414,11 +415,13 @@
 
     def record_event(self) -> None:
         """Records that the target has sent an event."""
+        now = self._forwarder.clock.monotonic()
+        self._context.record_event(now)
         if not self._is_first_event:
             return
         self._is_first_event = False
         self._reservation.record_first_event()
-        seconds = self._forwarder.clock.monotonic() - self._started
+        seconds = now - self._started
         self._context.attempts[-1]["first_event_s"] = round(seconds, 3)
         self._forwarder.record_first_event(
             self._context, self._decision, seconds
--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -27,6 +27,10 @@
         last_event_id: Id of the event after which a stream resumes.
         excluded: Targets at which an attempt has failed.
         attempts: Log entry of each attempt.
+        first_event_at: Monotonic time in seconds at which the first event was
+            received from a target, None before.
+        last_event_at: Same for the latest event.
+        longest_pause_s: Longest time between two reads of complete events.
     """
 
     call: Call
@@ -40,6 +44,9 @@
     last_event_id: str | None = None
     excluded: set[str] = field(default_factory=set)
     attempts: list[dict[str, object]] = field(default_factory=list)
+    first_event_at: float | None = None
+    last_event_at: float | None = None
+    longest_pause_s: float = 0.0
 
     @property
     def may_have_run(self) -> bool:
@@ -51,6 +58,16 @@
         """Run state that a refusal reports."""
         return RunState.UNKNOWN if self.may_have_run else RunState.NOT_RUN
 
+    def record_event(self, now: float) -> None:
+        """Records the time at which events were received from a target."""
+        if self.last_event_at is None:
+            self.first_event_at = now
+        else:
+            self.longest_pause_s = max(
+                self.longest_pause_s, now - self.last_event_at
+            )
+        self.last_event_at = now
+
     def digest(self) -> str:
         """Returns a hash of the workspace, method, path and body."""
         call = self.call
--- a/crowwinch/forwarding/_request_log.py
+++ b/crowwinch/forwarding/_request_log.py
@@ -84,6 +84,13 @@
                 "service": context.work.service,
                 "configuration": context.table.version,
                 "cost": context.work.cost,
+                "prompt_tokens": context.work.prompt_tokens,
+                "target_latency_s": context.work.target_latency_s,
+                "time_limit_s": round(context.deadline - call.arrived, 3),
+                "first_event_s": _round_duration(
+                    call.arrived, context.first_event_at
+                ),
+                "longest_pause_s": round(context.longest_pause_s, 3),
                 "workspace_served": round(
                     self._shares.served(context.work.workspace)
                 ),
@@ -94,6 +101,11 @@
         _LOGGER.info("request", extra=entry)
 
 
+def _round_duration(start: float, end: float | None) -> float | None:
+    """Returns the seconds between two times, None if the end is unknown."""
+    return None if end is None else round(end - start, 3)
+
+
 def _round_share_level(units: float) -> int | None:
     """Returns the share level for the log, None if it is unlimited."""
     return None if math.isinf(units) else round(units)
--- a/crowwinch/forwarding/tests/test_streams.py
+++ b/crowwinch/forwarding/tests/test_streams.py
@@ -149,6 +149,24 @@
 
         return script
 
+    async def test_logs_the_first_event_and_the_longest_pause(self):
+        """Guards against late streams that the log does not explain."""
+        router = await self.router(
+            self._stream(range(1, 4), delay=0.1),
+            kind=RouteKind.STREAM,
+            is_engine=True,
+        )
+        with self.assertLogs(
+            "crowwinch.forwarding._request_log", "INFO"
+        ) as logs:
+            await router.call(extra="X-Crowwinch-Deadline-Ms: 700\r\n")
+            await asyncio.sleep(0.01)
+        (record,) = logs.records
+        self.assertLess(record.first_event_s, 0.09)
+        self.assertGreater(record.longest_pause_s, 0.09)
+        self.assertEqual(record.target_latency_s, 0.5)
+        self.assertAlmostEqual(record.time_limit_s, 0.7)
+
     async def test_relays_events_without_delay(self):
         router = await self.router(
             self._stream(range(1, 4), delay=0.1),
