Forecast the first event from what an engine has still to read

Cause: a prompt counted as unread until its first event, the time from the end of reading to the first event was a constant of 0.06 s, and the delay of a target averaged only the events that came later than forecast. Forecasts were too long, and requests were refused or sent elsewhere while engines had time.

Change: the oldest prompt of a router at a target counts partly while it is being read; the time after reading is learned for each service; early events reduce the delay of a target.

--- a/crowwinch/forwarding/_sharing_state.py
+++ b/crowwinch/forwarding/_sharing_state.py
@@ -53,7 +53,11 @@
         if decision.verdict is not Verdict.SEND:
             return Placement(decision, None)
         reservation = self.loads.reserve(
-            decision.target, decision.reading_s, decision.expected_s
+            decision.target,
+            decision.reading_s,
+            decision.expected_s,
+            decision.reading_from_s,
+            decision.reading_until_s,
         )
         self.shares.record_usage(work.workspace, work.cost)
         if work.parts:
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -252,6 +252,8 @@
         is_home=candidate.is_home,
         reading_s=candidate.reading_s,
         waiting_s=candidate.waiting_s,
+        reading_from_s=candidate.reading_from_s,
+        reading_until_s=candidate.reading_until_s,
         forecast_s=candidate.forecast_s,
         expected_s=candidate.expected_s,
     )
--- a/crowwinch/sharing/_loads.py
+++ b/crowwinch/sharing/_loads.py
@@ -20,6 +20,8 @@
 # and the time over which the delay decays to 0 without new events.
 _DELAY_WEIGHT = 0.3
 _DELAY_DECAY_S = 1.5
+# Avoids a division by zero for prompts that are cached as a whole.
+_MIN_READING_S = 1e-6
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,34 +42,67 @@
 class Reservation:
     """Load of one attempt on a target."""
 
-    __slots__ = ("_due", "_is_finished", "_load", "_reading_s")
-
-    def __init__(self, load: "_OwnLoad", reading_s: float, due: float) -> None:
+    __slots__ = (
+        "_due",
+        "_is_finished",
+        "_load",
+        "_reading_from",
+        "_reading_s",
+        "_reading_until",
+    )
+
+    def __init__(
+        self,
+        load: "_OwnLoad",
+        reading_s: float,
+        due: float,
+        reading_from: float,
+        reading_until: float,
+    ) -> None:
         """Adds the attempt to the load.
 
         Args:
             load: Load of the target.
             reading_s: Modelled time to read the prompt.
             due: Monotonic time at which the first event is expected.
+            reading_from: Monotonic time at which the target is expected to
+                start to read the prompt.
+            reading_until: Same for the end.
         """
         self._load = load
         self._reading_s = reading_s
         self._due = due
+        self._reading_from = reading_from
+        self._reading_until = reading_until
         self._is_finished = False
         load.active += 1
-        load.reading_s += reading_s
-        load.unread.add(self)
+        load.unread[self] = None
 
     @property
     def due(self) -> float:
         """Monotonic time at which the first event is expected."""
         return self._due
 
+    @property
+    def reading_s(self) -> float:
+        """Modelled time to read the whole prompt in seconds."""
+        return self._reading_s
+
+    def remaining_reading_s(self, now: float) -> float:
+        """Returns the modelled time to read the rest of the prompt.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        if now <= self._reading_from:
+            return self._reading_s
+        duration = self._reading_until - self._reading_from
+        unread = (self._reading_until - now) / max(duration, _MIN_READING_S)
+        return self._reading_s * min(max(unread, 0.0), 1.0)
+
     def record_first_event(self) -> None:
         """Removes the prefill time of the prompt from the load."""
-        self._load.reading_s -= self._reading_s
-        self._reading_s = 0.0
-        self._load.unread.discard(self)
+        self._load.unread.pop(self, None)
 
     def finish(self) -> None:
         """Removes the attempt from the load; idempotent."""
@@ -80,11 +115,26 @@
 @dataclass(slots=True)
 class _OwnLoad:
     active: int = 0
-    reading_s: float = 0.0
-    unread: set[Reservation] = field(default_factory=set)
+    # In the order in which they were sent.
+    unread: dict[Reservation, None] = field(default_factory=dict)
     delay_s: float = 0.0
     delay_at: float = 0.0
 
+    def reading_s(self, now: float) -> float:
+        """Returns the modelled time to read all prompts that are not read.
+
+        A target reads prompts in order, so only the oldest may be partly read.
+        With partial reads of all of them, errors of the forecasts added up and
+        hid a queue.
+        """
+        prompts = iter(self.unread)
+        oldest = next(prompts, None)
+        if oldest is None:
+            return 0.0
+        return oldest.remaining_reading_s(now) + sum(
+            each.reading_s for each in prompts
+        )
+
 
 @dataclass(slots=True)
 class _PeerReport:
@@ -137,7 +187,12 @@
         self._on_long_prompt = callback
 
     def reserve(
-        self, target: str, reading_s: float, expected_s: float = math.inf
+        self,
+        target: str,
+        reading_s: float,
+        expected_s: float = math.inf,
+        reading_from_s: float = math.inf,
+        reading_until_s: float = math.inf,
     ) -> Reservation:
         """Adds an attempt to the load of a target.
 
@@ -145,10 +200,19 @@
             target: Identifier of the target.
             reading_s: Modelled time to read the prompt.
             expected_s: Forecast of the time to the first event.
+            reading_from_s: Forecast of the time until the target starts to
+                read the prompt.
+            reading_until_s: Same for the end.
         """
         load = self._own.setdefault(target, _OwnLoad())
-        due = self._clock.monotonic() + expected_s
-        reservation = Reservation(load, reading_s, due)
+        now = self._clock.monotonic()
+        reservation = Reservation(
+            load,
+            reading_s,
+            now + expected_s,
+            now + reading_from_s,
+            now + reading_until_s,
+        )
         if reading_s >= _LONG_PROMPT_S:
             self._on_long_prompt()
         return reservation
@@ -161,7 +225,7 @@
         """
         load = self._own.setdefault(target, _OwnLoad())
         delay = self._decayed_delay_s(load)
-        load.delay_s = delay + _DELAY_WEIGHT * (max(late_s, 0.0) - delay)
+        load.delay_s = max(delay + _DELAY_WEIGHT * (late_s - delay), 0.0)
         load.delay_at = self._clock.monotonic()
 
     def delay_s(self, target: str) -> float:
@@ -209,8 +273,9 @@
 
     def own_use(self) -> list[TargetUse]:
         """Returns the load of this router to report to peers."""
+        now = self._clock.monotonic()
         return [
-            TargetUse(target, load.active, max(load.reading_s, 0.0))
+            TargetUse(target, load.active, load.reading_s(now))
             for target, load in self._own.items()
             if load.active
         ]
@@ -228,7 +293,7 @@
     def reading_s(self, target: str) -> float:
         """Returns the modelled prefill time queued at a target in seconds."""
         load = self._own.get(target)
-        own = load.reading_s if load else 0.0
+        own = load.reading_s(self._clock.monotonic()) if load else 0.0
         return max(own + self._remote.get(target, (0.0, 0.0))[1], 0.0)
 
     def remove_target(self, target: str) -> None:
--- a/crowwinch/sharing/_model.py
+++ b/crowwinch/sharing/_model.py
@@ -123,6 +123,8 @@
         is_home: Whether the target is the home of the prefix.
         reading_s: Modelled prefill time.
         waiting_s: Modelled prefill time of the prompts queued before it.
+        reading_from_s: Time until the target starts to read the prompt.
+        reading_until_s: Time until it has read the prompt.
         forecast_s: Time to the first event according to the known load.
         expected_s: Time to the first event including the recent delay.
         retry_after_s: Seconds after which a rejected caller may retry.
@@ -135,6 +137,8 @@
     is_home: bool = False
     reading_s: float = 0.0
     waiting_s: float = 0.0
+    reading_from_s: float = 0.0
+    reading_until_s: float = 0.0
     forecast_s: float = 0.0
     expected_s: float = 0.0
     retry_after_s: float = 0.0
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -14,11 +14,7 @@
 from crowwinch.sharing._loads import TargetLoads
 from crowwinch.sharing._model import TargetView, Work
 from crowwinch.sharing._prefixes import PrefixCacheTracker
-from crowwinch.sharing._speeds import (
-    EngineSpeeds,
-    first_event_seconds,
-    prefill_seconds,
-)
+from crowwinch.sharing._speeds import EngineSpeeds, prefill_seconds
 
 # Expected wait for a slot in a full batch, about half a typical request.
 _FULL_BATCH_WAIT_S = 0.5
@@ -78,6 +74,8 @@
         unread_tokens: Prompt tokens that are not cached at the target.
         reading_s: Modelled prefill time of these tokens.
         waiting_s: Modelled prefill time of the prompts queued before them.
+        reading_from_s: Time until the target starts to read the prompt.
+        reading_until_s: Time until it has read the prompt.
         queue_s: Part of expected_s that is due to other requests.
         forecast_s: Modelled time to the first event without recent delays.
         expected_s: Time to the first event including recent delays.
@@ -93,6 +91,8 @@
     unread_tokens: int
     reading_s: float
     waiting_s: float
+    reading_from_s: float
+    reading_until_s: float
     queue_s: float
     forecast_s: float
     expected_s: float
@@ -170,7 +170,10 @@
     ) -> list[Candidate]:
         home = _home(work, statuses)
         cached_tokens_by_target = self._prefixes.cached_token_counts(work)
-        ratio = self._speeds.ratio(work.service)
+        speed = _Speed(
+            self._speeds.ratio(work.service),
+            self._speeds.overhead_s(work.service),
+        )
         # Reused between engines, since most of them have the same number of
         # prompt tokens cached.
         prefills: dict[int, _Prefill] = {}
@@ -192,10 +195,10 @@
             )
             prefill = prefills.get(cached_tokens)
             if prefill is None:
-                prefill = _prefill(work, cached_tokens, ratio)
+                prefill = _prefill(work, cached_tokens, speed)
                 prefills[cached_tokens] = prefill
             candidates.append(
-                _engine_candidate(work, status, prefill, is_home, ratio)
+                _engine_candidate(work, status, prefill, is_home, speed)
             )
         return candidates
 
@@ -218,13 +221,26 @@
     recompute_tokens: int
 
 
-def _prefill(work: Work, cached_tokens: int, ratio: float) -> _Prefill:
+@dataclass(slots=True)
+class _Speed:
+    """Speed of the engines of a service.
+
+    Attributes:
+        ratio: Measured over modelled prefill time.
+        overhead_s: Time from the end of prefill to the first event.
+    """
+
+    ratio: float
+    overhead_s: float
+
+
+def _prefill(work: Work, cached_tokens: int, speed: _Speed) -> _Prefill:
     unread_tokens = max(work.prompt_tokens - cached_tokens, 1)
     seconds = prefill_seconds(unread_tokens, cached_tokens)
     return _Prefill(
         unread_tokens=unread_tokens,
         seconds=seconds,
-        alone_s=first_event_seconds(seconds, ratio),
+        alone_s=speed.overhead_s + seconds * speed.ratio,
         recompute_tokens=max(work.shared_tokens - cached_tokens, 0),
     )
 
@@ -234,16 +250,18 @@
     status: TargetStatus,
     prefill: _Prefill,
     is_home: bool,
-    ratio: float,
+    speed: _Speed,
 ) -> Candidate:
     waiting_s = status.waiting_s
-    forecast = first_event_seconds(waiting_s + prefill.seconds, ratio)
+    forecast = speed.overhead_s + (waiting_s + prefill.seconds) * speed.ratio
     expected = forecast + status.delay_s
     return Candidate(
         status.target,
         prefill.unread_tokens,
         prefill.seconds,
         waiting_s,
+        waiting_s * speed.ratio,
+        forecast - speed.overhead_s,
         expected - prefill.alone_s,
         forecast,
         expected,
@@ -263,6 +281,8 @@
         unread_tokens=0,
         reading_s=0.0,
         waiting_s=0.0,
+        reading_from_s=0.0,
+        reading_until_s=0.0,
         queue_s=0.0,
         forecast_s=expected,
         expected_s=expected,
--- a/crowwinch/sharing/_speeds.py
+++ b/crowwinch/sharing/_speeds.py
@@ -14,8 +14,11 @@
 _INITIAL_RATIO = 1.2
 _MIN_RATIO = 0.2
 _MAX_RATIO = 20.0
-# Time from the end of prefill to the first event of a stream.
-_FIRST_EVENT_OVERHEAD_S = 0.06
+# Time from the end of prefill to the first event of a stream, until it is
+# measured.
+_INITIAL_OVERHEAD_S = 0.06
+_MIN_OVERHEAD_S = 0.002
+_MAX_OVERHEAD_S = 0.5
 # The time of shorter prompts is dominated by decode steps, not by prefill.
 _MIN_SAMPLE_S = 0.06
 _SMOOTHING_FACTOR = 0.03
@@ -32,28 +35,26 @@
     return unread_tokens * _PREFILL_TOKEN_S + pairs * _ATTENTION_PAIR_S
 
 
-def first_event_seconds(reading_s: float, ratio: float) -> float:
-    """Returns the expected time to the first event in seconds.
+class EngineSpeeds:
+    """Estimates the speed of the engines of each service.
 
-    Args:
-        reading_s: Modelled prefill time of the prompt and of those queued
-            before it.
-        ratio: Measured over modelled prefill time at the engine.
+    The ratio of measured to modelled prefill time comes from long prompts, the
+    time from the end of prefill to the first event from short ones.
     """
-    return _FIRST_EVENT_OVERHEAD_S + reading_s * ratio
-
-
-class EngineSpeeds:
-    """Estimates the ratio of measured to modelled prefill time by service."""
 
     def __init__(self) -> None:
         """Creates an instance without samples."""
         self._ratios: dict[str, float] = {}
+        self._overheads_s: dict[str, float] = {}
 
     def ratio(self, service: str) -> float:
         """Returns the ratio of measured to modelled prefill time."""
         return self._ratios.get(service, _INITIAL_RATIO)
 
+    def overhead_s(self, service: str) -> float:
+        """Returns the time from the end of prefill to the first event."""
+        return self._overheads_s.get(service, _INITIAL_OVERHEAD_S)
+
     def record_first_event(
         self, service: str, reading_s: float, seconds: float
     ) -> None:
@@ -64,9 +65,14 @@
             reading_s: Modelled prefill time.
             seconds: Time from sending to the first event.
         """
+        ratio, overhead_s = self.ratio(service), self.overhead_s(service)
         if reading_s < _MIN_SAMPLE_S:
+            sample = seconds - reading_s * ratio
+            sample = min(max(sample, _MIN_OVERHEAD_S), _MAX_OVERHEAD_S)
+            self._overheads_s[service] = overhead_s + _SMOOTHING_FACTOR * (
+                sample - overhead_s
+            )
             return
-        sample = max(seconds - _FIRST_EVENT_OVERHEAD_S, 0.001) / reading_s
+        sample = max(seconds - overhead_s, 0.001) / reading_s
         sample = min(max(sample, _MIN_RATIO), _MAX_RATIO)
-        ratio = self.ratio(service)
         self._ratios[service] = ratio + _SMOOTHING_FACTOR * (sample - ratio)
--- a/crowwinch/sharing/tests/test_headroom.py
+++ b/crowwinch/sharing/tests/test_headroom.py
@@ -14,6 +14,8 @@
         unread_tokens=1_000,
         reading_s=own_s,
         waiting_s=queue_s,
+        reading_from_s=queue_s,
+        reading_until_s=queue_s + own_s,
         queue_s=queue_s,
         forecast_s=queue_s + own_s,
         expected_s=queue_s + own_s,
--- a/measurements/_sharing_world.py
+++ b/measurements/_sharing_world.py
@@ -217,7 +217,11 @@
             return
         work = job.work
         job.reservation = node.loads.reserve(
-            decision.target, decision.reading_s, decision.expected_s
+            decision.target,
+            decision.reading_s,
+            decision.expected_s,
+            decision.reading_from_s,
+            decision.reading_until_s,
         )
         node.shares.record_usage(work.workspace, work.cost)
         node.prefixes.record_prefill(decision.target, work, decision.is_home)
