Serve new requests in time before callers who return

Within their share requests waited up to 1.5 times the target latency, so under sustained overload every answer was late.

Change: - CallerDeadlines estimates from the time that a caller has left how long it has waited; new requests of its workspace go first, and the wait counts against the target latency. - Within its share a request waits up to 0.7 of the target latency, and its forecast may take 0.8 of it. - ReturnTimes spreads the return of refused callers over a quarter to a third of the time that they have left. - Limits on requests beyond their share that can be in time are wider (0.95 of the batch, the whole target latency), as late answers no longer take the room.

--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -180,6 +180,11 @@
             workspace=workspace,
             work=work,
             deadline=call.arrived + timeout_s,
+            prior_wait_s=(
+                self._sharing.deadlines.record(route.name, head.deadline_s)
+                if head.deadline_s
+                else 0.0
+            ),
             last_event_id=head.last_event_id,
         )
 
@@ -239,6 +244,7 @@
             deadline=context.deadline,
             on_decision=on_decision,
             excluded=context.excluded,
+            prior_wait_s=context.prior_wait_s,
         )
         self._sharing.admission.submit(ticket)
         try:
--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -22,6 +22,8 @@
         work: Demand that the request places on a target.
         deadline: Monotonic time in seconds by which the response must be
             complete.
+        prior_wait_s: Estimated time in seconds that the caller has waited
+            before the request arrived.
         possible_runs: Number of targets that may have run the request.
         attempt_count: Number of attempts, including those that were refused.
         last_event_id: Id of the event after which a stream resumes.
@@ -39,6 +41,7 @@
     workspace: str | None
     work: Work
     deadline: float
+    prior_wait_s: float = 0.0
     possible_runs: int = 0
     attempt_count: int = 0
     last_event_id: str | None = None
--- a/crowwinch/forwarding/_request_log.py
+++ b/crowwinch/forwarding/_request_log.py
@@ -87,6 +87,7 @@
                 "prompt_tokens": context.work.prompt_tokens,
                 "target_latency_s": context.work.target_latency_s,
                 "time_limit_s": round(context.deadline - call.arrived, 3),
+                "prior_wait_s": round(context.prior_wait_s, 3),
                 "first_event_s": _round_duration(
                     call.arrived, context.first_event_at
                 ),
--- a/crowwinch/forwarding/_sharing_state.py
+++ b/crowwinch/forwarding/_sharing_state.py
@@ -1,9 +1,10 @@
 """State for admission, placement and retries of one router."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from crowwinch.sharing import (
     Admission,
+    CallerDeadlines,
     CrashCounts,
     Decision,
     EngineSpeeds,
@@ -43,6 +44,7 @@
     prefixes: PrefixCacheTracker
     shares: WorkspaceShares
     speeds: EngineSpeeds
+    deadlines: CallerDeadlines = field(default_factory=CallerDeadlines)
 
     def place(self, work: Work, decision: Decision) -> Placement:
         """Reserves load at the target and charges the workspace.
--- a/crowwinch/sharing/__init__.py
+++ b/crowwinch/sharing/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from crowwinch.sharing._admission import Admission, Ticket
+from crowwinch.sharing._caller_deadlines import CallerDeadlines
 from crowwinch.sharing._health import TargetHealth
 from crowwinch.sharing._loads import Reservation, TargetLoads, TargetUse
 from crowwinch.sharing._model import (
@@ -26,6 +27,7 @@
 
 __all__ = [
     "Admission",
+    "CallerDeadlines",
     "Candidate",
     "CrashCounts",
     "Decision",
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -5,7 +5,6 @@
 ones, and requests that would be answered too late are rejected at once.
 """
 
-import math
 from collections import deque
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -14,19 +13,19 @@
 from crowwinch.sharing._headroom import Claim, has_room
 from crowwinch.sharing._model import Decision, TargetView, Verdict, Work
 from crowwinch.sharing._placer import Candidate, Placer, TargetStatus
+from crowwinch.sharing._return_times import ReturnTimes
 from crowwinch.sharing._shares import WorkspaceShares
 
 # Target latency of requests whose route does not set one.
 _DEFAULT_LATENCY_S = 1.0
-# Maximum wait of a request within its workspace's share, as a multiple of its
-# target latency. Above 1 because late answers still have some value.
-_MAX_WAIT_FACTOR = 1.5
+# Maximum wait of a request within its workspace's share, as a fraction of its
+# target latency. Under sustained overload the queue is as long as this allows,
+# so what is left must suffice for an answer in time.
+_MAX_WAIT_FACTOR = 0.7
 # A request over the share is rejected before its caller notices the wait.
 _OVER_SHARE_MAX_WAIT_FACTOR = 0.125
 # Random jitter of the retry delay, as a fraction of the delay.
 _RETRY_JITTER = 0.5
-_MIN_RETRY_S = 0.2
-_MAX_RETRY_S = 2.5
 # A service without targets regains them by a restart or a new target entry.
 _NO_TARGET_MAX_WAIT_S = 0.3
 _NO_TARGET_RETRY_S = 0.5
@@ -45,6 +44,8 @@
         deadline: Monotonic time after which an answer is useless.
         on_decision: Called once with the decision.
         excluded: Identifiers of targets that must not be used.
+        prior_wait_s: Time that the caller has waited before the request
+            arrived.
     """
 
     work: Work
@@ -52,6 +53,7 @@
     deadline: float
     on_decision: Callable[[Decision], None]
     excluded: Collection[str] = ()
+    prior_wait_s: float = 0.0
     is_done: bool = field(default=False, init=False)
 
 
@@ -80,6 +82,7 @@
         self._shares = shares
         self._targets = targets
         self._random = random
+        self._return_times = ReturnTimes(random)
         self._queues: dict[str, dict[str, deque[Ticket]]] = {}
         self._waiting = 0
 
@@ -102,7 +105,7 @@
                 self._finish(ticket, decision)
                 return
         elif self._is_rejection_certain(ticket.work, queue):
-            self._finish(ticket, self._refuse_over_share(ticket.work))
+            self._finish(ticket, self._refuse_over_share(ticket, now))
             return
         queue.append(ticket)
         self._waiting += 1
@@ -148,9 +151,24 @@
         queue: deque[Ticket],
         statuses: dict[str, TargetStatus],
         now: float,
+    ) -> None:
+        # Answers to callers who return are mostly late, so new requests go
+        # first. Each group is in order of arrival: a request that must be
+        # refused is at its head and is reached however many others wait.
+        new = [ticket for ticket in queue if not ticket.prior_wait_s]
+        returning = [ticket for ticket in queue if ticket.prior_wait_s]
+        for tickets in (new, returning):
+            self._poll_tickets(tickets, queue, statuses, now)
+
+    def _poll_tickets(
+        self,
+        tickets: Sequence[Ticket],
+        queue: deque[Ticket],
+        statuses: dict[str, TargetStatus],
+        now: float,
     ) -> None:
         undecided = 0
-        for ticket in list(queue):
+        for ticket in tickets:
             decision = self._decide(ticket, statuses, now)
             if decision is None:
                 undecided += 1
@@ -184,7 +202,7 @@
             share_use=self._shares.use_of_share(work.workspace, work.cost),
             relative_use=self._shares.relative_use(work.workspace),
             latency_s=work.target_latency_s or _DEFAULT_LATENCY_S,
-            waited_s=waited,
+            waited_s=waited + ticket.prior_wait_s,
         )
         for candidate in candidates:
             if has_room(candidate, claim):
@@ -197,9 +215,9 @@
         if claim.is_within:
             return Decision(
                 Verdict.REFUSE_OVERLOAD,
-                retry_after_s=self._retry_delay_s(candidates[0].expected_s),
+                retry_after_s=self._return_times.delay_s(ticket.deadline - now),
             )
-        return self._refuse_over_share(work)
+        return self._refuse_over_share(ticket, now)
 
     def _is_rejection_certain(
         self, work: Work, queue: Collection[Ticket]
@@ -213,12 +231,10 @@
             and self._shares.use_of_share(work.workspace, work.cost) > 1.0
         )
 
-    def _refuse_over_share(self, work: Work) -> Decision:
+    def _refuse_over_share(self, ticket: Ticket, now: float) -> Decision:
         return Decision(
             Verdict.REFUSE_OVER_SHARE,
-            retry_after_s=self._retry_delay_s(
-                self._seconds_until_within_share(work)
-            ),
+            retry_after_s=self._return_times.delay_s(ticket.deadline - now),
         )
 
     def _decide_without_target(
@@ -232,15 +248,8 @@
             retry_after_s=self._retry_delay_s(_NO_TARGET_RETRY_S),
         )
 
-    def _seconds_until_within_share(self, work: Work) -> float:
-        """Returns seconds until use decays to the share without new work."""
-        level = max(self._shares.level - work.cost / 2, 1.0)
-        ratio = self._shares.served(work.workspace) / level
-        return self._shares.time_constant_s * math.log(max(ratio, 1.0))
-
     def _retry_delay_s(self, seconds: float) -> float:
-        base = min(max(seconds, _MIN_RETRY_S), _MAX_RETRY_S)
-        return base * (1 + _RETRY_JITTER * self._random())
+        return seconds * (1 + _RETRY_JITTER * self._random())
 
 
 def _send_decision(candidate: Candidate) -> Decision:
--- a/crowwinch/sharing/_headroom.py
+++ b/crowwinch/sharing/_headroom.py
@@ -11,8 +11,8 @@
 # Fractions of the batch and of the target latency available to a request just
 # over its share. Both decrease with share use, so that workspaces over their
 # share get about equal amounts of the spare capacity.
-_OVER_SHARE_BATCH_FRACTION = 0.8
-_OVER_SHARE_LATENCY_FRACTION = 0.8
+_OVER_SHARE_BATCH_FRACTION = 0.95
+_OVER_SHARE_LATENCY_FRACTION = 1.0
 _OVER_SHARE_EXPONENT = 0.7
 # Cap on the prefill time of a request over its share, as a fraction of the
 # target latency. Without the cap 0.46 of the longest tenth of prompts were
@@ -27,9 +27,16 @@
 # with above-average use. The limit decreases with relative use, so that small
 # workspaces find short queues even in the first seconds of a load spike.
 _ABOVE_AVERAGE_LATENCY_FRACTION = 0.8
+# Fraction of the target latency that a forecast may take. The rest covers its
+# error.
+_IN_TIME_FRACTION = 0.8
 # An engine with a shorter queue accepts a request even if its forecast exceeds
-# the target latency.
-_SHORT_QUEUE_S = 0.15
+# the target latency, such as that of a very long prompt.
+_SHORT_QUEUE_S = 0.02
+# Fraction of the batch available to a request just over its share whose caller
+# has waited for the target latency already. It is below that of other requests,
+# whose answers can still be in time.
+_LATE_BATCH_FRACTION = 0.2
 
 
 @dataclass(slots=True)
@@ -41,7 +48,7 @@
             the workspace is over its share.
         relative_use: Use of its workspace divided by the mean of all.
         latency_s: Target latency in seconds.
-        waited_s: Seconds since its arrival.
+        waited_s: Seconds that its caller has waited.
     """
 
     share_use: float
@@ -54,6 +61,11 @@
         """Whether the request is within its workspace's share."""
         return self.share_use <= 1.0
 
+    @property
+    def is_late(self) -> bool:
+        """Whether its caller has waited for the target latency already."""
+        return self.waited_s >= self.latency_s
+
 
 def has_room(candidate: Candidate, claim: Claim) -> bool:
     """Returns whether a target can accept a request now."""
@@ -72,7 +84,7 @@
         factor = claim.relative_use**-_OVER_SHARE_EXPONENT
         latency *= _ABOVE_AVERAGE_LATENCY_FRACTION * factor
     return (
-        candidate.expected_s + claim.waited_s <= latency
+        candidate.expected_s + claim.waited_s <= latency * _IN_TIME_FRACTION
         or candidate.waiting_s <= _SHORT_QUEUE_S
     )
 
@@ -86,6 +98,11 @@
         own_s, claim.latency_s * _MAX_PREFILL_FRACTION
     )
     limit = claim.latency_s * _OVER_SHARE_LATENCY_FRACTION * factor
+    if claim.is_late:
+        return (
+            candidate.use < _LATE_BATCH_FRACTION * factor
+            and expected_s <= limit
+        )
     return (
         candidate.use < _OVER_SHARE_BATCH_FRACTION * factor
         and expected_s + claim.waited_s <= limit
--- a/crowwinch/sharing/tests/test_admission.py
+++ b/crowwinch/sharing/tests/test_admission.py
@@ -1,154 +1,17 @@
 """Tests of admission control, single requests and simulated load."""
 
-import random
 import unittest
 from unittest import mock
 
-from crowwinch.coordination import ManualClock
-from crowwinch.sharing import (
-    Admission,
-    EngineSpeeds,
-    Placer,
-    PrefixCacheTracker,
-    TargetHealth,
-    TargetLoads,
-    TargetView,
-    Ticket,
-    Verdict,
-    Work,
-    WorkspaceShares,
+from crowwinch.sharing import Ticket, Verdict, Work
+from crowwinch.sharing.tests.support import (
+    SLOTS,
+    Simulation,
+    cost_in_time,
+    fraction_in_time,
+    run_baseline,
 )
-from standins.engine_model import (
-    EngineModel,
-    Events,
-    Job,
-    alone_s,
-    arrivals,
-)
-
-_SLOTS = 32
-_WINDOW_S = 4.0
-
-
-class _Simulation:
-    """Simulates engines behind the admission control."""
-
-    def __init__(self, engines, capacity):
-        self.clock = ManualClock()
-        self.events = Events(self.clock)
-        self.loads = TargetLoads(self.clock)
-        self.prefixes = PrefixCacheTracker(self.clock)
-        self.shares = WorkspaceShares(self.clock, _WINDOW_S)
-        self.shares.set_capacity(capacity)
-        self.views = [
-            TargetView(
-                f"e{number}",
-                0,
-                "llm",
-                False,
-                _SLOTS,
-                memory_tokens=500_000,
-                is_engine=True,
-            )
-            for number in range(engines)
-        ]
-        self.admission = Admission(
-            self.clock,
-            Placer(
-                self.loads,
-                self.prefixes,
-                EngineSpeeds(),
-                TargetHealth(self.clock),
-            ),
-            self.shares,
-            lambda service: self.views,
-            random.Random(1).random,
-        )
-        self.engines = {
-            view.identifier: EngineModel(
-                self.events, self.clock, _SLOTS, self.admission.poll
-            )
-            for view in self.views
-        }
-        self.jobs = []
-
-    def run(self, load, seconds):
-        for time, work in load:
-            self.events.at(time, lambda work=work: self._arrive(work))
-        for tick in range(int((seconds + 5) / 0.05)):
-            self.events.at(tick * 0.05, self._tick)
-        self.events.run()
-        return self.jobs
-
-    def _tick(self):
-        self.loads.refresh()
-        self.shares.refresh()
-        self.admission.poll()
-
-    def _arrive(self, work):
-        now = self.clock.monotonic()
-        job = Job(work, now, now + 15.0)
-        self.jobs.append(job)
-        self.shares.record_demand(work.workspace, work.cost)
-        self.admission.submit(
-            Ticket(
-                work,
-                now,
-                job.deadline,
-                lambda decision: self._apply(job, decision),
-            )
-        )
-
-    def _apply(self, job, decision):
-        if decision.verdict is not Verdict.SEND:
-            job.refused = self.clock.monotonic()
-            return
-        work = job.work
-        job.reservation = self.loads.reserve(
-            decision.target, decision.reading_s
-        )
-        self.shares.record_usage(work.workspace, work.cost)
-        self.prefixes.record_prefill(decision.target, work)
-        self.engines[decision.target].send(job)
-
-
-def _run_baseline(load, engines):
-    """Sends each request to the engine with the fewest requests."""
-    clock = ManualClock()
-    events = Events(clock)
-    models = [
-        EngineModel(events, clock, _SLOTS, lambda: None) for _ in range(engines)
-    ]
-    jobs = []
-
-    def arrive(work):
-        job = Job(work, clock.monotonic(), clock.monotonic() + 15.0)
-        jobs.append(job)
-        model = min(models, key=lambda each: each.active + len(each.waiting))
-        model.send(job)
-
-    for time, work in load:
-        events.at(time, lambda work=work: arrive(work))
-    events.run()
-    return jobs
-
-
-def _fraction_in_time(jobs, workspace=None):
-    """Returns the fraction of jobs with the first event in time.
-
-    Jobs that would be late even at an idle engine are left out.
-    """
-    feasible = [
-        job
-        for job in jobs
-        if (workspace is None or job.work.workspace == workspace)
-        and alone_s(job.work) <= job.work.target_latency_s
-    ]
-    return sum(job.is_in_time for job in feasible) / max(len(feasible), 1)
-
-
-def _cost_in_time(jobs):
-    return sum(job.work.cost for job in jobs if job.is_in_time)
+from standins.engine_model import alone_s, arrivals
 
 
 class OverloadTest(unittest.TestCase):
@@ -165,37 +28,37 @@
     def test_small_workspaces_are_served_in_time(self):
         for seed in (1, 2, 3):
             load = arrivals(self._RATES, self._SECONDS, seed)
-            jobs = _Simulation(4, 100_000.0).run(load, self._SECONDS)
-            baseline = _run_baseline(load, 4)
+            jobs = Simulation(4, 100_000.0).run(load, self._SECONDS)
+            baseline = run_baseline(load, 4)
             for workspace in "abcd":
                 with self.subTest(seed=seed, workspace=workspace):
-                    served = _fraction_in_time(jobs, workspace)
+                    served = fraction_in_time(jobs, workspace)
                     self.assertGreater(served, 0.9)
                     self.assertGreater(
-                        served, _fraction_in_time(baseline, workspace)
+                        served, fraction_in_time(baseline, workspace)
                     )
 
     def test_capacity_is_used(self):
         for seed in (1, 2, 3):
             with self.subTest(seed=seed):
                 load = arrivals(self._RATES, self._SECONDS, seed)
-                jobs = _Simulation(4, 100_000.0).run(load, self._SECONDS)
-                baseline = _run_baseline(load, 4)
-                self.assertGreater(_cost_in_time(jobs), _cost_in_time(baseline))
+                jobs = Simulation(4, 100_000.0).run(load, self._SECONDS)
+                baseline = run_baseline(load, 4)
+                self.assertGreater(cost_in_time(jobs), cost_in_time(baseline))
 
     def test_throughput_does_not_drop_at_twice_the_load(self):
         once = arrivals(self._RATES, self._SECONDS, 1)
         rates = {name: 2 * rate for name, rate in self._RATES.items()}
         twice = arrivals(rates, self._SECONDS, 1)
         served = [
-            _cost_in_time(_Simulation(4, 100_000.0).run(load, self._SECONDS))
+            cost_in_time(Simulation(4, 100_000.0).run(load, self._SECONDS))
             for load in (once, twice)
         ]
         self.assertGreaterEqual(served[1], 0.98 * served[0])
 
     def test_requests_are_refused_early(self):
         load = arrivals(self._RATES, self._SECONDS, 1)
-        jobs = _Simulation(4, 100_000.0).run(load, self._SECONDS)
+        jobs = Simulation(4, 100_000.0).run(load, self._SECONDS)
         waits = [
             job.refused - job.arrived for job in jobs if job.refused is not None
         ]
@@ -204,13 +67,124 @@
         self.assertLess(max(waits), 1.5)
 
 
+def _late_count(jobs):
+    """Returns the number of late answers that could have been in time."""
+    return sum(
+        job.first_event is not None and not job.is_in_time
+        for job in jobs
+        if alone_s(job.work) <= job.work.target_latency_s
+    )
+
+
+class SustainedOverloadTest(unittest.TestCase):
+    """Guards against engines that are busy with late answers.
+
+    The engines do less than the configuration states, so no workspace is over
+    its share. When requests waited for longer than their target latency, more
+    were answered late than in time.
+    """
+
+    _RATES = {"large": 80.0, "a": 2.0, "b": 2.0}
+    _SECONDS = 20.0
+    _UNLIMITED = 1e9
+
+    def test_more_answers_are_in_time_than_late(self):
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                load = arrivals(self._RATES, self._SECONDS, seed)
+                jobs = Simulation(4, self._UNLIMITED).run(load, self._SECONDS)
+                in_time = sum(job.is_in_time for job in jobs)
+                self.assertGreaterEqual(in_time, 3 * _late_count(jobs))
+
+    def test_longest_wait_leaves_time_for_the_answer(self):
+        load = arrivals(self._RATES, self._SECONDS, 1)
+        jobs = Simulation(4, self._UNLIMITED).run(load, self._SECONDS)
+        waits = [
+            job.refused - job.arrived for job in jobs if job.refused is not None
+        ]
+        self.assertGreater(len(waits), 100)
+        self.assertLess(max(waits), 0.8)
+
+    def test_returns_are_spread_over_the_time_that_callers_honour(self):
+        """Guards against callers who return to the same overload."""
+        load = arrivals(self._RATES, self._SECONDS, 1)
+        simulation = Simulation(4, self._UNLIMITED)
+        simulation.run(load, self._SECONDS)
+        delays = simulation.retry_delays_s
+        self.assertGreater(min(delays), 3.0)
+        self.assertLess(max(delays), 5.0)
+        self.assertGreater(max(delays) - min(delays), 0.5)
+
+
+class ReturningCallersTest(unittest.TestCase):
+    """Guards against capacity for callers whose answer is late already.
+
+    Refused callers return once, with what is left of their time; their answers
+    are late. They took capacity from new requests, which were then refused.
+    """
+
+    _RATES = {"large": 60.0, "a": 3.0, "b": 3.0, "c": 6.0, "d": 6.0}
+    _SECONDS = 20.0
+
+    def _play(self, seed, estimates_waits=True):
+        load = arrivals(self._RATES, self._SECONDS, seed)
+        simulation = Simulation(4, 200_000.0, 1, estimates_waits)
+        return simulation.run(load, self._SECONDS)
+
+    def test_new_requests_are_served_before_those_that_return(self):
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                jobs = self._play(seed)
+                self.assertGreaterEqual(
+                    sum(job.is_in_time for job in jobs), 3 * _late_count(jobs)
+                )
+                baseline = self._play(seed, estimates_waits=False)
+                self.assertGreater(cost_in_time(jobs), cost_in_time(baseline))
+
+    def test_returning_callers_are_refused_in_time_behind_new_requests(self):
+        """Guards against holding them until their deadlines pass."""
+        simulation = Simulation(1, 1e9)
+        simulation.loads.reserve("e0", 30.0)
+        work = Work("llm", "w", prompt_tokens=1_000, target_latency_s=0.8)
+        decisions = []
+        simulation.admission.submit(
+            Ticket(work, 0.0, 5.0, decisions.append, prior_wait_s=4.0)
+        )
+        for step in range(50):
+            now = step * 0.02
+            simulation.clock.move_to(now)
+            simulation.admission.submit(
+                Ticket(work, now, now + 15.0, lambda decision: None)
+            )
+            simulation.admission.poll()
+        self.assertEqual(
+            [decision.verdict for decision in decisions],
+            [Verdict.REFUSE_OVERLOAD],
+        )
+
+    def test_returning_callers_use_idle_engines(self):
+        """Guards against idle engines while work waits."""
+        simulation = Simulation(1, 10_000.0)
+        simulation.shares.record_demand("w", 1e6)
+        simulation.shares.record_usage("w", 44_000)
+        simulation.shares.refresh()
+        work = Work("llm", "w", prompt_tokens=1_000, target_latency_s=0.8)
+        decisions = []
+        simulation.admission.submit(
+            Ticket(work, 0.0, 11.0, decisions.append, prior_wait_s=4.0)
+        )
+        self.assertEqual(
+            [decision.verdict for decision in decisions], [Verdict.SEND]
+        )
+
+
 class EqualWorkspacesTest(unittest.TestCase):
     """Guards against unequal service to workspaces beyond their shares."""
 
     def test_backlogged_workspaces_get_similar_service(self):
         rates = {"a": 60.0, "b": 30.0, "c": 15.0}
         load = arrivals(rates, 20.0, 4)
-        jobs = _Simulation(2, 20_000.0).run(load, 20.0)
+        jobs = Simulation(2, 20_000.0).run(load, 20.0)
         served = {
             name: sum(
                 job.work.cost
@@ -230,7 +204,7 @@
     """
 
     def test_poll_ranks_targets_for_few_requests(self):
-        simulation = _Simulation(9, 1_000.0)
+        simulation = Simulation(9, 1_000.0)
         for engine in simulation.views:
             simulation.loads.reserve(engine.identifier, 30.0)
         calls = []
@@ -258,7 +232,7 @@
 
     def test_queue_of_requests_beyond_share_is_bounded(self):
         """Guards against queueing requests that can only be refused later."""
-        simulation = _Simulation(9, 1_000.0)
+        simulation = Simulation(9, 1_000.0)
         for engine in simulation.views:
             simulation.loads.reserve(engine.identifier, 30.0)
         simulation.shares.record_demand("w", 1e6)
@@ -286,12 +260,12 @@
         With 8 waiting requests, each of which read the load and health of 70
         engines, a poll took 4 ms, 50 times a second.
         """
-        simulation = _Simulation(70, 1e6)
+        simulation = Simulation(70, 1e6)
         work = Work(
             "llm", "workspace", prompt_tokens=1_000, target_latency_s=1.0
         )
         for view in simulation.views:
-            for _ in range(_SLOTS):
+            for _ in range(SLOTS):
                 simulation.loads.reserve(view.identifier, 1.0)
         for _ in range(8):
             simulation.admission.submit(Ticket(work, 0.0, 15.0, lambda _: None))
@@ -305,13 +279,13 @@
 
     def test_poll_includes_load_of_requests_that_it_sends(self):
         """Guards against sending all waiting requests to one idle engine."""
-        simulation = _Simulation(1, 1e6)
+        simulation = Simulation(1, 1e6)
         target = simulation.views[0].identifier
         work = Work(
             "llm", "workspace", prompt_tokens=1_000, target_latency_s=1.0
         )
         reservations = [
-            simulation.loads.reserve(target, 1.0) for _ in range(_SLOTS)
+            simulation.loads.reserve(target, 1.0) for _ in range(SLOTS)
         ]
         sent = []
 
@@ -332,7 +306,7 @@
     """Guards against long waits for a service without targets."""
 
     def test_request_is_refused_after_short_wait(self):
-        simulation = _Simulation(0, None)
+        simulation = Simulation(0, None)
         decisions = []
         simulation.admission.submit(
             Ticket(Work("llm"), 0.0, 15.0, decisions.append)
@@ -345,7 +319,7 @@
         self.assertEqual(simulation.admission.waiting, 0)
 
     def test_withdrawn_request_gets_no_decision(self):
-        simulation = _Simulation(0, None)
+        simulation = Simulation(0, None)
         decisions = []
         ticket = Ticket(Work("llm"), 0.0, 15.0, decisions.append)
         simulation.admission.submit(ticket)
