Allow more time for a directory page after a fetch timed out

Cause: a router fetches a change of the directory from a peer within 0.6 s. With little processor time a table with 1,500 routes takes longer, and the router began anew each time.

Change: the time doubles with each failure, up to 2.4 s, and starts again after a success. The log line of a failure holds it.

Tried without gain and not kept: pages compressed with zlib at level 1.

--- a/crowwinch/fleet/_directory_exchange.py
+++ b/crowwinch/fleet/_directory_exchange.py
@@ -15,7 +15,6 @@
 
 _PATH = "/v1/directory"
 _AFTER_PARAMETER = "after"
-_FETCH_TIMEOUT_S = 0.6
 _SHUTDOWN_TIMEOUT_S = 0.1
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(DirectoryPage)
@@ -48,7 +47,6 @@
         """
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(force_close=True),
-            timeout=aiohttp.ClientTimeout(total=_FETCH_TIMEOUT_S),
         )
         self._runner = web.ServerRunner(
             web.Server(self._serve, access_log=None),
@@ -67,22 +65,26 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def fetch(self, control: str, after: int) -> DirectoryPage:
+    async def fetch(
+        self, control: str, after: int, timeout_s: float
+    ) -> DirectoryPage:
         """Fetches the changes of a peer's directory after a revision.
 
         Args:
             control: Control address of the peer.
             after: Last known revision; 0 requests the whole directory.
+            timeout_s: Maximum time in seconds until the page is complete.
 
         Raises:
-            DirectoryFetchError: If the peer does not answer within the fetch
-                timeout or the response is malformed.
+            DirectoryFetchError: If the peer does not answer within the timeout
+                or the response is malformed.
         """
         assert self._session is not None, "the exchange was not started"
         try:
             async with self._session.get(
                 f"http://{control}{_PATH}",
                 params={_AFTER_PARAMETER: str(after)},
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 return _DECODER.decode(await response.read())
         except (
--- a/crowwinch/fleet/_directory_pull.py
+++ b/crowwinch/fleet/_directory_pull.py
@@ -26,6 +26,11 @@
 # others wait this long for it to arrive in their own zone.
 _CROSS_ZONE_GRACE_S = 0.25
 _MIN_FETCH_INTERVAL_S = 0.05
+# A peer that answers at all mostly does within the first time. The time doubles
+# with each failure: a page that takes longer, because of its size or of too
+# little processor time, would otherwise never arrive.
+_MIN_FETCH_TIMEOUT_S = 0.6
+_MAX_FETCH_TIMEOUT_S = 2.4
 
 
 class DirectoryPull:
@@ -54,6 +59,7 @@
         # Revision and version whose announcement started the current lag.
         self._awaited = (0, 0)
         self._last_fetch_s = float("-inf")
+        self._fetch_timeout_s = _MIN_FETCH_TIMEOUT_S
         self._task: asyncio.Task[None] | None = None
 
     async def stop(self) -> None:
@@ -115,10 +121,22 @@
 
     async def _pull(self, control: str, known: int) -> None:
         try:
-            page = await self._exchange.fetch(control, known)
+            page = await self._exchange.fetch(
+                control, known, self._fetch_timeout_s
+            )
         except DirectoryFetchError as error:
-            _LOGGER.warning("directory not read", extra={"cause": str(error)})
+            _LOGGER.warning(
+                "directory not read",
+                extra={
+                    "cause": str(error),
+                    "timeout_s": self._fetch_timeout_s,
+                },
+            )
+            self._fetch_timeout_s = min(
+                2 * self._fetch_timeout_s, _MAX_FETCH_TIMEOUT_S
+            )
             return
+        self._fetch_timeout_s = _MIN_FETCH_TIMEOUT_S
         _LOGGER.info(
             "directory read from a peer",
             extra={
--- a/crowwinch/fleet/tests/support.py
+++ b/crowwinch/fleet/tests/support.py
@@ -183,7 +183,7 @@
         async def stop(self):
             pass
 
-        async def fetch(self, control, after):
+        async def fetch(self, control, after, timeout_s):
             host = control.rpartition(":")[0]
             return network.page(self._host, host, after)
 
--- a/crowwinch/fleet/tests/test_endpoint.py
+++ b/crowwinch/fleet/tests/test_endpoint.py
@@ -140,15 +140,26 @@
         return None
 
 
+class _SlowExchange(DirectoryExchange):
+    """An exchange that may take a while to answer."""
+
+    delay_s = 0.0
+
+    async def _serve(self, request):
+        await asyncio.sleep(self.delay_s)
+        return await super()._serve(request)
+
+
 class DirectoryPullTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a router that stays behind the directory of its peers."""
 
-    async def _start(self):
+    async def _start(self, delay_s=0.0):
         clock = SystemClock()
         state = DirectoryState(clock, _NullDecoder())
         address = SocketAddress("127.0.0.1", free_port())
         readers = StoreReaderSelector(clock, str(address))
-        exchange = DirectoryExchange(state, address)
+        exchange = _SlowExchange(state, address)
+        exchange.delay_s = delay_s
         pull = DirectoryPull(clock, state, readers, exchange)
         await exchange.start()
         self.addAsyncCleanup(exchange.stop)
@@ -167,6 +178,23 @@
         # Values that are not valid UTF-8 are left out.
         self.assertEqual([item.key for item in state.listing().items], ["op/x"])
 
+    async def test_page_that_takes_longer_than_usual_arrives(self):
+        """Guards against fetches that all end at the same timeout.
+
+        With too little processor time, a table with 1,500 routes took over
+        0.6 s, and the router fetched it again and again.
+        """
+        newer, _, address = await self._start(delay_s=0.8)
+        newer.apply_listing(Listing(9, (_item("a", 9),)))
+        state, pull, _ = await self._start()
+        state.record_failure(0.0)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while state.revision < 9 and loop.time() - started < 2.0:
+            pull.note_revision(address, 9, 0, is_preferred=True)
+            await asyncio.sleep(0.05)
+        self.assertEqual(state.revision, 9)
+
     async def test_only_changes_after_the_known_revision_are_fetched(self):
         newer, _, address = await self._start()
         state, pull, _ = await self._start()
