--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -24,11 +24,11 @@
 _MAX_WAIT_FACTOR = 0.7
 # A request over the share is rejected before its caller notices the wait.
 _OVER_SHARE_MAX_WAIT_FACTOR = 0.125
-# Random jitter of the retry delay, as a fraction of the delay.
-_RETRY_JITTER = 0.5
 # A service without targets regains them by a restart or a new target entry.
 _NO_TARGET_MAX_WAIT_S = 0.3
 _NO_TARGET_RETRY_S = 0.5
+# Random jitter of that delay, as a fraction of it.
+_RETRY_JITTER = 0.5
 # Undecided requests of one workspace after which a poll stops. Later requests
 # would find the same targets full, and under load there are hundreds of them.
 _MAX_UNDECIDED = 8
@@ -245,12 +245,10 @@
             return None
         return Decision(
             Verdict.REFUSE_NO_TARGET,
-            retry_after_s=self._retry_delay_s(_NO_TARGET_RETRY_S),
+            retry_after_s=_NO_TARGET_RETRY_S
+            * (1 + _RETRY_JITTER * self._random()),
         )
 
-    def _retry_delay_s(self, seconds: float) -> float:
-        return seconds * (1 + _RETRY_JITTER * self._random())
-
 
 def _send_decision(candidate: Candidate) -> Decision:
     return Decision(
