Estimate the wait of callers for each workspace

Cause: found when the change was read again. The usual deadline of a route was the longest that any caller sent, so one workspace with long deadlines made the requests of all others on the route look like those of callers who return, which are put last.

Change: the usual deadline is that of a workspace on a route, learned from 48 requests instead of 128, since each router sees fewer of a pair.

Evidence: test_long_deadlines_of_another_workspace_have_no_effect; with one window for all, requests of 3 s after some of 1,000,000 s counted as waiting.

--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -181,7 +181,9 @@
             work=work,
             deadline=call.arrived + timeout_s,
             prior_wait_s=(
-                self._sharing.deadlines.record(route.name, head.deadline_s)
+                self._sharing.deadlines.record(
+                    work.workspace, route.name, head.deadline_s
+                )
                 if head.deadline_s
                 else 0.0
             ),
--- a/crowwinch/sharing/_caller_deadlines.py
+++ b/crowwinch/sharing/_caller_deadlines.py
@@ -2,27 +2,29 @@
 
 Load: refused callers who return, often at another router, while new requests
 could still be answered in time. A caller that returns has less time left than
-callers of the route have at first.
+callers of its workspace have at first on the route. Workspaces are apart, so
+that long deadlines of one do not make those of another look short.
 """
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
-# Requests of a route from which the usual deadline is learned.
-_WINDOW_REQUESTS = 128
-# Callers of a route do not all start with the same deadline. Refused callers
+# Requests from which the usual deadline is learned.
+_WINDOW_REQUESTS = 48
+# Callers of a workspace do not all start with the same deadline. Refused callers
 # are told to wait for a quarter of their time or more.
 _MIN_FIRST_FRACTION = 0.8
 # A deadline that this many requests of the window had to the millisecond is
 # not what is left after a wait, which differs from request to request.
-_MIN_EQUAL_REQUESTS = 8
-# Routes that are tracked; the least recently used ones are dropped.
-_MAX_ROUTES = 256
+_MIN_EQUAL_REQUESTS = 4
+# Pairs of workspace and route that are tracked, 2 KB each; the least recently
+# used ones are dropped.
+_MAX_PAIRS = 1_024
 _MS_PER_S = 1000
 
 
 @dataclass(slots=True)
-class _RouteDeadlines:
+class _RecentDeadlines:
     recent: deque[int] = field(
         default_factory=lambda: deque(maxlen=_WINDOW_REQUESTS)
     )
@@ -36,16 +38,19 @@
 
 
 class CallerDeadlines:
-    """Learns the usual deadlines of callers by route."""
+    """Learns the usual deadlines of callers by workspace and route."""
 
     def __init__(self) -> None:
         """Creates an instance without requests."""
-        self._routes: OrderedDict[str, _RouteDeadlines] = OrderedDict()
+        self._pairs: OrderedDict[tuple[str, str], _RecentDeadlines] = (
+            OrderedDict()
+        )
 
-    def record(self, route: str, deadline_s: float) -> float:
+    def record(self, workspace: str, route: str, deadline_s: float) -> float:
         """Records the deadline of a request.
 
         Args:
+            workspace: Name of the workspace, empty if none.
             route: Name of the route.
             deadline_s: Time in seconds that the caller still waits.
 
@@ -54,12 +59,13 @@
             first request.
         """
         deadline_ms = round(deadline_s * _MS_PER_S)
-        deadlines = self._routes.get(route)
+        pair = (workspace, route)
+        deadlines = self._pairs.get(pair)
         if deadlines is None:
-            deadlines = self._routes[route] = _RouteDeadlines()
-            if len(self._routes) > _MAX_ROUTES:
-                self._routes.popitem(last=False)
-        self._routes.move_to_end(route)
+            deadlines = self._pairs[pair] = _RecentDeadlines()
+            if len(self._pairs) > _MAX_PAIRS:
+                self._pairs.popitem(last=False)
+        self._pairs.move_to_end(pair)
         deadlines.recent.append(deadline_ms)
         if deadlines.is_first(deadline_ms):
             return 0.0
--- a/crowwinch/sharing/tests/support.py
+++ b/crowwinch/sharing/tests/support.py
@@ -101,7 +101,9 @@
         now = self.clock.monotonic()
         work = job.work
         self.shares.record_demand(work.workspace, work.cost)
-        prior_wait_s = self.deadlines.record("route", job.deadline - now)
+        prior_wait_s = self.deadlines.record(
+            work.workspace, "route", job.deadline - now
+        )
         self.admission.submit(
             Ticket(
                 work,
--- a/crowwinch/sharing/tests/test_caller_deadlines.py
+++ b/crowwinch/sharing/tests/test_caller_deadlines.py
@@ -11,9 +11,10 @@
     def setUp(self):
         self.deadlines = CallerDeadlines()
 
-    def _record(self, *deadlines_s, route="r"):
+    def _record(self, *deadlines_s, workspace="w", route="r"):
         return [
-            round(self.deadlines.record(route, each), 3) for each in deadlines_s
+            round(self.deadlines.record(workspace, route, each), 3)
+            for each in deadlines_s
         ]
 
     def test_first_request_of_a_route_has_not_waited(self):
@@ -42,10 +43,16 @@
         self._record(12.0)
         self.assertEqual(self._record(3.0, route="other"), [0.0])
 
-    def test_number_of_routes_is_bounded(self):
-        for number in range(1_000):
-            self.deadlines.record(f"r{number}", 1.0)
-        self.assertLessEqual(len(self.deadlines._routes), 256)
+    def test_long_deadlines_of_another_workspace_have_no_effect(self):
+        """Guards against a workspace that puts the requests of others last."""
+        self._record(*[1e6] * 20, workspace="patient")
+        varied = [3.0 - 0.01 * step for step in range(30)]
+        self.assertEqual(set(self._record(*varied)), {0.0})
+
+    def test_memory_is_bounded(self):
+        for number in range(3_000):
+            self._record(1.0, route=f"r{number}")
+        self.assertLessEqual(len(self.deadlines._pairs), 1_024)
 
 
 if __name__ == "__main__":
