--- a/crowwinch/sharing/_caller_deadlines.py
+++ b/crowwinch/sharing/_caller_deadlines.py
@@ -11,8 +11,8 @@
 
 # Requests from which the usual deadline is learned.
 _WINDOW_REQUESTS = 48
-# Callers of a workspace do not all start with the same deadline. Refused callers
-# are told to wait for a quarter of their time or more.
+# Callers of a workspace do not all start with the same deadline. Refused
+# callers are told to wait for a quarter of their time or more.
 _MIN_FIRST_FRACTION = 0.8
 # A deadline that this many requests of the window had to the millisecond is
 # not what is left after a wait, which differs from request to request.
