Soak: ignore refusals that come before the check of the key

The check took every status but 401 for proof that the old key is accepted. A router without processor time refuses a request before it reads its key.

Change: a record keeps the code of a refusal, and `accepts_key` says nothing for router_overloaded and for closed connections. Every other status counts as before.

The record of a next failure names the code.

--- a/tests/soak/_load.py
+++ b/tests/soak/_load.py
@@ -1,6 +1,7 @@
 """Callers that keep their connections and record every answer."""
 
 import asyncio
+import json
 import random
 import time
 from dataclasses import dataclass
@@ -18,6 +19,8 @@
     "plan": ("/plan/a", True, True),
 }
 DEADLINE_S = 4.0
+_UNAUTHORIZED = 401
+_UNREAD_CODE = "router_overloaded"
 _CALLERS = 24
 # Beyond the deadline, so that an answer which comes too late is seen.
 _TIMEOUT_S = 12.0
@@ -40,6 +43,7 @@
         error: Why there was no complete answer.
         key: Key that was sent.
         patience_s: Time after which the caller leaves.
+        code: Reason that the router named in a refusal.
     """
 
     attempt: str
@@ -52,6 +56,18 @@
     error: str
     key: str
     patience_s: float = _TIMEOUT_S
+    code: str = ""
+
+    @property
+    def accepts_key(self) -> bool | None:
+        """Whether the router accepted the key, None if it did not check it.
+
+        A router without processor time refuses requests, or closes
+        connections, before it reads their keys.
+        """
+        if not self.status or self.code == _UNREAD_CODE:
+            return None
+        return self.status != _UNAUTHORIZED
 
     @property
     def has_left(self) -> bool:
@@ -105,7 +121,7 @@
             "X-Crowwinch-Deadline-Ms": str(int(DEADLINE_S * 1000)),
         }
         start = time.time()
-        status, is_sound, error = 0, True, ""
+        status, is_sound, error, code = 0, True, "", ""
         try:
             async with session.post(
                 self._urls[index] + path, data=body, headers=headers
@@ -117,6 +133,8 @@
                     and "X-Crowwinch-Server-Seal" in answer.headers
                     and answer.headers["X-Crowwinch-Attempt-Id"] == attempt
                 )
+                if answer.content_type == "application/json":
+                    code = json.loads(received)["error"]["code"]
         except (aiohttp.ClientError, TimeoutError, OSError) as failure:
             error = repr(failure)
         record = Record(
@@ -130,6 +148,7 @@
             error,
             key,
             session.timeout.total or _TIMEOUT_S,
+            code,
         )
         self.records.append(record)
         return record
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -133,8 +133,7 @@
                             for part in (f"router-{index}", "store")
                         )
                     )
-                    is_allowed = record.status != 401
-                    if is_settled and is_allowed != allowed:
+                    if is_settled and record.accepts_key is (not allowed):
                         self._stale.append(
                             f"version {last} is not in force: {record}"
                         )
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -29,6 +29,30 @@
                 self.assertGreater(result.served, 0)
 
 
+class KeyTest(unittest.TestCase):
+    """Guards against answers taken for a verdict on a key that was not read.
+
+    A router without processor time refused old and new keys alike; the soak
+    took that for an old configuration.
+    """
+
+    def _accepts_key(self, status, code=""):
+        return Record(
+            "soak-1", "look", 0, 1.0, 1.1, status, True, "", "key", code=code
+        ).accepts_key
+
+    def test_answers_that_follow_the_check_of_the_key(self):
+        self.assertIs(self._accepts_key(401, "unknown_key"), False)
+        self.assertIs(self._accepts_key(200), True)
+        for status, code in ((429, "workspace_limit"), (503, "no_target")):
+            with self.subTest(code):
+                self.assertIs(self._accepts_key(status, code), True)
+
+    def test_refusals_before_the_check_of_the_key(self):
+        self.assertIsNone(self._accepts_key(503, "router_overloaded"))
+        self.assertIsNone(self._accepts_key(0))
+
+
 class PromisesTest(unittest.TestCase):
     """Guards against a soak that overlooks a broken promise."""
 
