Admission: shorter waits only in a standing queue

Cause: since a request within its share waits for 0.7 of its target latency at most. That limit is for sustained overload. A short burst is refused by it though waiting a little longer would serve all of it: of 24 requests to 8 slots with a target latency of 0.5 s some got 503.

Change: StandingQueues tells since when the queue of a service has not been empty. For 1.5 of the target latency requests may wait for as long, then for 0.7, as before. Callers who return get the short limit always.

--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -15,13 +15,17 @@
 from crowwinch.sharing._placer import Candidate, Placer, TargetStatus
 from crowwinch.sharing._return_times import ReturnTimes
 from crowwinch.sharing._shares import WorkspaceShares
+from crowwinch.sharing._standing_queues import StandingQueues
 
 # Target latency of requests whose route does not set one.
 _DEFAULT_LATENCY_S = 1.0
-# Maximum wait of a request within its workspace's share, as a fraction of its
-# target latency. Under sustained overload the queue is as long as this allows,
-# so what is left must suffice for an answer in time.
-_MAX_WAIT_FACTOR = 0.7
+# Maximum wait of a request within its workspace's share while the queue is not
+# standing, as a multiple of its target latency. Above 1 because a late answer
+# has more value than a refusal, whose caller returns even later.
+_MAX_WAIT_FACTOR = 1.5
+# The same in a standing queue, which is as long as this allows: what is left
+# must suffice for an answer in time.
+_STANDING_MAX_WAIT_FACTOR = 0.7
 # A request over the share is rejected before its caller notices the wait.
 _OVER_SHARE_MAX_WAIT_FACTOR = 0.125
 # A service without targets regains them by a restart or a new target entry.
@@ -83,6 +87,7 @@
         self._targets = targets
         self._random = random
         self._return_times = ReturnTimes(random)
+        self._standing = StandingQueues(clock)
         self._queues: dict[str, dict[str, deque[Ticket]]] = {}
         self._waiting = 0
 
@@ -107,6 +112,7 @@
         elif self._is_rejection_certain(ticket.work, queue):
             self._finish(ticket, self._refuse_over_share(ticket, now))
             return
+        self._standing.note_request(ticket.work.service)
         queue.append(ticket)
         self._waiting += 1
 
@@ -135,6 +141,8 @@
                 self._poll_workspace(queues[workspace], statuses, now)
             for workspace in [name for name, q in queues.items() if not q]:
                 del queues[workspace]
+            if not queues:
+                self._standing.note_empty(service)
 
     def _fair_order(self, queues: Mapping[str, deque[Ticket]]) -> Sequence[str]:
         """Returns the workspaces by units served, the least first."""
@@ -207,9 +215,7 @@
         for candidate in candidates:
             if has_room(candidate, claim):
                 return _send_decision(candidate)
-        max_wait_s = claim.latency_s * (
-            _MAX_WAIT_FACTOR if claim.is_within else _OVER_SHARE_MAX_WAIT_FACTOR
-        )
+        max_wait_s = self._max_wait_s(ticket, claim)
         if waited < min(max_wait_s, ticket.deadline - ticket.arrived):
             return None
         if claim.is_within:
@@ -219,6 +225,17 @@
             )
         return self._refuse_over_share(ticket, now)
 
+    def _max_wait_s(self, ticket: Ticket, claim: Claim) -> float:
+        """Returns the maximum wait of a request in seconds."""
+        if not claim.is_within:
+            return claim.latency_s * _OVER_SHARE_MAX_WAIT_FACTOR
+        is_standing = self._standing.is_standing(
+            ticket.work.service, claim.latency_s
+        )
+        if is_standing or ticket.prior_wait_s:
+            return claim.latency_s * _STANDING_MAX_WAIT_FACTOR
+        return claim.latency_s * _MAX_WAIT_FACTOR
+
     def _is_rejection_certain(
         self, work: Work, queue: Collection[Ticket]
     ) -> bool:
