Admission: callers who return in time keep their turn

Cause: requests with a target latency of 1.2 s and a deadline of 2.5 s return 0.7 s after a refusal and can still be answered in time. They went behind all new requests, got the short wait limit, and their earlier wait counted as a queue, whose limit beyond the share is a fraction of the target latency.

Change: only callers who had waited for the target latency go last. The earlier wait decides whether an answer can be in time; the queue limit beyond the share compares the wait since arrival, as for new requests.

--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -60,6 +60,16 @@
     prior_wait_s: float = 0.0
     is_done: bool = field(default=False, init=False)
 
+    @property
+    def latency_s(self) -> float:
+        """Target latency in seconds."""
+        return self.work.target_latency_s or _DEFAULT_LATENCY_S
+
+    @property
+    def is_late(self) -> bool:
+        """Whether its caller had waited for the target latency before."""
+        return self.prior_wait_s >= self.latency_s
+
 
 class Admission:
     """Queues the requests of one router by service and workspace."""
@@ -160,12 +170,12 @@
         statuses: dict[str, TargetStatus],
         now: float,
     ) -> None:
-        # Answers to callers who return are mostly late, so new requests go
-        # first. Each group is in order of arrival: a request that must be
-        # refused is at its head and is reached however many others wait.
-        new = [ticket for ticket in queue if not ticket.prior_wait_s]
-        returning = [ticket for ticket in queue if ticket.prior_wait_s]
-        for tickets in (new, returning):
+        # Requests whose answers can be in time go first. Each group is in order
+        # of arrival: a request that must be refused is at its head and is
+        # reached however many others wait.
+        timely = [ticket for ticket in queue if not ticket.is_late]
+        late = [ticket for ticket in queue if ticket.is_late]
+        for tickets in (timely, late):
             self._poll_tickets(tickets, queue, statuses, now)
 
     def _poll_tickets(
@@ -209,8 +219,9 @@
         claim = Claim(
             share_use=self._shares.use_of_share(work.workspace, work.cost),
             relative_use=self._shares.relative_use(work.workspace),
-            latency_s=work.target_latency_s or _DEFAULT_LATENCY_S,
-            waited_s=waited + ticket.prior_wait_s,
+            latency_s=ticket.latency_s,
+            waited_s=waited,
+            prior_wait_s=ticket.prior_wait_s,
         )
         for candidate in candidates:
             if has_room(candidate, claim):
@@ -232,7 +243,7 @@
         is_standing = self._standing.is_standing(
             ticket.work.service, claim.latency_s
         )
-        if is_standing or ticket.prior_wait_s:
+        if is_standing or ticket.is_late:
             return claim.latency_s * _STANDING_MAX_WAIT_FACTOR
         return claim.latency_s * _MAX_WAIT_FACTOR
 
--- a/crowwinch/sharing/_headroom.py
+++ b/crowwinch/sharing/_headroom.py
@@ -34,8 +34,7 @@
 # the target latency, such as that of a very long prompt.
 _SHORT_QUEUE_S = 0.02
 # Fraction of the batch available to a request just over its share whose caller
-# has waited for the target latency already. It is below that of other requests,
-# whose answers can still be in time.
+# returns too late for an answer in time. It is below that of other requests.
 _LATE_BATCH_FRACTION = 0.2
 
 
@@ -48,13 +47,15 @@
             the workspace is over its share.
         relative_use: Use of its workspace divided by the mean of all.
         latency_s: Target latency in seconds.
-        waited_s: Seconds that its caller has waited.
+        waited_s: Seconds since its arrival.
+        prior_wait_s: Seconds that its caller had waited before.
     """
 
     share_use: float
     relative_use: float
     latency_s: float
     waited_s: float
+    prior_wait_s: float = 0.0
 
     @property
     def is_within(self) -> bool:
@@ -62,9 +63,9 @@
         return self.share_use <= 1.0
 
     @property
-    def is_late(self) -> bool:
-        """Whether its caller has waited for the target latency already."""
-        return self.waited_s >= self.latency_s
+    def total_wait_s(self) -> float:
+        """Seconds that its caller has waited."""
+        return self.prior_wait_s + self.waited_s
 
 
 def has_room(candidate: Candidate, claim: Claim) -> bool:
@@ -84,11 +85,17 @@
         factor = claim.relative_use**-_OVER_SHARE_EXPONENT
         latency *= _ABOVE_AVERAGE_LATENCY_FRACTION * factor
     return (
-        candidate.expected_s + claim.waited_s <= latency * _IN_TIME_FRACTION
+        candidate.expected_s + claim.total_wait_s <= latency * _IN_TIME_FRACTION
         or candidate.waiting_s <= _SHORT_QUEUE_S
     )
 
 
+def _is_too_late(candidate: Candidate, claim: Claim) -> bool:
+    """Returns whether the answer to a returning caller would be late."""
+    total_s = claim.total_wait_s + candidate.expected_s
+    return claim.prior_wait_s > 0.0 and total_s > claim.latency_s
+
+
 def _has_room_over_share(candidate: Candidate, claim: Claim) -> bool:
     if candidate.recompute_tokens and candidate.use > _MAX_RECOMPUTE_USE:
         return False
@@ -98,7 +105,7 @@
         own_s, claim.latency_s * _MAX_PREFILL_FRACTION
     )
     limit = claim.latency_s * _OVER_SHARE_LATENCY_FRACTION * factor
-    if claim.is_late:
+    if _is_too_late(candidate, claim):
         return (
             candidate.use < _LATE_BATCH_FRACTION * factor
             and expected_s <= limit
--- a/crowwinch/sharing/tests/test_admission.py
+++ b/crowwinch/sharing/tests/test_admission.py
@@ -200,6 +200,31 @@
             [Verdict.REFUSE_OVERLOAD],
         )
 
+    def test_returning_callers_who_can_be_served_in_time_keep_their_turn(self):
+        """Guards against refusing them because new requests keep coming."""
+        simulation = Simulation(1, 1e9)
+        reservations = [
+            simulation.loads.reserve("e0", 0.0) for _ in range(SLOTS)
+        ]
+        work = Work("llm", "w", prompt_tokens=1_000, target_latency_s=0.8)
+        served = []
+        for name, prior_wait_s in (("returning", 0.3), ("new", 0.0)):
+            simulation.admission.submit(
+                Ticket(
+                    work,
+                    0.0,
+                    5.0,
+                    lambda decision, name=name: (
+                        served.append(name),
+                        simulation.loads.reserve(decision.target, 0.0),
+                    ),
+                    prior_wait_s=prior_wait_s,
+                )
+            )
+        reservations[0].finish()
+        simulation.admission.poll()
+        self.assertEqual(served, ["returning"])
+
     def test_returning_callers_use_idle_engines(self):
         """Guards against idle engines while work waits."""
         simulation = Simulation(1, 10_000.0)
