Admission: a prompt waits briefly where its shared part is cached

Change: an engine that has the shared part cached takes a request whose wait, its queue included, is up to 0.15 s.

Evidence: a test of the limits.

--- a/crowwinch/sharing/tests/test_headroom.py
+++ b/crowwinch/sharing/tests/test_headroom.py
@@ -65,6 +65,18 @@
         self.assertTrue(has_room(_candidate(0.5), claim))
         self.assertFalse(has_room(_candidate(0.6), claim))
 
+    def test_prompt_waits_for_a_short_queue_where_its_prefix_is_cached(self):
+        """Otherwise another engine reads the prefix again."""
+        claim = _claim(0.5)
+        self.assertTrue(has_room(_candidate(0.1, own_s=1.0), claim))
+        self.assertFalse(has_room(_candidate(0.2, own_s=1.0), claim))
+        elsewhere = _candidate(0.1, own_s=1.0, recompute_tokens=5_000)
+        self.assertFalse(has_room(elsewhere, claim))
+        idle = _candidate(0.0, own_s=1.0, recompute_tokens=5_000)
+        self.assertTrue(has_room(idle, claim))
+        claim.waited_s = 0.1
+        self.assertFalse(has_room(_candidate(0.1, own_s=1.0), claim))
+
 
 class OverShareTest(unittest.TestCase):
     """Guards against uneven spare capacity and starved long prompts."""
