Admission: a queue emptied by callers who leave is not standing

Cause: only a poll noted that the queue of a service is empty, and a poll returns at once when nothing waits. After the last request in a queue was withdrawn, the next one met a queue that had not been empty since, and got the short wait limit.

Change: withdrawing a request notes it too.

Evidence: a test that fails without the change.

--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -131,12 +131,12 @@
         if ticket.is_done:
             return
         ticket.is_done = True
-        queue = self._queues.get(ticket.work.service, {}).get(
-            ticket.work.workspace
-        )
+        service = ticket.work.service
+        queue = self._queues.get(service, {}).get(ticket.work.workspace)
         if queue is not None and ticket in queue:
             queue.remove(ticket)
             self._waiting -= 1
+            self._note_if_empty(service)
 
     def poll(self) -> None:
         """Decides all queued requests that can be decided now."""
@@ -151,8 +151,11 @@
                 self._poll_workspace(queues[workspace], statuses, now)
             for workspace in [name for name, q in queues.items() if not q]:
                 del queues[workspace]
-            if not queues:
-                self._standing.note_empty(service)
+            self._note_if_empty(service)
+
+    def _note_if_empty(self, service: str) -> None:
+        if not any(self._queues[service].values()):
+            self._standing.note_empty(service)
 
     def _fair_order(self, queues: Mapping[str, deque[Ticket]]) -> Sequence[str]:
         """Returns the workspaces by units served, the least first."""
--- a/crowwinch/sharing/tests/test_admission.py
+++ b/crowwinch/sharing/tests/test_admission.py
@@ -143,6 +143,23 @@
             max(job.first_event - job.arrived for job in jobs), 0.6
         )
 
+    def test_withdrawn_requests_do_not_make_a_queue_standing(self):
+        """Guards against a queue that callers emptied by leaving."""
+        simulation = Simulation(1, 1e9)
+        for _ in range(SLOTS):
+            simulation.loads.reserve("e0", 1.0)
+        decisions = []
+        for arrived in (0.0, 10.0):
+            simulation.clock.move_to(arrived)
+            ticket = Ticket(
+                self._work(0), arrived, arrived + 15.0, decisions.append
+            )
+            simulation.admission.submit(ticket)
+            simulation.clock.move_to(arrived + 0.9)
+            simulation.admission.poll()
+            self.assertEqual(decisions, [])
+            simulation.admission.withdraw(ticket)
+
     def test_each_of_several_bursts_is_a_new_one(self):
         """Guards against a queue that counts as standing after it emptied."""
         load = [
