--- a/crowwinch/sharing/_headroom.py
+++ b/crowwinch/sharing/_headroom.py
@@ -33,11 +33,6 @@
 # An engine with a shorter queue accepts a request even if its forecast exceeds
 # the target latency, such as that of a very long prompt.
 _SHORT_QUEUE_S = 0.02
-# An engine that has the shared part of the prompt cached accepts a request that
-# has waited for less than this, the queue of the engine included: reading that
-# part again elsewhere takes longer. Requests that wait under sustained overload
-# have waited for longer; they would make the answers to others late.
-_MAX_CACHED_WAIT_S = 0.15
 # Fraction of the batch available to a request just over its share whose caller
 # returns too late for an answer in time. It is below that of other requests.
 _LATE_BATCH_FRACTION = 0.2
@@ -90,12 +85,10 @@
         factor = claim.relative_use**-_OVER_SHARE_EXPONENT
         latency *= _ABOVE_AVERAGE_LATENCY_FRACTION * factor
     total_s = claim.total_wait_s + candidate.expected_s
-    if total_s <= latency * _IN_TIME_FRACTION:
-        return True
-    if candidate.waiting_s <= _SHORT_QUEUE_S:
-        return True
-    wait_s = claim.total_wait_s + candidate.waiting_s
-    return not candidate.recompute_tokens and wait_s <= _MAX_CACHED_WAIT_S
+    return (
+        total_s <= latency * _IN_TIME_FRACTION
+        or candidate.waiting_s <= _SHORT_QUEUE_S
+    )
 
 
 def _is_too_late(candidate: Candidate, claim: Claim) -> bool:
