Admission: long waits in bursts only for a slot

Each of 8 routers sees few requests, so its queue empties and each wait counts as a burst, although the engines have more to read than they can. A burst that fills all slots is another case: a slot that becomes free is of use at once.

Change: the limit of 1.5 holds while all slots are taken, 0.7 otherwise.

--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -19,13 +19,13 @@
 
 # Target latency of requests whose route does not set one.
 _DEFAULT_LATENCY_S = 1.0
-# Maximum wait of a request within its workspace's share while the queue is not
-# standing, as a multiple of its target latency. Above 1 because a late answer
-# has more value than a refusal, whose caller returns even later.
-_MAX_WAIT_FACTOR = 1.5
-# The same in a standing queue, which is as long as this allows: what is left
-# must suffice for an answer in time.
-_STANDING_MAX_WAIT_FACTOR = 0.7
+# Maximum wait of a request within its workspace's share, as a multiple of its
+# target latency. Under sustained overload the queue is as long as this allows,
+# so what is left must suffice for an answer in time.
+_MAX_WAIT_FACTOR = 0.7
+# The same for a slot while the queue is not standing. Above 1 because a late
+# answer has more value than a refusal, whose caller returns even later.
+_BURST_MAX_WAIT_FACTOR = 1.5
 # A request over the share is rejected before its caller notices the wait.
 _OVER_SHARE_MAX_WAIT_FACTOR = 0.125
 # A service without targets regains them by a restart or a new target entry.
@@ -229,7 +229,7 @@
         for candidate in candidates:
             if has_room(candidate, claim):
                 return _send_decision(candidate)
-        max_wait_s = self._max_wait_s(ticket, claim)
+        max_wait_s = self._max_wait_s(ticket, claim, candidates)
         if waited < min(max_wait_s, ticket.deadline - ticket.arrived):
             return None
         if claim.is_within:
@@ -239,15 +239,22 @@
             )
         return self._refuse_over_share(ticket, now)
 
-    def _max_wait_s(self, ticket: Ticket, claim: Claim) -> float:
-        """Returns the maximum wait of a request in seconds."""
+    def _max_wait_s(
+        self, ticket: Ticket, claim: Claim, candidates: Sequence[Candidate]
+    ) -> float:
+        """Returns the maximum wait of a request in seconds.
+
+        A burst that fills all slots is served as fast as they become free.
+        Prompts that wait to be read make each other late instead.
+        """
         if not claim.is_within:
             return claim.latency_s * _OVER_SHARE_MAX_WAIT_FACTOR
+        waits_for_slot = all(candidate.use >= 1.0 for candidate in candidates)
         is_standing = self._standing.is_standing(
             ticket.work.service, claim.latency_s
         )
-        if is_standing or ticket.is_late:
-            return claim.latency_s * _STANDING_MAX_WAIT_FACTOR
+        if waits_for_slot and not is_standing and not ticket.is_late:
+            return claim.latency_s * _BURST_MAX_WAIT_FACTOR
         return claim.latency_s * _MAX_WAIT_FACTOR
 
     def _is_rejection_certain(
