Sharing: one place each for reservations, forecasts and earlier waits

Cause: three callers copied five fields of a decision into TargetLoads.reserve, the placer held the formula of the first event twice, and CallerDeadlines looked for the longest of 48 deadlines twice a request.

Change: TargetLoads.reserve_decided, _Speed.first_event_s and _RecentDeadlines.prior_wait_ms. Behaviour is the same.

--- a/crowwinch/forwarding/_sharing_state.py
+++ b/crowwinch/forwarding/_sharing_state.py
@@ -54,13 +54,7 @@
         """
         if decision.verdict is not Verdict.SEND:
             return Placement(decision, None)
-        reservation = self.loads.reserve(
-            decision.target,
-            decision.reading_s,
-            decision.expected_s,
-            decision.reading_from_s,
-            decision.reading_until_s,
-        )
+        reservation = self.loads.reserve_decided(decision)
         self.shares.record_usage(work.workspace, work.cost)
         if work.parts:
             self.prefixes.record_prefill(
--- a/crowwinch/sharing/_caller_deadlines.py
+++ b/crowwinch/sharing/_caller_deadlines.py
@@ -29,12 +29,15 @@
         default_factory=lambda: deque(maxlen=_WINDOW_REQUESTS)
     )
 
-    def is_first(self, deadline_ms: int) -> bool:
-        """Returns whether a deadline is that of a first request."""
-        return (
-            deadline_ms >= _MIN_FIRST_FRACTION * max(self.recent)
+    def prior_wait_ms(self, deadline_ms: int) -> int:
+        """Returns the time waited before, 0 for that of a first request."""
+        longest_ms = max(self.recent)
+        if (
+            deadline_ms >= _MIN_FIRST_FRACTION * longest_ms
             or self.recent.count(deadline_ms) >= _MIN_EQUAL_REQUESTS
-        )
+        ):
+            return 0
+        return longest_ms - deadline_ms
 
 
 class CallerDeadlines:
@@ -67,6 +70,4 @@
                 self._pairs.popitem(last=False)
         self._pairs.move_to_end(pair)
         deadlines.recent.append(deadline_ms)
-        if deadlines.is_first(deadline_ms):
-            return 0.0
-        return (max(deadlines.recent) - deadline_ms) / _MS_PER_S
+        return deadlines.prior_wait_ms(deadline_ms) / _MS_PER_S
--- a/crowwinch/sharing/_loads.py
+++ b/crowwinch/sharing/_loads.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from crowwinch.coordination import Clock
+from crowwinch.sharing._model import Decision
 
 # Peers report every 0.1 s. A report older than _FRESH_S may come from a stopped
 # router, so its weight decreases linearly to 0 at _EXPIRY_S.
@@ -217,6 +218,16 @@
             self._on_long_prompt()
         return reservation
 
+    def reserve_decided(self, decision: Decision) -> Reservation:
+        """Adds the attempt that a decision sends to the load of its target."""
+        return self.reserve(
+            decision.target,
+            decision.reading_s,
+            decision.expected_s,
+            decision.reading_from_s,
+            decision.reading_until_s,
+        )
+
     def record_first_event(self, target: str, late_s: float) -> None:
         """Records the delay of a first event against its forecast.
 
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -233,6 +233,10 @@
     ratio: float
     overhead_s: float
 
+    def first_event_s(self, reading_s: float) -> float:
+        """Returns the time to the first event after some modelled prefill."""
+        return self.overhead_s + reading_s * self.ratio
+
 
 def _prefill(work: Work, cached_tokens: int, speed: _Speed) -> _Prefill:
     unread_tokens = max(work.prompt_tokens - cached_tokens, 1)
@@ -240,7 +244,7 @@
     return _Prefill(
         unread_tokens=unread_tokens,
         seconds=seconds,
-        alone_s=speed.overhead_s + seconds * speed.ratio,
+        alone_s=speed.first_event_s(seconds),
         recompute_tokens=max(work.shared_tokens - cached_tokens, 0),
     )
 
@@ -253,7 +257,7 @@
     speed: _Speed,
 ) -> Candidate:
     waiting_s = status.waiting_s
-    forecast = speed.overhead_s + (waiting_s + prefill.seconds) * speed.ratio
+    forecast = speed.first_event_s(waiting_s + prefill.seconds)
     expected = forecast + status.delay_s
     return Candidate(
         status.target,
--- a/crowwinch/sharing/tests/support.py
+++ b/crowwinch/sharing/tests/support.py
@@ -127,13 +127,7 @@
                 job.refused = now
             return
         work = job.work
-        job.reservation = self.loads.reserve(
-            decision.target,
-            decision.reading_s,
-            decision.expected_s,
-            decision.reading_from_s,
-            decision.reading_until_s,
-        )
+        job.reservation = self.loads.reserve_decided(decision)
         self.shares.record_usage(work.workspace, work.cost)
         self.prefixes.record_prefill(decision.target, work)
         self.engines[decision.target].send(job)
--- a/measurements/_sharing_world.py
+++ b/measurements/_sharing_world.py
@@ -216,13 +216,7 @@
             job.refused = now + hop_s
             return
         work = job.work
-        job.reservation = node.loads.reserve(
-            decision.target,
-            decision.reading_s,
-            decision.expected_s,
-            decision.reading_from_s,
-            decision.reading_until_s,
-        )
+        job.reservation = node.loads.reserve_decided(decision)
         node.shares.record_usage(work.workspace, work.cost)
         node.prefixes.record_prefill(decision.target, work, decision.is_home)
         engine = self.engines[decision.target]
