Admission: test the limits of long waits

Cause: no test of admission failed when long waits were allowed in a standing queue or for prompts that wait to be read; the second showed in test_experiment only.

Change: two tests that play these loads. No change of code.

Evidence: without the check of the standing queue the first fails, without that of the slots the second; both pass on the code.

--- a/crowwinch/sharing/tests/test_admission.py
+++ b/crowwinch/sharing/tests/test_admission.py
@@ -143,6 +143,53 @@
             max(job.first_event - job.arrived for job in jobs), 0.6
         )
 
+    def _waits_until_refused(self, simulation):
+        """Submits a request each 0.1 s and returns arrivals and waits."""
+        waits = []
+
+        def submit(number, arrived):
+            simulation.admission.submit(
+                Ticket(
+                    self._work(number),
+                    arrived,
+                    arrived + 15.0,
+                    lambda decision: waits.append(
+                        (arrived, simulation.clock.monotonic() - arrived)
+                    ),
+                )
+            )
+
+        for step in range(250):
+            now = step * 0.02
+            simulation.clock.move_to(now)
+            simulation.admission.poll()
+            if step % 5 == 0:
+                submit(step, now)
+        return waits
+
+    def test_waits_for_slots_that_stay_taken_get_short(self):
+        """Guards against long waits under sustained overload of the slots."""
+        simulation = Simulation(1, 1e9)
+        for _ in range(SLOTS):
+            simulation.loads.reserve("e0", 0.0)
+        waits = self._waits_until_refused(simulation)
+        self.assertGreater(max(wait for _, wait in waits), 1.1)
+        later = [wait for arrived, wait in waits if arrived > 1.3]
+        self.assertGreater(len(later), 10)
+        self.assertLess(max(later), 0.7)
+
+    def test_prompts_that_wait_to_be_read_get_short_waits(self):
+        """Guards against a queue of prompts that is taken for a burst.
+
+        Each of several routers sees few requests, so its queue is often empty,
+        and every prompt that waited long was answered late.
+        """
+        simulation = Simulation(1, 1e9)
+        simulation.loads.reserve("e0", 30.0)
+        waits = self._waits_until_refused(simulation)
+        self.assertGreater(len(waits), 10)
+        self.assertLess(max(wait for _, wait in waits), 0.7)
+
     def test_withdrawn_requests_do_not_make_a_queue_standing(self):
         """Guards against a queue that callers emptied by leaving."""
         simulation = Simulation(1, 1e9)
