Overload: count a turn as long as the stop before it as no gap

Cause: a router that runs in turns refuses connections only at the start of each turn and catches up before it is stopped again. Each turn started the overload anew, and the router stayed ready. The trace logged each start with its gap, the lag and the time since no connection waited.

Change: the gap may be longer by twice the lag, the stop and a turn of the same length, up to 1 s; a router that was frozen for seconds does not count refusals before and after as one overload.

Two tests of the detector fail without the change.

--- a/crowwinch/forwarding/_overload.py
+++ b/crowwinch/forwarding/_overload.py
@@ -9,10 +9,14 @@
 
 # A single slow event loop iteration refuses the connections that arrived during
 # it. Only refusals that continue for this long, without a gap longer than
-# _MAX_REFUSAL_GAP_S, indicate a lack of processor time. Time in which the
-# process did not run is no gap, since it could not refuse.
+# _MAX_REFUSAL_GAP_S, indicate a lack of processor time. A process that runs in
+# turns refuses at the start of each turn what came before it, so that a gap
+# holds the time in which it did not run and a turn of about the same length.
+# Longer stops, of more than half of _MAX_LAG_GAP_S, are no turns.
 _MIN_OVERLOAD_S = 0.5
 _MAX_REFUSAL_GAP_S = 0.25
+_GAP_PER_LAG = 2.0
+_MAX_LAG_GAP_S = 1.0
 # The load balancer checks readiness once per second and removes a router after
 # two negative answers.
 _BALANCER_REACTION_S = 2.0
@@ -82,7 +86,8 @@
     def note_refusal(self) -> None:
         """Records that a connection was refused for lack of processor time."""
         now = self._clock.monotonic()
-        if now - self._last_refusal > _MAX_REFUSAL_GAP_S + self._lag_s():
+        lag_gap_s = min(_GAP_PER_LAG * self._lag_s(), _MAX_LAG_GAP_S)
+        if now - self._last_refusal > _MAX_REFUSAL_GAP_S + lag_gap_s:
             self._first_refusal = now
         self._last_refusal = now
         if now - self._first_refusal < _MIN_OVERLOAD_S:
--- a/crowwinch/forwarding/tests/test_overload.py
+++ b/crowwinch/forwarding/tests/test_overload.py
@@ -62,6 +62,27 @@
                 self.lag_s = 0.3
         self.assertTrue(self.overload.is_overloaded)
 
+    def test_a_turn_without_refusals_at_its_end_is_no_gap(self):
+        """Guards against a ready router that catches up in each turn.
+
+        A process that ran for 0.3 s of each 0.6 s refused a crowd only in the
+        first half of each turn, with gaps of 0.49 to 0.64 s between refusals.
+        """
+        with self.assertLogs(_LOGGER, "WARNING"):
+            for _ in range(3):
+                self.lag_s = 0.26
+                self._refuse(0.1)
+                self._advance(0.5)
+        self.assertTrue(self.overload.is_overloaded)
+
+    def test_refusals_before_and_after_a_freeze_are_not_overload(self):
+        """Guards against a router that stays away after it was frozen."""
+        self._refuse(0.05)
+        self._advance(3.0)
+        self.lag_s = 3.0
+        self._refuse(0.05)
+        self.assertFalse(self.overload.is_overloaded)
+
     def test_two_slow_iterations_apart_are_not_overload(self):
         for _ in range(5):
             self.lag_s = 0.3
