Stand-ins: draw ports that are free on all addresses

Cause: free_port asked whether a port is free on 127.0.0.1, but the routers of a platform fleet listen on 127.0.1.1 and the addresses after it. A second run of the tests on the machine draws from the same range of ports, so it could be given a port that a router of the first one used.

Change: the probe binds the port on all addresses.

Evidence: the new test fails before (the used port is returned).

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -26,7 +26,7 @@
 
 
 def free_port() -> int:
-    """Returns a TCP port that is free now.
+    """Returns a TCP port that is free now on all addresses.
 
     Ports that the kernel gives to outgoing connections are left out: one of
     them could be taken while its router is down for a restart.
@@ -37,7 +37,7 @@
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
-                probe.bind(("127.0.0.1", port))
+                probe.bind(("", port))
             except OSError:
                 continue
         return port
