Admission: what a large workspace gets goes to answers in time

Cause: on the small twin of the large site the configured tokens a second are those of the whole site, so no workspace is over its share, and one asks for 62% of all. Its requests were sent in order of arrival. Callers who return are late already, waited for 0.45 to 0.6 s and were then refused again, or took a slot.

Change, for workspaces with at least the mean use, within their share: - the queue of a workspace is in the order of the times by which requests must start, instead of arrival; - in a standing queue a request is refused once it could only be late; - an answer that can only be late needs an engine with less than a fifth of its batch in use and a short queue.

--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -3,6 +3,12 @@
 Requests cannot be reordered once they are sent to an engine. Under overload
 they are queued here instead, where small workspaces take precedence over large
 ones, and requests that would be answered too late are rejected at once.
+
+Load: one workspace asks for more than all targets serve while it is within its
+share, since targets were lost or the configured capacity is too high. What it
+can be served goes to the requests that can be in time. They are sent in the
+order of the times by which they must start: in order of arrival, the requests
+that may wait longest took most slots, and the others were refused.
 """
 
 from collections import deque
@@ -10,7 +16,7 @@
 from dataclasses import dataclass, field
 
 from crowwinch.coordination import Clock
-from crowwinch.sharing._headroom import Claim, has_room
+from crowwinch.sharing._headroom import Claim, has_room, latest_start_s
 from crowwinch.sharing._model import Decision, TargetView, Verdict, Work
 from crowwinch.sharing._placer import Candidate, Placer, TargetStatus
 from crowwinch.sharing._return_times import ReturnTimes
@@ -50,6 +56,8 @@
         excluded: Identifiers of targets that must not be used.
         prior_wait_s: Time that the caller has waited before the request
             arrived.
+        latest_start: Monotonic time from which an answer is likely late; set
+            when it is submitted.
     """
 
     work: Work
@@ -58,6 +66,7 @@
     on_decision: Callable[[Decision], None]
     excluded: Collection[str] = ()
     prior_wait_s: float = 0.0
+    latest_start: float = field(default=0.0, init=False)
     is_done: bool = field(default=False, init=False)
 
     @property
@@ -109,6 +118,12 @@
     def submit(self, ticket: Ticket) -> None:
         """Decides a request immediately or queues it."""
         now = self._clock.monotonic()
+        alone_s = self._placer.alone_s(ticket.work)
+        ticket.latest_start = (
+            ticket.arrived
+            - ticket.prior_wait_s
+            + latest_start_s(ticket.latency_s, alone_s)
+        )
         queues = self._queues.setdefault(ticket.work.service, {})
         queue = queues.setdefault(ticket.work.workspace, deque())
         if not queue:
@@ -173,11 +188,12 @@
         statuses: dict[str, TargetStatus],
         now: float,
     ) -> None:
-        # Requests whose answers can be in time go first. Each group is in order
-        # of arrival: a request that must be refused is at its head and is
-        # reached however many others wait.
-        timely = [ticket for ticket in queue if not ticket.is_late]
-        late = [ticket for ticket in queue if ticket.is_late]
+        # Requests whose answers can be in time go first. A request that must be
+        # refused is at the head of its group and is reached however many others
+        # wait.
+        ordered = sorted(queue, key=lambda ticket: ticket.latest_start)
+        timely = [ticket for ticket in ordered if not ticket.is_late]
+        late = [ticket for ticket in ordered if ticket.is_late]
         for tickets in (timely, late):
             self._poll_tickets(tickets, queue, statuses, now)
 
@@ -230,7 +246,10 @@
             if has_room(candidate, claim):
                 return _send_decision(candidate)
         max_wait_s = self._max_wait_s(ticket, claim, candidates)
-        if waited < min(max_wait_s, ticket.deadline - ticket.arrived):
+        is_waiting_useless = self._is_waiting_useless(ticket, claim, now)
+        if not is_waiting_useless and waited < min(
+            max_wait_s, ticket.deadline - ticket.arrived
+        ):
             return None
         if claim.is_within:
             return Decision(
@@ -239,6 +258,21 @@
             )
         return self._refuse_over_share(ticket, now)
 
+    def _is_waiting_useless(
+        self, ticket: Ticket, claim: Claim, now: float
+    ) -> bool:
+        """Returns whether a request could only be answered late.
+
+        In a standing queue, those that still can be in time take what becomes
+        free.
+        """
+        return (
+            claim.is_within
+            and claim.is_large
+            and now >= ticket.latest_start
+            and self._standing.is_standing(ticket.work.service, claim.latency_s)
+        )
+
     def _max_wait_s(
         self, ticket: Ticket, claim: Claim, candidates: Sequence[Candidate]
     ) -> float:
--- a/crowwinch/sharing/_headroom.py
+++ b/crowwinch/sharing/_headroom.py
@@ -30,11 +30,16 @@
 # Fraction of the target latency that a forecast may take. The rest covers its
 # error.
 _IN_TIME_FRACTION = 0.8
+# Fraction of the target latency that the last wait and the time at an idle
+# target may take together. The rest covers the time at a busy one and what
+# other routers have sent meanwhile.
+_START_FRACTION = 0.7
 # An engine with a shorter queue accepts a request even if its forecast exceeds
 # the target latency, such as that of a very long prompt.
 _SHORT_QUEUE_S = 0.02
-# Fraction of the batch available to a request just over its share whose caller
-# returns too late for an answer in time. It is below that of other requests.
+# Fraction of the batch available to a request that cannot be answered in time,
+# of a workspace just over its share or with at least average use. In a full
+# batch, each late answer takes the slot of one in time.
 _LATE_BATCH_FRACTION = 0.2
 
 
@@ -62,6 +67,11 @@
         """Whether the request is within its workspace's share."""
         return self.share_use <= 1.0
 
+    @property
+    def is_large(self) -> bool:
+        """Whether its workspace uses at least the mean of all."""
+        return self.relative_use >= 1.0
+
     @property
     def total_wait_s(self) -> float:
         """Seconds that its caller has waited."""
@@ -79,16 +89,29 @@
     return _has_room_over_share(candidate, claim)
 
 
+def latest_start_s(latency_s: float, alone_s: float) -> float:
+    """Returns the longest wait after which an answer is likely in time.
+
+    Args:
+        latency_s: Target latency in seconds.
+        alone_s: Time to the first event at an idle target in seconds.
+
+    Returns:
+        Seconds, below 0 if no wait is short enough.
+    """
+    return latency_s * _START_FRACTION - alone_s
+
+
 def _has_room_within_share(candidate: Candidate, claim: Claim) -> bool:
     latency = claim.latency_s
+    total_s = claim.total_wait_s + candidate.expected_s
+    has_short_queue = candidate.waiting_s <= _SHORT_QUEUE_S
+    if claim.is_large and total_s > latency:
+        return has_short_queue and candidate.use < _LATE_BATCH_FRACTION
     if claim.relative_use > 1.0:
         factor = claim.relative_use**-_OVER_SHARE_EXPONENT
         latency *= _ABOVE_AVERAGE_LATENCY_FRACTION * factor
-    total_s = claim.total_wait_s + candidate.expected_s
-    return (
-        total_s <= latency * _IN_TIME_FRACTION
-        or candidate.waiting_s <= _SHORT_QUEUE_S
-    )
+    return total_s <= latency * _IN_TIME_FRACTION or has_short_queue
 
 
 def _is_too_late(candidate: Candidate, claim: Claim) -> bool:
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -118,6 +118,17 @@
         self._speeds = speeds
         self._health = health
 
+    def alone_s(self, work: Work) -> float:
+        """Returns the time to the first event at an idle target in seconds.
+
+        The shared part of the prompt counts as cached there.
+        """
+        if not work.prompt_tokens:
+            return 0.0
+        return _prefill(
+            work, work.shared_tokens, self._speed(work.service)
+        ).alone_s
+
     def observe(self, target: TargetView) -> TargetStatus:
         """Returns the current state of a target."""
         identifier = target.identifier
@@ -165,15 +176,17 @@
         own_active = self._loads.own_active(target.identifier)
         return own_active < max(share * _CONNECTION_SHARE, 1)
 
+    def _speed(self, service: str) -> "_Speed":
+        return _Speed(
+            self._speeds.ratio(service), self._speeds.overhead_s(service)
+        )
+
     def _forecast(
         self, work: Work, statuses: Sequence[TargetStatus]
     ) -> list[Candidate]:
         home = _home(work, statuses)
         cached_tokens_by_target = self._prefixes.cached_token_counts(work)
-        speed = _Speed(
-            self._speeds.ratio(work.service),
-            self._speeds.overhead_s(work.service),
-        )
+        speed = self._speed(work.service)
         # Reused between engines, since most of them have the same number of
         # prompt tokens cached.
         prefills: dict[int, _Prefill] = {}
--- a/crowwinch/sharing/tests/test_headroom.py
+++ b/crowwinch/sharing/tests/test_headroom.py
@@ -26,10 +26,10 @@
     )
 
 
-def _claim(share_use, prior_wait_s=0.0):
+def _claim(share_use, prior_wait_s=0.0, relative_use=1.0):
     return Claim(
         share_use,
-        1.0,
+        relative_use,
         latency_s=0.8,
         waited_s=0.0,
         prior_wait_s=prior_wait_s,
@@ -72,6 +72,19 @@
         self.assertFalse(has_room(_candidate(0.1, own_s=1.0), claim))
 
 
+class LateAnswerTest(unittest.TestCase):
+    """Guards against late answers in slots that others need for timely ones."""
+
+    def test_large_workspace_needs_a_nearly_empty_batch(self):
+        claim = _claim(0.5, prior_wait_s=1.0, relative_use=2.0)
+        self.assertTrue(has_room(_candidate(0.0, use=0.1), claim))
+        self.assertFalse(has_room(_candidate(0.0, use=0.5), claim))
+
+    def test_small_workspace_needs_a_short_queue_only(self):
+        claim = _claim(0.5, prior_wait_s=1.0, relative_use=0.5)
+        self.assertTrue(has_room(_candidate(0.0, use=0.5), claim))
+
+
 class OverShareTest(unittest.TestCase):
     """Guards against uneven spare capacity and starved long prompts."""
 
