Admission: late answers take free slots that nobody waits for

Cause: the limit of late answers for large workspaces held in calm seconds too. A prompt that takes longer than its target latency to be read was refused at half of the load, also where there is only one workspace.

Change: three quarters of the batch are free for late answers while no request that can be in time waits at this router, a fifth otherwise.

Evidence: the new test of a prompt of 60,000 tokens at half of the slots fails before. What that leaves: up to a quarter of the slots may stay free while only late answers wait.

--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -11,7 +11,7 @@
 that may wait longest took most slots, and the others were refused.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -67,6 +67,7 @@
     excluded: Collection[str] = ()
     prior_wait_s: float = 0.0
     latest_start: float = field(default=0.0, init=False)
+    is_queued: bool = field(default=False, init=False)
     is_done: bool = field(default=False, init=False)
 
     @property
@@ -109,6 +110,9 @@
         self._standing = StandingQueues(clock)
         self._queues: dict[str, dict[str, deque[Ticket]]] = {}
         self._waiting = 0
+        # Queued requests by service whose callers had not waited for the
+        # target latency before.
+        self._timely: Counter[str] = Counter()
 
     @property
     def waiting(self) -> int:
@@ -139,7 +143,7 @@
             return
         self._standing.note_request(ticket.work.service)
         queue.append(ticket)
-        self._waiting += 1
+        self._count_queued(ticket, 1)
 
     def withdraw(self, ticket: Ticket) -> None:
         """Removes a request whose caller has disconnected."""
@@ -150,7 +154,7 @@
         queue = self._queues.get(service, {}).get(ticket.work.workspace)
         if queue is not None and ticket in queue:
             queue.remove(ticket)
-            self._waiting -= 1
+            self._count_queued(ticket, -1)
             self._note_if_empty(service)
 
     def poll(self) -> None:
@@ -213,13 +217,24 @@
                     break
                 continue
             queue.remove(ticket)
-            self._waiting -= 1
+            self._count_queued(ticket, -1)
             self._finish(ticket, decision)
             if decision.verdict is Verdict.SEND:
                 # Make the added load visible to the next request.
                 target = statuses[decision.target].target
                 statuses[decision.target] = self._placer.observe(target)
 
+    def _count_queued(self, ticket: Ticket, change: int) -> None:
+        ticket.is_queued = change > 0
+        self._waiting += change
+        if not ticket.is_late:
+            self._timely[ticket.work.service] += change
+
+    def _is_contended(self, ticket: Ticket) -> bool:
+        """Returns whether others wait that may be answered in time."""
+        own = int(ticket.is_queued and not ticket.is_late)
+        return self._timely[ticket.work.service] > own
+
     def _finish(self, ticket: Ticket, decision: Decision) -> None:
         ticket.is_done = True
         ticket.on_decision(decision)
@@ -241,6 +256,7 @@
             latency_s=ticket.latency_s,
             waited_s=waited,
             prior_wait_s=ticket.prior_wait_s,
+            is_contended=self._is_contended(ticket),
         )
         for candidate in candidates:
             if has_room(candidate, claim):
--- a/crowwinch/sharing/_headroom.py
+++ b/crowwinch/sharing/_headroom.py
@@ -41,6 +41,9 @@
 # of a workspace just over its share or with at least average use. In a full
 # batch, each late answer takes the slot of one in time.
 _LATE_BATCH_FRACTION = 0.2
+# The same where no request that can be in time waits at this router. Others may
+# wait elsewhere in the fleet, which shows in nearly full batches.
+_UNCONTENDED_LATE_BATCH_FRACTION = 0.75
 
 
 @dataclass(slots=True)
@@ -54,6 +57,7 @@
         latency_s: Target latency in seconds.
         waited_s: Seconds since its arrival.
         prior_wait_s: Seconds that its caller had waited before.
+        is_contended: Whether other requests wait that can be in time.
     """
 
     share_use: float
@@ -61,6 +65,7 @@
     latency_s: float
     waited_s: float
     prior_wait_s: float = 0.0
+    is_contended: bool = False
 
     @property
     def is_within(self) -> bool:
@@ -107,7 +112,12 @@
     total_s = claim.total_wait_s + candidate.expected_s
     has_short_queue = candidate.waiting_s <= _SHORT_QUEUE_S
     if claim.is_large and total_s > latency:
-        return has_short_queue and candidate.use < _LATE_BATCH_FRACTION
+        batch_fraction = (
+            _LATE_BATCH_FRACTION
+            if claim.is_contended
+            else _UNCONTENDED_LATE_BATCH_FRACTION
+        )
+        return has_short_queue and candidate.use < batch_fraction
     if claim.relative_use > 1.0:
         factor = claim.relative_use**-_OVER_SHARE_EXPONENT
         latency *= _ABOVE_AVERAGE_LATENCY_FRACTION * factor
--- a/crowwinch/sharing/tests/test_headroom.py
+++ b/crowwinch/sharing/tests/test_headroom.py
@@ -26,13 +26,14 @@
     )
 
 
-def _claim(share_use, prior_wait_s=0.0, relative_use=1.0):
+def _claim(share_use, prior_wait_s=0.0, relative_use=1.0, is_contended=False):
     return Claim(
         share_use,
         relative_use,
         latency_s=0.8,
         waited_s=0.0,
         prior_wait_s=prior_wait_s,
+        is_contended=is_contended,
     )
 
 
@@ -75,11 +76,21 @@
 class LateAnswerTest(unittest.TestCase):
     """Guards against late answers in slots that others need for timely ones."""
 
-    def test_large_workspace_needs_a_nearly_empty_batch(self):
-        claim = _claim(0.5, prior_wait_s=1.0, relative_use=2.0)
+    def test_large_workspace_needs_a_nearly_empty_batch_while_others_wait(self):
+        claim = _claim(0.5, 1.0, relative_use=2.0, is_contended=True)
         self.assertTrue(has_room(_candidate(0.0, use=0.1), claim))
         self.assertFalse(has_room(_candidate(0.0, use=0.5), claim))
 
+    def test_large_workspace_uses_free_slots_that_nobody_waits_for(self):
+        """Guards against idle capacity while a late caller waits."""
+        claim = _claim(0.5, prior_wait_s=1.0, relative_use=2.0)
+        self.assertTrue(has_room(_candidate(0.0, use=0.7), claim))
+
+    def test_nearly_full_batch_is_kept_for_answers_in_time(self):
+        """Guards against late answers while others wait at other routers."""
+        claim = _claim(0.5, prior_wait_s=1.0, relative_use=2.0)
+        self.assertFalse(has_room(_candidate(0.0, use=0.9), claim))
+
     def test_small_workspace_needs_a_short_queue_only(self):
         claim = _claim(0.5, prior_wait_s=1.0, relative_use=0.5)
         self.assertTrue(has_room(_candidate(0.0, use=0.5), claim))
--- a/crowwinch/sharing/tests/test_large_workspace.py
+++ b/crowwinch/sharing/tests/test_large_workspace.py
@@ -106,9 +106,11 @@
         ]
         self.decisions = []
 
-    def _submit(self, name, latency_s, prior_wait_s=0.0):
+    def _submit(self, name, latency_s, prior_wait_s=0.0, prompt_tokens=100):
         now = self.simulation.clock.monotonic()
-        work = Work("llm", "w", prompt_tokens=100, target_latency_s=latency_s)
+        work = Work(
+            "llm", "w", prompt_tokens=prompt_tokens, target_latency_s=latency_s
+        )
         self.simulation.admission.submit(
             Ticket(
                 work,
@@ -144,6 +146,16 @@
         self._move_to(1.91)
         self.assertIn(("late", Verdict.REFUSE_OVERLOAD), self.decisions)
 
+    def test_a_prompt_that_is_never_in_time_gets_a_slot_nobody_waits_for(self):
+        """Guards against refusals of the longest prompts at half of the load.
+
+        At 0.8 s, reading 60,000 tokens is late at an idle engine too.
+        """
+        for slot in self.slots[: SLOTS // 2]:
+            slot.finish()
+        self._submit("long", 0.8, prompt_tokens=60_000)
+        self.assertEqual(self.decisions, [("long", Verdict.SEND)])
+
     def test_a_late_caller_waits_where_the_queue_is_not_standing(self):
         """Guards against refusals of what a free slot would serve soon."""
         self._submit("late", 0.8, prior_wait_s=2.0)
