Admission: each rule of waiting in a class of its own

Cause: the order of requests, the limits of waits and of late answers and the count of requests in time were parts of Admission and of free functions. A ticket held a flag that says whether it is queued, which its queue says too. Two expressions said whether an answer would be late.

Change: StartOrder, WaitLimits, LateAnswers and TimelyRequests, each with the load that it answers; Ticket and Claim in modules of their own. Behaviour is as before. Three rules had no test that fails without them and have one now: late callers after those in time, no slot for a late arrival before one that waits, short waits beyond the share (the last rule is older).

All tests of the package and measurements.tests.test_experiment pass.

--- a/crowwinch/sharing/__init__.py
+++ b/crowwinch/sharing/__init__.py
@@ -3,7 +3,7 @@
 This package does no I/O and reads the time only from an injected clock.
 """
 
-from crowwinch.sharing._admission import Admission, Ticket
+from crowwinch.sharing._admission import Admission
 from crowwinch.sharing._caller_deadlines import CallerDeadlines
 from crowwinch.sharing._health import TargetHealth
 from crowwinch.sharing._loads import Reservation, TargetLoads, TargetUse
@@ -24,6 +24,7 @@
     time_constant,
 )
 from crowwinch.sharing._speeds import EngineSpeeds
+from crowwinch.sharing._ticket import Ticket
 
 __all__ = [
     "Admission",
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -4,36 +4,27 @@
 they are queued here instead, where small workspaces take precedence over large
 ones, and requests that would be answered too late are rejected at once.
 
-Load: one workspace asks for more than all targets serve while it is within its
-share, since targets were lost or the configured capacity is too high. What it
-can be served goes to the requests that can be in time. They are sent in the
-order of the times by which they must start: in order of arrival, the requests
-that may wait longest took most slots, and the others were refused.
+Load: more is asked than all targets serve. The rules that say who waits, in
+which order and for how long are classes of their own: `StartOrder`,
+`WaitLimits`, `LateAnswers`, `StandingQueues` and `TimelyRequests`.
 """
 
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable, Collection, Mapping, Sequence
-from dataclasses import dataclass, field
 
 from crowwinch.coordination import Clock
-from crowwinch.sharing._headroom import Claim, has_room, latest_start_s
+from crowwinch.sharing._claim import Claim
+from crowwinch.sharing._headroom import has_room
 from crowwinch.sharing._model import Decision, TargetView, Verdict, Work
 from crowwinch.sharing._placer import Candidate, Placer, TargetStatus
 from crowwinch.sharing._return_times import ReturnTimes
 from crowwinch.sharing._shares import WorkspaceShares
 from crowwinch.sharing._standing_queues import StandingQueues
+from crowwinch.sharing._start_order import StartOrder
+from crowwinch.sharing._ticket import Ticket
+from crowwinch.sharing._timely_requests import TimelyRequests
+from crowwinch.sharing._wait_limits import WaitLimits
 
-# Target latency of requests whose route does not set one.
-_DEFAULT_LATENCY_S = 1.0
-# Maximum wait of a request within its workspace's share, as a multiple of its
-# target latency. Under sustained overload the queue is as long as this allows,
-# so what is left must suffice for an answer in time.
-_MAX_WAIT_FACTOR = 0.7
-# The same for a slot while the queue is not standing. Above 1 because a late
-# answer has more value than a refusal, whose caller returns even later.
-_BURST_MAX_WAIT_FACTOR = 1.5
-# A request over the share is rejected before its caller notices the wait.
-_OVER_SHARE_MAX_WAIT_FACTOR = 0.125
 # A service without targets regains them by a restart or a new target entry.
 _NO_TARGET_MAX_WAIT_S = 0.3
 _NO_TARGET_RETRY_S = 0.5
@@ -44,43 +35,6 @@
 _MAX_UNDECIDED = 8
 
 
-@dataclass(slots=True, eq=False)
-class Ticket:
-    """A request waiting for a target.
-
-    Attributes:
-        work: Work of the request.
-        arrived: Monotonic time of its arrival.
-        deadline: Monotonic time after which an answer is useless.
-        on_decision: Called once with the decision.
-        excluded: Identifiers of targets that must not be used.
-        prior_wait_s: Time that the caller has waited before the request
-            arrived.
-        latest_start: Monotonic time from which an answer is likely late; set
-            when it is submitted.
-    """
-
-    work: Work
-    arrived: float
-    deadline: float
-    on_decision: Callable[[Decision], None]
-    excluded: Collection[str] = ()
-    prior_wait_s: float = 0.0
-    latest_start: float = field(default=0.0, init=False)
-    is_queued: bool = field(default=False, init=False)
-    is_done: bool = field(default=False, init=False)
-
-    @property
-    def latency_s(self) -> float:
-        """Target latency in seconds."""
-        return self.work.target_latency_s or _DEFAULT_LATENCY_S
-
-    @property
-    def is_late(self) -> bool:
-        """Whether its caller had waited for the target latency before."""
-        return self.prior_wait_s >= self.latency_s
-
-
 class Admission:
     """Queues the requests of one router by service and workspace."""
 
@@ -108,11 +62,11 @@
         self._random = random
         self._return_times = ReturnTimes(random)
         self._standing = StandingQueues(clock)
+        self._order = StartOrder(placer)
+        self._wait_limits = WaitLimits(clock, self._standing)
+        self._timely = TimelyRequests()
         self._queues: dict[str, dict[str, deque[Ticket]]] = {}
         self._waiting = 0
-        # Queued requests by service whose callers had not waited for the
-        # target latency before.
-        self._timely: Counter[str] = Counter()
 
     @property
     def waiting(self) -> int:
@@ -122,12 +76,7 @@
     def submit(self, ticket: Ticket) -> None:
         """Decides a request immediately or queues it."""
         now = self._clock.monotonic()
-        alone_s = self._placer.alone_s(ticket.work)
-        ticket.latest_start = (
-            ticket.arrived
-            - ticket.prior_wait_s
-            + latest_start_s(ticket.latency_s, alone_s)
-        )
+        ticket.latest_start = self._order.latest_start(ticket)
         queues = self._queues.setdefault(ticket.work.service, {})
         queue = queues.setdefault(ticket.work.workspace, deque())
         if not queue:
@@ -142,8 +91,9 @@
             self._finish(ticket, self._refuse_over_share(ticket, now))
             return
         self._standing.note_request(ticket.work.service)
+        self._timely.add(ticket)
         queue.append(ticket)
-        self._count_queued(ticket, 1)
+        self._waiting += 1
 
     def withdraw(self, ticket: Ticket) -> None:
         """Removes a request whose caller has disconnected."""
@@ -153,8 +103,7 @@
         service = ticket.work.service
         queue = self._queues.get(service, {}).get(ticket.work.workspace)
         if queue is not None and ticket in queue:
-            queue.remove(ticket)
-            self._count_queued(ticket, -1)
+            self._remove(ticket, queue)
             self._note_if_empty(service)
 
     def poll(self) -> None:
@@ -192,13 +141,7 @@
         statuses: dict[str, TargetStatus],
         now: float,
     ) -> None:
-        # Requests whose answers can be in time go first. A request that must be
-        # refused is at the head of its group and is reached however many others
-        # wait.
-        ordered = sorted(queue, key=lambda ticket: ticket.latest_start)
-        timely = [ticket for ticket in ordered if not ticket.is_late]
-        late = [ticket for ticket in ordered if ticket.is_late]
-        for tickets in (timely, late):
+        for tickets in self._order.groups(queue):
             self._poll_tickets(tickets, queue, statuses, now)
 
     def _poll_tickets(
@@ -216,24 +159,17 @@
                 if undecided >= _MAX_UNDECIDED:
                     break
                 continue
-            queue.remove(ticket)
-            self._count_queued(ticket, -1)
+            self._remove(ticket, queue)
             self._finish(ticket, decision)
             if decision.verdict is Verdict.SEND:
                 # Make the added load visible to the next request.
                 target = statuses[decision.target].target
                 statuses[decision.target] = self._placer.observe(target)
 
-    def _count_queued(self, ticket: Ticket, change: int) -> None:
-        ticket.is_queued = change > 0
-        self._waiting += change
-        if not ticket.is_late:
-            self._timely[ticket.work.service] += change
-
-    def _is_contended(self, ticket: Ticket) -> bool:
-        """Returns whether others wait that may be answered in time."""
-        own = int(ticket.is_queued and not ticket.is_late)
-        return self._timely[ticket.work.service] > own
+    def _remove(self, ticket: Ticket, queue: deque[Ticket]) -> None:
+        queue.remove(ticket)
+        self._timely.remove(ticket)
+        self._waiting -= 1
 
     def _finish(self, ticket: Ticket, decision: Decision) -> None:
         ticket.is_done = True
@@ -256,16 +192,12 @@
             latency_s=ticket.latency_s,
             waited_s=waited,
             prior_wait_s=ticket.prior_wait_s,
-            is_contended=self._is_contended(ticket),
+            is_contended=self._timely.has_others(ticket),
         )
         for candidate in candidates:
             if has_room(candidate, claim):
                 return _send_decision(candidate)
-        max_wait_s = self._max_wait_s(ticket, claim, candidates)
-        is_waiting_useless = self._is_waiting_useless(ticket, claim, now)
-        if not is_waiting_useless and waited < min(
-            max_wait_s, ticket.deadline - ticket.arrived
-        ):
+        if self._wait_limits.may_wait(ticket, claim, candidates):
             return None
         if claim.is_within:
             return Decision(
@@ -274,39 +206,6 @@
             )
         return self._refuse_over_share(ticket, now)
 
-    def _is_waiting_useless(
-        self, ticket: Ticket, claim: Claim, now: float
-    ) -> bool:
-        """Returns whether a request could only be answered late.
-
-        In a standing queue, those that still can be in time take what becomes
-        free.
-        """
-        return (
-            claim.is_within
-            and claim.is_large
-            and now >= ticket.latest_start
-            and self._standing.is_standing(ticket.work.service, claim.latency_s)
-        )
-
-    def _max_wait_s(
-        self, ticket: Ticket, claim: Claim, candidates: Sequence[Candidate]
-    ) -> float:
-        """Returns the maximum wait of a request in seconds.
-
-        A burst that fills all slots is served as fast as they become free.
-        Prompts that wait to be read make each other late instead.
-        """
-        if not claim.is_within:
-            return claim.latency_s * _OVER_SHARE_MAX_WAIT_FACTOR
-        waits_for_slot = all(candidate.use >= 1.0 for candidate in candidates)
-        is_standing = self._standing.is_standing(
-            ticket.work.service, claim.latency_s
-        )
-        if waits_for_slot and not is_standing and not ticket.is_late:
-            return claim.latency_s * _BURST_MAX_WAIT_FACTOR
-        return claim.latency_s * _MAX_WAIT_FACTOR
-
     def _is_rejection_certain(
         self, work: Work, queue: Collection[Ticket]
     ) -> bool:
--- /dev/null
+++ b/crowwinch/sharing/_ticket.py
@@ -0,0 +1,45 @@
+"""A request that waits for a decision."""
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+from crowwinch.sharing._model import Decision, Work
+
+# Target latency of requests whose route does not set one.
+_DEFAULT_LATENCY_S = 1.0
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request waiting for a target.
+
+    Attributes:
+        work: Work of the request.
+        arrived: Monotonic time of its arrival.
+        deadline: Monotonic time after which an answer is useless.
+        on_decision: Called once with the decision.
+        excluded: Identifiers of targets that must not be used.
+        prior_wait_s: Time that the caller has waited before the request
+            arrived.
+        latest_start: Monotonic time from which an answer is likely late; set
+            when it is submitted.
+    """
+
+    work: Work
+    arrived: float
+    deadline: float
+    on_decision: Callable[[Decision], None]
+    excluded: Collection[str] = ()
+    prior_wait_s: float = 0.0
+    latest_start: float = field(default=0.0, init=False)
+    is_done: bool = field(default=False, init=False)
+
+    @property
+    def latency_s(self) -> float:
+        """Target latency in seconds."""
+        return self.work.target_latency_s or _DEFAULT_LATENCY_S
+
+    @property
+    def is_late(self) -> bool:
+        """Whether its caller had waited for the target latency before."""
+        return self.prior_wait_s >= self.latency_s
--- a/crowwinch/sharing/tests/test_headroom.py
+++ b/crowwinch/sharing/tests/test_headroom.py
@@ -3,7 +3,8 @@
 import unittest
 
 from crowwinch.sharing import Candidate, TargetView
-from crowwinch.sharing._headroom import Claim, has_room
+from crowwinch.sharing._claim import Claim
+from crowwinch.sharing._headroom import has_room
 
 _ENGINE = TargetView("e", 0, "llm", False, 32, is_engine=True)
 
--- a/crowwinch/sharing/tests/test_large_workspace.py
+++ b/crowwinch/sharing/tests/test_large_workspace.py
@@ -99,17 +99,26 @@
 
     def setUp(self):
         self.simulation = Simulation(1, _UNLIMITED)
-        self.simulation.shares.record_usage("w", 1_000)
-        self.simulation.shares.refresh()
+        self._use("w", 1_000)
         self.slots = [
             self.simulation.loads.reserve("e0", 0.0) for _ in range(SLOTS)
         ]
         self.decisions = []
 
-    def _submit(self, name, latency_s, prior_wait_s=0.0, prompt_tokens=100):
+    def _submit(
+        self,
+        name,
+        latency_s,
+        prior_wait_s=0.0,
+        prompt_tokens=100,
+        workspace="w",
+    ):
         now = self.simulation.clock.monotonic()
         work = Work(
-            "llm", "w", prompt_tokens=prompt_tokens, target_latency_s=latency_s
+            "llm",
+            workspace,
+            prompt_tokens=prompt_tokens,
+            target_latency_s=latency_s,
         )
         self.simulation.admission.submit(
             Ticket(
@@ -123,6 +132,10 @@
             )
         )
 
+    def _use(self, workspace, units):
+        self.simulation.shares.record_usage(workspace, units)
+        self.simulation.shares.refresh()
+
     def _move_to(self, now):
         self.simulation.clock.move_to(now)
         self.simulation.admission.poll()
@@ -135,6 +148,31 @@
         self.simulation.admission.poll()
         self.assertEqual(self.decisions[0], ("urgent", Verdict.SEND))
 
+    def test_a_late_caller_goes_after_one_in_time(self):
+        """Guards against a late answer of a small workspace that costs another.
+
+        By the time at which it had to start, the late caller would be first.
+        """
+        self._use("larger", 9_000)
+        self._submit("late", 0.8, prior_wait_s=2.0)
+        self._submit("in time", 0.8)
+        self.slots.pop().finish()
+        self.simulation.admission.poll()
+        self.assertEqual(self.decisions[0], ("in time", Verdict.SEND))
+
+    def test_a_late_caller_takes_no_slot_before_one_that_waits(self):
+        """Guards against a late arrival that is sent before the next poll."""
+        self._use("other", 1_000)
+        self._submit("in time", 0.8)
+        for slot in self.slots[: SLOTS // 2]:
+            slot.finish()
+        self._submit("late", 0.8, prior_wait_s=2.0, workspace="other")
+        self.simulation.admission.poll()
+        self.assertEqual(
+            self.decisions,
+            [("in time", Verdict.SEND), ("late", Verdict.SEND)],
+        )
+
     def test_what_can_only_be_late_is_refused_at_once(self):
         """Guards against callers held although new requests take each slot."""
         self._submit("first", 0.8)
--- a/crowwinch/sharing/tests/test_waits.py
+++ b/crowwinch/sharing/tests/test_waits.py
@@ -93,6 +93,29 @@
         self.assertGreater(len(waits), 10)
         self.assertLess(max(wait for _, wait in waits), 0.7)
 
+    def test_waits_over_the_share_are_short(self):
+        """Guards against callers held in a queue that is not theirs.
+
+        Their share comes back in seconds at the earliest.
+        """
+        simulation = Simulation(1, 10_000.0)
+        simulation.shares.record_demand("w0", 1e6)
+        simulation.shares.record_usage("w0", 44_000)
+        simulation.shares.refresh()
+        for _ in range(SLOTS):
+            simulation.loads.reserve("e0", 0.0)
+        decisions = []
+        simulation.admission.submit(
+            Ticket(self._work(0), 0.0, 15.0, decisions.append)
+        )
+        self.assertEqual(decisions, [])
+        simulation.clock.move_to(0.11)
+        simulation.admission.poll()
+        self.assertEqual(
+            [decision.verdict for decision in decisions],
+            [Verdict.REFUSE_OVER_SHARE],
+        )
+
     def test_withdrawn_requests_do_not_make_a_queue_standing(self):
         """Guards against a queue that callers emptied by leaving."""
         simulation = Simulation(1, 1e9)
