Logs: tell how current a decision's directory and shares are

Change: attempts log the revision and how long a peer has known a newer one, request lines what all workspaces ask for and get, and changes of targets the revision.

--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -244,6 +244,7 @@
                     "service": decoded.service,
                     "state": decoded.state.value,
                     "started_ms": decoded.started_ms,
+                    "revision": self._items[key].revision,
                 },
             )
 
@@ -269,7 +270,13 @@
         self._items.pop(key, None)
         target = self._targets.pop(key, None)
         if target is not None:
-            _LOGGER.info("target removed", extra={"target": target.identifier})
+            _LOGGER.info(
+                "target removed",
+                extra={
+                    "target": target.identifier,
+                    "revision": self._removals.get(key, self._revision),
+                },
+            )
 
     def _notify(self) -> None:
         for subscriber in self._subscribers:
--- a/crowwinch/fleet/_directory_pull.py
+++ b/crowwinch/fleet/_directory_pull.py
@@ -62,6 +62,13 @@
         self._fetch_timeout_s = _MIN_FETCH_TIMEOUT_S
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def behind_s(self) -> float:
+        """Seconds for which a peer's directory has been newer, 0 if none is."""
+        if self._lag_start_s is None:
+            return 0.0
+        return round(self._clock.monotonic() - self._lag_start_s, 3)
+
     async def stop(self) -> None:
         """Cancels a running fetch."""
         if self._task is not None:
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -109,6 +109,11 @@
         """Number of peers heard within the liveness timeout."""
         return len(self._live)
 
+    @property
+    def behind_s(self) -> float:
+        """Seconds for which a peer's directory has been newer, 0 if none is."""
+        return self._pull.behind_s
+
     def set_seeds(self, seeds: Iterable[SocketAddress]) -> None:
         """Replaces the seeds; known peers are kept.
 
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -295,6 +295,7 @@
                 "expected_s": round(decision.expected_s, 3),
                 "delay_s": round(decision.expected_s - decision.forecast_s, 3),
                 "waited_s": round(started - call.arrived, 3),
+                **self._log.describe_directory(),
             }
         )
         exchange = Exchange(
--- a/crowwinch/forwarding/_request_log.py
+++ b/crowwinch/forwarding/_request_log.py
@@ -13,6 +13,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+# Fields of the router's state that say how current its directory is.
+_DIRECTORY_FIELDS = ("revision", "behind_s")
 SERVED = "served"
 CALLER_GONE = "caller_gone"
 
@@ -41,6 +43,13 @@
         self._shares = shares
         self._describe_state = describe_state
 
+    def describe_directory(self) -> dict[str, object]:
+        """Returns how current the directory is that a decision relies on."""
+        state = self._describe_state()
+        return {
+            field: state[field] for field in _DIRECTORY_FIELDS if field in state
+        }
+
     def count_refusal(self, reason: RefusalReason) -> None:
         """Counts a refusal by reason."""
         self._metrics.count_reason("refusals", reason)
@@ -96,6 +105,8 @@
                     self._shares.served(context.work.workspace)
                 ),
                 "share_level": _round_share_level(self._shares.level),
+                "asked_per_s": round(self._shares.asked_per_s),
+                "served_per_s": round(self._shares.served_per_s),
                 "attempts": context.attempts,
             }
             entry |= self._describe_state()
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -287,6 +287,7 @@
         """Returns log fields on how current this router's state is."""
         return {
             "revision": self._state.revision,
+            "behind_s": self._fleet.behind_s,
             "store_age_s": self._state.store_age_s,
             "peers": self._fleet.live_peers,
             "lag_s": round(self._lag.seconds, 3),
--- a/crowwinch/sharing/_shares.py
+++ b/crowwinch/sharing/_shares.py
@@ -93,6 +93,18 @@
         self._level = math.inf
         self._totals: dict[str, float] = {}
         self._mean = 0.0
+        self._asked_per_s = 0.0
+        self._served_per_s = 0.0
+
+    @property
+    def asked_per_s(self) -> float:
+        """Units per second that all workspaces ask for."""
+        return self._asked_per_s
+
+    @property
+    def served_per_s(self) -> float:
+        """Units per second that all workspaces get."""
+        return self._served_per_s
 
     @property
     def time_constant_s(self) -> float:
@@ -186,6 +198,8 @@
                 self._totals[workspace] = (
                     self._totals.get(workspace, 0.0) + served_units / scale
                 )
+        self._asked_per_s = sum(asked.values()) / self._time_constant_s
+        self._served_per_s = sum(self._totals.values()) / self._time_constant_s
         busy = [units for units in self._totals.values() if units >= 1.0]
         self._mean = sum(busy) / len(busy) if busy else 0.0
         if self._capacity_per_s is None:
--- a/measurements/day_report.py
+++ b/measurements/day_report.py
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoggedRequest:
-    """One request of a router's log.
+    """One line of a router's log, usually about a request.
 
     Attributes:
         time: Simulated time in seconds at which it ended.
@@ -114,12 +114,8 @@
 }
 
 
-def read_requests(lines: Iterable[str]) -> Iterator[LoggedRequest]:
-    """Returns the requests in the output of the routers.
-
-    Lines of other kinds are left out; so are requests that were refused before
-    they were parsed, whose route is not known.
-    """
+def read_entries(lines: Iterable[str]) -> Iterator[LoggedRequest]:
+    """Returns all log lines in the output of the routers."""
     for line in lines:
         match = _LINE.match(line)
         if match is None:
@@ -128,8 +124,18 @@
             entry = json.loads(match["entry"])
         except ValueError:
             continue
-        if entry.get("message") == "request" and "route" in entry:
-            yield LoggedRequest(float(match["time"]), match["router"], entry)
+        yield LoggedRequest(float(match["time"]), match["router"], entry)
+
+
+def read_requests(lines: Iterable[str]) -> Iterator[LoggedRequest]:
+    """Returns the requests in the output of the routers.
+
+    Lines of other kinds are left out; so are requests that were refused before
+    they were parsed, whose route is not known.
+    """
+    for line in read_entries(lines):
+        if line.entry.get("message") == "request" and "route" in line.entry:
+            yield line
 
 
 def group_requests(
