Fleet: announce departures of targets in updates (DRAIN)

Cause: a router that does not read the store has one way to learn of a departure: it hears of a newer revision and fetches the changes as a page. The notice is small and urgent, the page may be large and slow; a departure waits behind 1,500 new routes. A fetch times out after 0.6, 1.2 and 2.4 s, and a router that the store turns away as well never learns of it.

Ruled out: a wait in the queue (an attempt looks its target up again when it starts) and changes that are acknowledged but not applied (both happen in one step of the loop).

Change: updates between routers, every 50 ms, name the targets that were found leaving or removed in the last 2 s, with the revision of the change. A router leaves them out at once and passes the news on. When its directory has caught up with that revision, the directory decides, so an entry that is registered again is used again.

In played fleets of 30 and 90 routers, a router whose store calls are refused and whose fetches fail still used the target 2 s after the change; the test failed with the announcement left out, and passes with it.

--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -1,7 +1,7 @@
 """Configuration and targets that a router currently uses."""
 
 import logging
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from crowwinch.coordination import Clock
 from crowwinch.directory._model import (
@@ -10,6 +10,7 @@
     Item,
     Listing,
     TargetEntry,
+    TargetState,
 )
 from crowwinch.forwarding import RoutingTable
 
@@ -23,6 +24,11 @@
 # Limit on the removals kept for lagging routers. A router that is further
 # behind gets a complete listing.
 _MAX_REMOVALS = 1000
+# Time for which departures are reported to peers: two rounds of updates in a
+# fleet of 200 routers.
+_DEPARTURE_REPORT_S = 2.0
+# Departures reported at a time, so that an update stays small.
+_MAX_DEPARTURE_REPORTS = 64
 
 
 class DirectoryState:
@@ -52,6 +58,9 @@
         self._removals: dict[str, int] = {}
         # The removals after this revision are complete.
         self._removals_complete_after = 0
+        # Departures known here or announced by peers, as pairs of the revision
+        # and the monotonic time at which they became known.
+        self._departures: dict[str, tuple[int, float]] = {}
         self._last_contact = float("inf")
         self._failing_since: float | None = None
         self._recovered_at = float("-inf")
@@ -67,6 +76,19 @@
         """Targets by item key."""
         return self._targets
 
+    def available_targets(self) -> list[TargetEntry]:
+        """Returns the targets that accept requests.
+
+        Targets whose departure was announced by a peer are left out before the
+        change itself is applied.
+        """
+        return [
+            entry
+            for key, entry in self._targets.items()
+            if entry.state is TargetState.READY
+            and self._departures.get(key, (0, 0.0))[0] <= self._revision
+        ]
+
     @property
     def revision(self) -> int:
         """Revision up to which all changes are included."""
@@ -174,6 +196,40 @@
             self._start_lapse_grace()
             self._apply(changes.items, changes.revision)
 
+    def recent_departures(self) -> list[tuple[str, int]]:
+        """Returns keys and revisions of the latest departures, for peers."""
+        oldest = self._clock.monotonic() - _DEPARTURE_REPORT_S
+        recent = [
+            (key, revision)
+            for key, (revision, known_at) in self._departures.items()
+            if known_at >= oldest
+        ]
+        return recent[-_MAX_DEPARTURE_REPORTS:]
+
+    def merge_departures(self, departures: Iterable[tuple[str, int]]) -> None:
+        """Stops using targets that a peer knows to be leaving or removed.
+
+        Such an announcement arrives before the page of the peer's directory,
+        which may be late. It holds until this directory has caught up.
+
+        Args:
+            departures: Keys of the targets and revisions of the changes.
+        """
+        announced = [
+            (key, revision)
+            for key, revision in departures
+            if revision > self._revision
+            and revision > self._departures.get(key, (0, 0.0))[0]
+        ]
+        for key, revision in announced:
+            self._record_departure(key, revision)
+            _LOGGER.info(
+                "departure announced by a peer",
+                extra={"key": key, "revision": revision},
+            )
+        if announced:
+            self._notify()
+
     def expire_lapsed(self) -> None:
         """Deletes lapsed targets that did not register again in time."""
         now = self._clock.monotonic()
@@ -236,6 +292,8 @@
             return
         before = self._targets.get(key)
         self._targets[key] = decoded
+        if decoded.state is TargetState.LEAVING:
+            self._record_departure(key, self._items[key].revision)
         if before != decoded:
             _LOGGER.info(
                 "target changed",
@@ -257,6 +315,12 @@
             return
         self._delete(key)
 
+    def _record_departure(self, key: str, revision: int) -> None:
+        self._departures.pop(key, None)
+        self._departures[key] = (revision, self._clock.monotonic())
+        if len(self._departures) > _MAX_REMOVALS:
+            del self._departures[next(iter(self._departures))]
+
     def _record_removal(self, key: str, revision: int) -> None:
         self._removals.pop(key, None)
         self._removals[key] = revision
@@ -270,12 +334,11 @@
         self._items.pop(key, None)
         target = self._targets.pop(key, None)
         if target is not None:
+            revision = self._removals.get(key, self._revision)
+            self._record_departure(key, revision)
             _LOGGER.info(
                 "target removed",
-                extra={
-                    "target": target.identifier,
-                    "revision": self._removals.get(key, self._revision),
-                },
+                extra={"target": target.identifier, "revision": revision},
             )
 
     def _notify(self) -> None:
--- a/crowwinch/directory/tests/test_state.py
+++ b/crowwinch/directory/tests/test_state.py
@@ -83,6 +83,29 @@
         self.state.apply_changes(Changes(11, (_deleted("a", 11),)))
         self.assertEqual(set(self.state.targets), {"b"})
 
+    def _available(self):
+        return {entry.identifier for entry in self.state.available_targets()}
+
+    def test_announced_departure_holds_until_the_directory_catches_up(self):
+        """Guards against requests to a target that peers know to be leaving."""
+        self.state.merge_departures([("a", 12), ("b", 9)])
+        self.assertEqual(self._available(), {"b"})
+        self.assertEqual(self.state.recent_departures(), [("a", 12)])
+        self.state.apply_changes(Changes(11, ()))
+        self.assertEqual(self._available(), {"b"})
+        self.state.apply_changes(
+            Changes(13, (_item("a", 12, "leaving"), _item("a", 13)))
+        )
+        self.assertEqual(self._available(), {"a", "b"})
+
+    def test_departures_are_reported_for_a_while(self):
+        self.state.apply_changes(
+            Changes(12, (_item("a", 11, "leaving"), _deleted("b", 12)))
+        )
+        self.assertEqual(self.state.recent_departures(), [("a", 11), ("b", 12)])
+        self._advance_clock(2.5)
+        self.assertEqual(self.state.recent_departures(), [])
+
     def test_target_missing_from_newer_listing_is_deleted(self):
         self.state.apply_listing(
             Listing(11, (_item("b", 7), _item("c", 3, "c:4")))
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -25,6 +25,7 @@
 )
 from crowwinch.generated.fleet_messages import (
     CrashReport,
+    DepartureReport,
     FleetUpdate,
     PrefixReport,
     TargetReport,
@@ -298,6 +299,10 @@
                 ]
             ],
             prefixes=self._prefix_reports(sequence),
+            departures=[
+                DepartureReport(key, revision)
+                for key, revision in self._state.recent_departures()
+            ],
         )
 
     def _receive(self, update: FleetUpdate) -> None:
@@ -328,6 +333,9 @@
         sharing.crashes.merge_peer_counts(
             peer, [(report.digest, report.count) for report in update.crashes]
         )
+        self._state.merge_departures(
+            (report.key, report.revision) for report in update.departures
+        )
         if update.is_leaving:
             self._readers.remove_peer(peer)
         else:
--- a/crowwinch/fleet/tests/support.py
+++ b/crowwinch/fleet/tests/support.py
@@ -18,6 +18,8 @@
     Listing,
     StoreError,
     StoreReaderSelector,
+    TargetEntry,
+    TargetState,
 )
 from crowwinch.fleet import FleetService
 from crowwinch.fleet._directory_exchange import (
@@ -38,13 +40,23 @@
 _EVENT_LOOP_ITERATIONS = 8
 
 
-class _NullDecoder:
+class _Decoder:
+    """Decodes the text of an item as the state of a target."""
+
     def decode(self, key, value):
-        return None
+        return TargetEntry(
+            key,
+            "llm",
+            SocketAddress("10.1.0.1", 80),
+            "zone-0",
+            4,
+            TargetState(value.decode()),
+            0,
+        )
 
 
 class _FakeStore:
-    """Fake store with one item and failures that can be injected per router."""
+    """Fake store with one target and failures that can be injected."""
 
     def __init__(self, clock):
         self.clock = clock
@@ -54,12 +66,18 @@
         self.refused = set()
         self.silent = set()
         self.written = {}
+        self.state = TargetState.READY
         self._pending = []
 
-    def write(self):
+    def write(self, state=TargetState.READY):
         self.revision += 1
+        self.state = state
         self.written[self.revision] = self.clock.monotonic()
 
+    @property
+    def item(self):
+        return Item("key", self.revision, self.state.value.encode())
+
     def client(self, name):
         return _FakeStoreClient(self, name)
 
@@ -104,14 +122,14 @@
     async def list_items(self):
         store = self._store
         await store.call(self._name, 0.0, lambda: True)
-        return Listing(store.revision, (_item(store.revision),))
+        return Listing(store.revision, (store.item,))
 
     async def watch(self, revision, wait_s):
         store = self._store
         if store.revision - revision > _HISTORY_REVISIONS:
             raise HistoryLostError("revision compacted")
         await store.call(self._name, wait_s, lambda: store.revision > revision)
-        items = (_item(store.revision),) if store.revision > revision else ()
+        items = (store.item,) if store.revision > revision else ()
         return Changes(store.revision, items)
 
 
@@ -190,10 +208,6 @@
     return _FakeExchange
 
 
-def _item(revision):
-    return Item("key", revision, b"text")
-
-
 def make_settings(host, zone, seeds, port=_PORT):
     """Returns settings of a router that uses one port for all listeners."""
     address = SocketAddress(host, port)
@@ -224,7 +238,7 @@
         self.host = settings.address
         self.zone = settings.availability_zone
         self.timers = TimerService(clock)
-        self.state = DirectoryState(clock, _NullDecoder())
+        self.state = DirectoryState(clock, _Decoder())
         self.sharing = make_sharing_state(clock)
         self.readers = StoreReaderSelector(clock, str(settings.control))
         self.service = FleetService(
--- a/crowwinch/fleet/tests/test_store_reading.py
+++ b/crowwinch/fleet/tests/test_store_reading.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from crowwinch.directory import TargetState
 from crowwinch.fleet._directory_exchange import DirectoryFetchError
 from crowwinch.fleet.tests.support import ZONES, FleetModel
 
@@ -201,3 +202,27 @@
             self._assert_in_time()
 
         self._run_scenario(scenario)
+
+    def test_leaving_target_gets_nothing_where_the_directory_is_late(self):
+        """Guards against requests to a target whose departure was acknowledged.
+
+        The store refuses the router, and pages of peers do not arrive in time.
+        """
+
+        async def scenario():
+            isolated = self.fleet.routers[-1]
+            page = self.fleet.network.page
+
+            def failing_page(source, host, after):
+                if source == isolated.host:
+                    raise DirectoryFetchError(host)
+                return page(source, host, after)
+
+            self.fleet.network.page = failing_page
+            self.fleet.store.refused = {isolated.host}
+            self.assertTrue(isolated.state.available_targets())
+            self.fleet.store.write(TargetState.LEAVING)
+            await self._run(_MAX_DELAY_S)
+            self.assertEqual(isolated.state.available_targets(), [])
+
+        self._run_scenario(scenario, _SIZES[1:])
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -19,7 +19,6 @@
     DirectoryState,
     DirectoryWatcher,
     StoreReaderSelector,
-    TargetState,
 )
 from crowwinch.errors import PeerRejection, RefusalReason, RetryReason
 from crowwinch.fleet import FleetService
@@ -317,8 +316,7 @@
                     availability_zone=entry.availability_zone,
                     slots=entry.slots,
                 )
-                for entry in self._state.targets.values()
-                if entry.state is TargetState.READY
+                for entry in self._state.available_targets()
             ),
             routing,
         )
