Admission: leave room to workspaces that get less than others (FAIR)

Callers saw: on large deployments a workspace that waits in every second gets less than half of what another one gets.

Cause: beyond the share all workspaces compete for what becomes free, and the router that polls first takes it. Shares did not correct that: their level comes from the configured capacity. Where engines are down, or serve less, the level is too high and nobody is beyond it; where they serve more, all that wait are beyond it, at nearly the same limits.

Ruled out: counts of peers that are too old (the model with counts as old as in a fleet of 30 routers is fair at the right capacity: 0.87 to 0.96) and prompts that are too large for the share window (the spared three requests do not explain the gap).

Change: each router computes the use at which all that is served now would be shared evenly among those that ask, from the counts that it has already. Without contention nothing changes.

--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -193,6 +193,7 @@
             waited_s=waited,
             prior_wait_s=ticket.prior_wait_s,
             is_contended=self._timely.has_others(ticket),
+            lead=self._shares.lead(work.workspace),
         )
         for candidate in candidates:
             if has_room(candidate, claim):
--- a/crowwinch/sharing/_claim.py
+++ b/crowwinch/sharing/_claim.py
@@ -2,6 +2,10 @@
 
 from dataclasses import dataclass
 
+# Lead below which a workspace is behind others. The counts of peers are up to
+# two seconds old.
+_BEHIND_LEAD = 0.9
+
 
 @dataclass(slots=True)
 class Claim:
@@ -11,6 +15,8 @@
         share_use: Use of its workspace's share including this request; above 1
             the workspace is over its share.
         relative_use: Use of its workspace divided by the mean of all.
+        lead: Use of its workspace divided by an even use of all that is served,
+            0 if no workspace waits; above 1, others that wait get less.
         latency_s: Target latency in seconds.
         waited_s: Seconds since its arrival.
         prior_wait_s: Seconds that its caller had waited before.
@@ -23,12 +29,18 @@
     waited_s: float
     prior_wait_s: float = 0.0
     is_contended: bool = False
+    lead: float = 0.0
 
     @property
     def is_within(self) -> bool:
         """Whether the request is within its workspace's share."""
         return self.share_use <= 1.0
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether its workspace gets clearly less than others that wait."""
+        return 0.0 < self.lead < _BEHIND_LEAD
+
     @property
     def is_large(self) -> bool:
         """Whether its workspace uses at least the mean of all."""
--- a/crowwinch/sharing/_shares.py
+++ b/crowwinch/sharing/_shares.py
@@ -8,6 +8,9 @@
 
 # Service units below which a decayed count is dropped.
 _NEGLIGIBLE_UNITS = 1.0
+# Fraction of what is asked for below which the service shows contention. The
+# rest covers requests that wait for less than their target latency.
+_CONTENDED_FRACTION = 0.9
 # Age after which the report of a peer is dropped.
 _PEER_EXPIRY_S = 10.0
 # Age of the reference time, in time constants, after which it is moved. The
@@ -91,6 +94,7 @@
         self._reference = clock.monotonic()
         self._capacity_per_s: float | None = None
         self._level = math.inf
+        self._even_use = math.inf
         self._totals: dict[str, float] = {}
         self._mean = 0.0
         self._asked_per_s = 0.0
@@ -202,6 +206,7 @@
         self._served_per_s = sum(self._totals.values()) / self._time_constant_s
         busy = [units for units in self._totals.values() if units >= 1.0]
         self._mean = sum(busy) / len(busy) if busy else 0.0
+        self._even_use = self._even_use_of_served(asked)
         if self._capacity_per_s is None:
             self._level = math.inf
             return
@@ -211,6 +216,25 @@
             return
         self._level = max(max_min_shares(asked, capacity).values())
 
+    def _even_use_of_served(self, asked: Mapping[str, float]) -> float:
+        """Returns the use at which all that is served would be shared evenly.
+
+        It is inf unless less is served than asked for. The configured capacity
+        does not matter: engines that are down or slow serve less.
+        """
+        served = sum(self._totals.values())
+        if served >= sum(asked.values()) * _CONTENDED_FRACTION:
+            return math.inf
+        return max(max_min_shares(asked, served).values(), default=math.inf)
+
+    def lead(self, workspace: str) -> float:
+        """Returns the use of a workspace divided by an even use of all served.
+
+        Above 1, the workspace gets more than others that also wait. Returns 0
+        if no workspace waits.
+        """
+        return self.served(workspace) / max(self._even_use, 1.0)
+
     def served(self, workspace: str) -> float:
         """Returns the units served to a workspace in the window."""
         return self._totals.get(workspace, 0.0)
--- a/measurements/_sharing_world.py
+++ b/measurements/_sharing_world.py
@@ -8,7 +8,7 @@
 import contextlib
 import random
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from crowwinch.coordination import ManualClock
@@ -48,6 +48,8 @@
         arrivals: Times and requests.
         seconds: Length of the load.
         fault: `none`, `frozen`, `cut` or `lagging`.
+        routers_by_workspace: Number of routers that the callers of a workspace
+            use; those of other workspaces use all.
     """
 
     routers: int
@@ -58,6 +60,7 @@
     arrivals: Sequence[tuple[float, Work]]
     seconds: float
     fault: str = "none"
+    routers_by_workspace: Mapping[str, int] = field(default_factory=dict)
 
     @property
     def fault_start_s(self) -> float:
@@ -138,7 +141,11 @@
     def play(self) -> list[Job]:
         """Plays the load and returns all requests."""
         for at, work in self.load.arrivals:
-            router = self.rng.randrange(self.load.routers)
+            router = self.rng.randrange(
+                self.load.routers_by_workspace.get(
+                    work.workspace, self.load.routers
+                )
+            )
             self.events.at(
                 at,
                 lambda work=work, router=router: self._arrive(work, router),
