--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -25,13 +25,14 @@
 )
 from crowwinch.generated.fleet_messages import (
     CrashReport,
+    CrashTime,
     DepartureReport,
     FleetUpdate,
     PrefixReport,
     TargetReport,
     WorkspaceReport,
 )
-from crowwinch.sharing import TargetUse, WorkspaceUse
+from crowwinch.sharing import SuspectReport, TargetUse, WorkspaceUse
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -41,7 +42,9 @@
 # A long prompt triggers an update outside the period. The delay lets one update
 # cover all requests that are routed together.
 _LONG_PROMPT_DELAY_S = 0.002
-_MAX_CRASHES_PER_UPDATE = 32
+_MS_PER_S = 1000.0
+# Age in milliseconds of an answer that there was not.
+_NO_ANSWER = -1
 # When the readers of the store are chosen, a peer counts as down after this
 # time or after this many rounds of updates, whichever is longer.
 _MIN_READER_TIMEOUT_S = 0.5
@@ -292,12 +295,7 @@
             ],
             workspaces=None,
             members=[],
-            crashes=[
-                CrashReport(digest, count)
-                for digest, count in sharing.crashes.own_counts()[
-                    -_MAX_CRASHES_PER_UPDATE:
-                ]
-            ],
+            crashes=_encode_suspects(sharing.crashes.reports()),
             prefixes=self._prefix_reports(sequence),
             departures=[
                 DepartureReport(key, revision)
@@ -330,9 +328,7 @@
         sharing.prefixes.merge_peer_prefills(
             (report.target, report.path) for report in update.prefixes
         )
-        sharing.crashes.merge_peer_counts(
-            peer, [(report.digest, report.count) for report in update.crashes]
-        )
+        sharing.crashes.merge_reports(_decode_suspects(update.crashes))
         self._state.merge_departures(
             (report.key, report.revision) for report in update.departures
         )
@@ -349,3 +345,35 @@
                 update.version,
                 is_preferred=self._is_preferred_source(update),
             )
+
+
+def _encode_suspects(reports: Iterable[SuspectReport]) -> list[CrashReport]:
+    return [
+        CrashReport(
+            report.feature,
+            len(report.crash_ages_s),
+            report.is_part,
+            [
+                CrashTime(crash, round(age_s * _MS_PER_S))
+                for crash, age_s in report.crash_ages_s.items()
+            ],
+            _NO_ANSWER
+            if report.answer_age_s is None
+            else round(report.answer_age_s * _MS_PER_S),
+        )
+        for report in reports
+    ]
+
+
+def _decode_suspects(reports: Iterable[CrashReport]) -> list[SuspectReport]:
+    return [
+        SuspectReport(
+            report.digest,
+            report.is_part,
+            {each.crash: each.age_ms / _MS_PER_S for each in report.crashes},
+            None
+            if report.answer_age_ms == _NO_ANSWER
+            else report.answer_age_ms / _MS_PER_S,
+        )
+        for report in reports
+    ]
--- a/crowwinch/forwarding/_delivery.py
+++ b/crowwinch/forwarding/_delivery.py
@@ -73,7 +73,9 @@
         await call.write(events)
     if splitter.has_incomplete_event:
         raise AttemptError(
-            "the stream ended inside an event", may_have_run=True
+            "the stream ended inside an event",
+            may_have_run=True,
+            is_connection_lost=True,
         )
     if not call.is_started:
         await call.start(response.status, response.reason, response.headers)
--- a/crowwinch/forwarding/_exchange.py
+++ b/crowwinch/forwarding/_exchange.py
@@ -24,6 +24,8 @@
         is_unreachable: Whether the target could not be reached at its address.
         is_refusal: Whether the target reported that it did not run the
             request.
+        is_connection_lost: Whether the connection broke before the response
+            was complete.
     """
 
     def __init__(
@@ -32,12 +34,14 @@
         may_have_run: bool,
         is_unreachable: bool = False,
         is_refusal: bool = False,
+        is_connection_lost: bool = False,
     ) -> None:
         """Initializes the error with its message and outcome."""
         super().__init__(message)
         self.may_have_run = may_have_run
         self.is_unreachable = is_unreachable
         self.is_refusal = is_refusal
+        self.is_connection_lost = is_connection_lost
 
 
 @dataclass(slots=True)
@@ -116,7 +120,9 @@
             ) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise AttemptError(
-                f"connection lost: {error!r}", may_have_run=True
+                f"connection lost: {error!r}",
+                may_have_run=True,
+                is_connection_lost=True,
             ) from error
         self._response = response
         head = self._codec.decode_response(response.status, response.headers)
@@ -145,7 +151,9 @@
                 yield data
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise AttemptError(
-                f"answer broke off: {error!r}", may_have_run=True
+                f"answer broke off: {error!r}",
+                may_have_run=True,
+                is_connection_lost=True,
             ) from error
 
     def close(self) -> None:
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -81,7 +81,7 @@
         self._client = client
         self._codec = codec
         self._random = random
-        self._retry_policy = RetryPolicy(clock, sharing)
+        self._retry_policy = RetryPolicy(clock, sharing, client.can_connect)
         self._log = RequestLog(clock, metrics, sharing.shares, describe_state)
         self._is_polling = False
 
@@ -285,6 +285,8 @@
             self._sharing.release(work, placement)
             raise AttemptError("the target is gone", may_have_run=False)
         started = self._clock.monotonic()
+        context.target = target
+        context.attempt_began_at = None
         context.attempt_count += 1
         context.attempts.append(
             {
@@ -331,6 +333,7 @@
             self._sharing.health.record_response(
                 decision.target, response.status < 500
             )
+            self._retry_policy.record_answer(context)
         except AttemptError as error:
             if not error.may_have_run:
                 context.possible_runs -= 1
@@ -429,6 +432,7 @@
         if not self._is_first_event:
             return
         self._is_first_event = False
+        self._context.attempt_began_at = now
         self._reservation.record_first_event()
         seconds = now - self._started
         self._context.attempts[-1]["first_event_s"] = round(seconds, 3)
--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -7,7 +7,8 @@
 from crowwinch.errors import RunState
 from crowwinch.forwarding._call import Call
 from crowwinch.forwarding._model import Route, RoutingTable
-from crowwinch.sharing import Work
+from crowwinch.forwarding._target_set import Target
+from crowwinch.sharing import RequestFeatures, Work
 
 
 @dataclass(slots=True)
@@ -33,6 +34,10 @@
             received from a target, None before.
         last_event_at: Same for the latest event.
         longest_pause_s: Longest time between two reads of complete events.
+        target: Target of the last attempt, None before.
+        attempt_began_at: Time of the first event of the last attempt, None
+            before.
+        refused_feature: Feature for which the request was refused.
     """
 
     call: Call
@@ -50,6 +55,23 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     longest_pause_s: float = 0.0
+    target: Target | None = None
+    attempt_began_at: float | None = None
+    refused_feature: str | None = None
+    _features: RequestFeatures | None = field(default=None, init=False)
+
+    @property
+    def features(self) -> RequestFeatures:
+        """What the request has in common with others."""
+        if self._features is None:
+            self._features = RequestFeatures(
+                self.digest(),
+                tuple(
+                    xxhash.xxh3_64_hexdigest(part.identifier.encode())
+                    for part in self.work.parts[:-1]
+                ),
+            )
+        return self._features
 
     @property
     def may_have_run(self) -> bool:
--- a/crowwinch/forwarding/_request_log.py
+++ b/crowwinch/forwarding/_request_log.py
@@ -109,6 +109,8 @@
                 "served_per_s": round(self._shares.served_per_s),
                 "attempts": context.attempts,
             }
+            if context.refused_feature is not None:
+                entry["refused_feature"] = context.refused_feature
             entry |= self._describe_state()
         _LOGGER.info("request", extra=entry)
 
--- a/crowwinch/forwarding/_retry_policy.py
+++ b/crowwinch/forwarding/_retry_policy.py
@@ -1,9 +1,11 @@
 """Decides whether a request is retried after a failed attempt."""
 
 import logging
+from collections.abc import Awaitable, Callable
 
 from crowwinch.coordination import Clock
 from crowwinch.errors import RefusalError, RefusalReason, RetryReason
+from crowwinch.forwarding._crash_detector import CrashDetector
 from crowwinch.forwarding._exchange import AttemptError, TargetResponse
 from crowwinch.forwarding._request_context import RequestContext
 from crowwinch.forwarding._sharing_state import SharingState
@@ -12,10 +14,8 @@
 
 # Includes attempts that the target refused without running the request.
 _MAX_ATTEMPTS = 4
-# Connections lost within this time before a target is found unreachable are
-# attributed to its crash.
-_CRASH_WINDOW_S = 1.5
-_MAX_LOSSES_PER_TARGET = 64
+# A target that crashes when it begins to answer may have sent the first event.
+_FIRST_EVENT_S = 0.3
 _CRASH_RETRY_S = 5.0
 # Targets that refuse a request have free capacity again soon.
 _REFUSED_RETRY_S = 0.5
@@ -24,29 +24,42 @@
 class RetryPolicy:
     """Limits retries and records failures, so that bad targets are avoided."""
 
-    def __init__(self, clock: Clock, sharing: SharingState) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        sharing: SharingState,
+        can_connect: Callable[[str], Awaitable[bool]],
+    ) -> None:
         """Initializes the policy.
 
         Args:
             clock: Monotonic clock.
             sharing: Holds the retry budget; failures are recorded in its
                 health and crash state.
+            can_connect: Returns whether a target at `IP:PORT` accepts
+                connections.
         """
         self._clock = clock
         self._sharing = sharing
-        self._losses: dict[str, list[tuple[float, str]]] = {}
+        self._crash_detector = CrashDetector(
+            clock, sharing.crashes, sharing.health, can_connect
+        )
 
     def refuse_crash_suspect(self, context: RequestContext) -> None:
-        """Refuses a request if equal requests crashed several targets.
+        """Refuses a request if requests like it crashed several targets.
 
         Raises:
             RefusalError: If they did.
         """
         crashes = self._sharing.crashes
-        if not crashes.is_empty and crashes.is_refused(context.digest()):
+        if crashes.is_empty:
+            return
+        feature = crashes.refused_feature(context.features)
+        if feature is not None:
+            context.refused_feature = feature
             raise RefusalError(
                 RefusalReason.CRASH_SUSPECT,
-                "the request crashed several targets",
+                "requests like this one crashed several targets",
                 context.run_state,
                 _CRASH_RETRY_S,
             )
@@ -102,6 +115,12 @@
             and self._sharing.budget.allows_retry(context.work.service)
         )
 
+    def record_answer(self, context: RequestContext) -> None:
+        """Records that a target answered a request completely."""
+        crashes = self._sharing.crashes
+        if not crashes.is_empty:
+            crashes.record_answer(context.features, self._clock.monotonic())
+
     def _record_failure(
         self, context: RequestContext, target: str, error: AttemptError
     ) -> None:
@@ -113,19 +132,21 @@
                     extra={"target": target, "cause": str(error)},
                 )
             health.record_connection_failure(target)
-            self._record_crashes(target)
+            self._crash_detector.record_unreachable(target)
         elif not error.is_refusal:
             health.record_response(target, is_good=False)
-            losses = self._losses.setdefault(target, [])
-            losses.append((self._clock.monotonic(), context.digest()))
-            del losses[:-_MAX_LOSSES_PER_TARGET]
-
-    def _record_crashes(self, target: str) -> None:
-        """Counts a crash for each request in flight when the target crashed."""
-        oldest = self._clock.monotonic() - _CRASH_WINDOW_S
-        for lost_at, digest in self._losses.pop(target, ()):
-            if lost_at >= oldest:
-                self._sharing.crashes.record_crash(digest)
+            if error.is_connection_lost and self._has_just_begun(context):
+                self._crash_detector.record_loss(
+                    context.target, context.features
+                )
+
+    def _has_just_begun(self, context: RequestContext) -> bool:
+        """Returns whether the last attempt had no answer until just now."""
+        began_at = context.attempt_began_at
+        return (
+            began_at is None
+            or self._clock.monotonic() - began_at < _FIRST_EVENT_S
+        )
 
 
 def _retry_reason(context: RequestContext, error: AttemptError) -> RetryReason:
--- a/crowwinch/forwarding/_sharing_state.py
+++ b/crowwinch/forwarding/_sharing_state.py
@@ -5,7 +5,7 @@
 from crowwinch.sharing import (
     Admission,
     CallerDeadlines,
-    CrashCounts,
+    CrashSuspects,
     Decision,
     EngineSpeeds,
     PrefixCacheTracker,
@@ -38,7 +38,7 @@
 
     admission: Admission
     budget: SlidingWindowRetryBudget
-    crashes: CrashCounts
+    crashes: CrashSuspects
     health: TargetHealth
     loads: TargetLoads
     prefixes: PrefixCacheTracker
--- a/crowwinch/forwarding/_target_client.py
+++ b/crowwinch/forwarding/_target_client.py
@@ -192,6 +192,21 @@
         if self._session is not None:
             await self._session.close()
 
+    async def can_connect(self, address: str) -> bool:
+        """Returns whether a target accepts connections.
+
+        Args:
+            address: `IP:PORT` of the target.
+        """
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     async def send(
         self,
         method: str,
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -30,7 +30,7 @@
 from crowwinch.platform import HeaderCodec
 from crowwinch.sharing import (
     Admission,
-    CrashCounts,
+    CrashSuspects,
     EngineSpeeds,
     Placer,
     PrefixCacheTracker,
@@ -199,7 +199,7 @@
             random.Random(1).random,
         ),
         budget=SlidingWindowRetryBudget(clock, 5.0, 10.0),
-        crashes=CrashCounts(clock),
+        crashes=CrashSuspects(clock),
         health=health,
         loads=loads,
         prefixes=prefixes,
--- a/crowwinch/forwarding/tests/test_forwarding.py
+++ b/crowwinch/forwarding/tests/test_forwarding.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import xxhash
+
 from crowwinch.forwarding import RequestLimits, RouteKind
 from crowwinch.forwarding.tests.support import (
     RouterTest,
@@ -11,6 +13,7 @@
     respond_ok,
     stream_head,
 )
+from crowwinch.sharing import RequestFeatures
 
 _NOT_RUN_HEADER = "X-Crowwinch-Not-Executed: 1\r\n"
 
@@ -418,16 +421,66 @@
         reply = await router.call(body=b"x" * 500_000)
         self.assertEqual((reply.status, reply.body), (413, b"no"))
 
-    async def test_crash_suspects_are_refused(self):
+    async def test_requests_with_a_part_that_crashes_targets_are_refused(self):
+        """Guards against targets that crash one after the other."""
         router = await self.router(respond_ok)
-        for _ in range(3):
-            router.crashes.record_crash("x")
-        self.assertEqual((await router.call()).status, 200)
-        digests = []
-        router.crashes.is_refused = lambda digest: (
-            digests.append(digest) or True
-        )
-        reply = await router.call(attempt_id="second")
-        self.assertEqual(reply.status, 503)
-        self.assertIn(b"crash_suspect", reply.body)
-        self.assertEqual(len(digests), 1)
+        features = RequestFeatures("other", (_digest("bad"),))
+        now = router.clock.monotonic()
+        for number in range(3):
+            router.crashes.record_crash(
+                f"crash-{number}", features, now - number
+            )
+        cases = {
+            "sound": ("first:5,own:7", 200),
+            "part": ("first:5,bad:6,own:8", 503),
+            "last part": ("first:5,bad:6", 200),
+        }
+        for name, (parts, status) in cases.items():
+            with self.subTest(name):
+                reply = await router.call(
+                    attempt_id=name,
+                    extra=f"X-Crowwinch-Prefix-Hash: {parts}\r\n",
+                )
+                self.assertEqual(reply.status, status)
+        self.assertEqual(self.attempt_count, 2)
+
+    async def test_crash_of_a_target_is_found_by_one_lost_request(self):
+        """Guards against crashes that a router with few requests misses."""
+
+        async def crash(request, writer):
+            await self.targets[0].stop()
+            writer.write(stream_head(request))
+            await writer.drain()
+            reset(writer)
+            return False
+
+        router = await self.router(crash, kind=RouteKind.STREAM)
+        await router.call(extra="X-Crowwinch-Prefix-Hash: a:1,b:2,own:3\r\n")
+        await asyncio.sleep(0.2)
+        reports = {
+            report.feature: list(report.crash_ages_s)
+            for report in router.crashes.reports()
+            if report.is_part
+        }
+        self.assertEqual(set(reports), {_digest("a"), _digest("b")})
+        self.assertTrue(router.health.is_blocked("i-0"))
+
+    async def test_lost_connections_of_a_live_target_are_no_crash(self):
+        """Guards against refusals because of connections that are reset."""
+
+        async def lose(request, writer):
+            reset(writer)
+            return False
+
+        router = await self.router(lose, kind=RouteKind.STREAM)
+        for number in range(4):
+            await router.call(
+                attempt_id=f"lost-{number}",
+                extra=f"X-Crowwinch-Prefix-Hash: a:1,own-{number}:3\r\n",
+            )
+            await asyncio.sleep(0.1)
+        self.assertTrue(router.crashes.is_empty)
+
+
+def _digest(part):
+    return xxhash.xxh3_64_hexdigest(part.encode())
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -44,7 +44,7 @@
 )
 from crowwinch.sharing import (
     Admission,
-    CrashCounts,
+    CrashSuspects,
     EngineSpeeds,
     Placer,
     PrefixCacheTracker,
@@ -193,7 +193,11 @@
             budget=SlidingWindowRetryBudget(
                 self._clock, settings.retry_ratio, settings.retry_window_s
             ),
-            crashes=CrashCounts(self._clock),
+            crashes=CrashSuspects(
+                self._clock,
+                self._rng.random,
+                lambda: loads.peer_count + 1,
+            ),
             health=health,
             loads=loads,
             prefixes=prefixes,
--- a/crowwinch/sharing/__init__.py
+++ b/crowwinch/sharing/__init__.py
@@ -5,6 +5,11 @@
 
 from crowwinch.sharing._admission import Admission
 from crowwinch.sharing._caller_deadlines import CallerDeadlines
+from crowwinch.sharing._crash_suspects import (
+    CrashSuspects,
+    RequestFeatures,
+    SuspectReport,
+)
 from crowwinch.sharing._health import TargetHealth
 from crowwinch.sharing._loads import Reservation, TargetLoads, TargetUse
 from crowwinch.sharing._model import (
@@ -16,7 +21,7 @@
 )
 from crowwinch.sharing._placer import Candidate, Placer
 from crowwinch.sharing._prefixes import PrefixCacheTracker
-from crowwinch.sharing._retries import CrashCounts, SlidingWindowRetryBudget
+from crowwinch.sharing._retries import SlidingWindowRetryBudget
 from crowwinch.sharing._shares import (
     WorkspaceShares,
     WorkspaceUse,
@@ -30,14 +35,16 @@
     "Admission",
     "CallerDeadlines",
     "Candidate",
-    "CrashCounts",
+    "CrashSuspects",
     "Decision",
     "EngineSpeeds",
     "Placer",
     "PrefixCacheTracker",
     "PromptPart",
+    "RequestFeatures",
     "Reservation",
     "SlidingWindowRetryBudget",
+    "SuspectReport",
     "TargetHealth",
     "TargetLoads",
     "TargetUse",
--- a/crowwinch/sharing/_retries.py
+++ b/crowwinch/sharing/_retries.py
@@ -1,7 +1,6 @@
-"""Retry budget and detection of requests that crash targets."""
+"""Retry budget of the services at one router."""
 
-from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections import deque
 
 from crowwinch.coordination import Clock
 
@@ -11,10 +10,6 @@
 # Retries always allowed in a window, so that a router with little traffic can
 # fail over from a target that has gone.
 _MIN_RETRIES = 2
-# A request in flight at this many crashes is refused.
-_CRASH_LIMIT = 3
-_CRASH_EXPIRY_S = 120.0
-_CRASH_CAPACITY = 4096
 
 
 class SlidingWindowRetryBudget:
@@ -68,63 +63,3 @@
         while times and times[0] < oldest:
             times.popleft()
         return times
-
-
-class CrashCounts:
-    """Counts the crashes at which a request was in flight.
-
-    Counts of other routers are merged by the maximum for each router, so
-    merging is idempotent.
-    """
-
-    def __init__(self, clock: Clock) -> None:
-        """Creates empty counts."""
-        self._clock = clock
-        self._own: OrderedDict[str, tuple[float, int]] = OrderedDict()
-        self._peers: OrderedDict[str, tuple[float, dict[str, int]]] = (
-            OrderedDict()
-        )
-
-    def record_crash(self, digest: str) -> None:
-        """Counts a crash with a request in flight from this router."""
-        _, count = self._own.pop(digest, (0.0, 0))
-        self._own[digest] = (self._clock.monotonic(), count + 1)
-        if len(self._own) > _CRASH_CAPACITY:
-            self._own.popitem(last=False)
-
-    def own_counts(self) -> list[tuple[str, int]]:
-        """Returns the counts of this router to send to its peers."""
-        self._expire()
-        return [(digest, count) for digest, (_, count) in self._own.items()]
-
-    def merge_peer_counts(
-        self, peer: str, counts: Iterable[tuple[str, int]]
-    ) -> None:
-        """Merges the counts received from a peer."""
-        now = self._clock.monotonic()
-        for digest, count in counts:
-            _, known = self._peers.pop(digest, (0.0, {}))
-            known[peer] = max(known.get(peer, 0), count)
-            self._peers[digest] = (now, known)
-            if len(self._peers) > _CRASH_CAPACITY:
-                self._peers.popitem(last=False)
-
-    def is_refused(self, digest: str) -> bool:
-        """Returns whether a request was in flight at too many crashes."""
-        if not self._own and not self._peers:
-            return False
-        self._expire()
-        own = self._own.get(digest, (0.0, 0))[1]
-        peers = self._peers.get(digest, (0.0, {}))[1]
-        return own + sum(peers.values()) >= _CRASH_LIMIT
-
-    @property
-    def is_empty(self) -> bool:
-        """Whether no request was in flight at a crash."""
-        return not self._own and not self._peers
-
-    def _expire(self) -> None:
-        oldest = self._clock.monotonic() - _CRASH_EXPIRY_S
-        for table in (self._own, self._peers):
-            while table and next(iter(table.values()))[0] < oldest:
-                table.popitem(last=False)
--- a/crowwinch/sharing/tests/test_retries.py
+++ b/crowwinch/sharing/tests/test_retries.py
@@ -1,10 +1,9 @@
-"""Tests of the retry budget, crash counts and target health."""
+"""Tests of the retry budget and of target health."""
 
 import unittest
 
 from crowwinch.coordination import ManualClock
 from crowwinch.sharing import (
-    CrashCounts,
     SlidingWindowRetryBudget,
     TargetHealth,
 )
@@ -38,36 +37,6 @@
         self.assertLess(sum(budget.try_spend("desk") for _ in range(99)), 5)
 
 
-class CrashCountsTest(unittest.TestCase):
-    """Guards against a request that crashes successive targets."""
-
-    def setUp(self):
-        self.clock = ManualClock()
-        self.counts = CrashCounts(self.clock)
-
-    def test_third_crash_across_routers_refuses_request(self):
-        self.counts.record_crash("digest")
-        self.counts.merge_peer_counts("peer", [("digest", 1)])
-        self.assertFalse(self.counts.is_refused("digest"))
-        self.counts.merge_peer_counts("peer", [("digest", 2)])
-        self.assertTrue(self.counts.is_refused("digest"))
-        self.assertFalse(self.counts.is_refused("other"))
-
-    def test_duplicate_and_stale_reports_are_ignored(self):
-        self.counts.record_crash("digest")
-        for count in (1, 1, 0, 1):
-            self.counts.merge_peer_counts("peer", [("digest", count)])
-        self.assertFalse(self.counts.is_refused("digest"))
-
-    def test_counts_expire(self):
-        for _ in range(3):
-            self.counts.record_crash("digest")
-        self.assertTrue(self.counts.is_refused("digest"))
-        self.clock.move_to(121.0)
-        self.assertFalse(self.counts.is_refused("digest"))
-        self.assertTrue(self.counts.is_empty)
-
-
 class TargetHealthTest(unittest.TestCase):
     """Guards against use of failing targets and permanent exclusion."""
 
