Decoding: ignore documents that are nested too deeply or hold huge numbers

Reported by other operators: one odd entry among those of the targets, deeply nested, with a number too large or a port out of range, ended the routers that read the list, or they stopped following it.

Cause: the decoder raises RecursionError for unknown fields nested 1,000 deep, which no caller expected. The directory's watch then lists all items again, meets the entry again, and never gets past it. Integers are not bounded: with 10**400 slots each placement raises OverflowError, and a start time or version of 2**64 does not fit an update to the peers. Ports were checked already. A key with line breaks became part of a header.

Change: one tuple of decode errors, which includes RecursionError, is used at every decoder: store, documents, peers, configuration, callers' bodies, targets' answers. Integers of documents are bounded by 2**53, slots by 65,535, and identifiers are printable ASCII.

--- a/crowwinch/api/_parsing.py
+++ b/crowwinch/api/_parsing.py
@@ -11,7 +11,7 @@
 from multidict import CIMultiDict, MultiMapping
 
 from crowwinch.configuration import Snapshot
-from crowwinch.errors import RefusalError, RefusalReason
+from crowwinch.errors import DECODE_ERRORS, RefusalError, RefusalReason
 from crowwinch.idempotency import parse_key
 from crowwinch.routing import CallerRequest, estimate_engine_cost
 from crowwinch.scheduling import RequestClass
@@ -151,7 +151,7 @@
         )
     try:
         parsed = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise RefusalError(RefusalReason.MALFORMED_BODY, str(error)) from error
     groups = snapshot.groups_of_model(parsed.model, region)
     if not groups:
--- a/crowwinch/commands/_client.py
+++ b/crowwinch/commands/_client.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from crowwinch.commands._plan import Command, TargetState
-from crowwinch.errors import CrowwinchError
+from crowwinch.errors import DECODE_ERRORS, CrowwinchError
 
 _TIMEOUT_S = 2.0
 
@@ -49,7 +49,7 @@
             raise CommandError(f"{url}: status {status}")
         try:
             report = msgspec.json.decode(body, type=_Report)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise CommandError(f"{url}: {error}") from error
         return TargetState(report.models, report.role)
 
--- a/crowwinch/configuration/_loader.py
+++ b/crowwinch/configuration/_loader.py
@@ -16,7 +16,7 @@
 from crowwinch.configuration._models import parse_models
 from crowwinch.configuration._snapshot import Snapshot
 from crowwinch.coordination import identifier
-from crowwinch.errors import DocumentError, Finding
+from crowwinch.errors import DECODE_ERRORS, DocumentError, Finding
 from crowwinch.generated.documents import (
     Event,
     EventPart,
@@ -46,7 +46,7 @@
     """
     try:
         return msgspec.json.decode(document, type=Manifest)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise DocumentError([Finding("manifest", str(error))]) from error
 
 
@@ -115,7 +115,7 @@
     kind = _kind_of(reference.name)
     try:
         part = msgspec.json.decode(document, type=_PART_TYPES[kind])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise DocumentError([Finding(reference.name, str(error))]) from error
     return getattr(part, kind)
 
--- a/crowwinch/configuration/_service_client.py
+++ b/crowwinch/configuration/_service_client.py
@@ -3,7 +3,7 @@
 import aiohttp
 import msgspec
 
-from crowwinch.errors import PlatformError
+from crowwinch.errors import DECODE_ERRORS, PlatformError
 from crowwinch.generated.documents import VirtualMachineList
 
 _CALL_TIMEOUT_S = 2.0
@@ -85,7 +85,7 @@
             raise PlatformError(f"{url}: status {status}")
         try:
             return msgspec.json.decode(body, type=VirtualMachineList)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise PlatformError(f"{url}: {error}") from error
 
     async def _get(self, url: str, timeout_s: float) -> tuple[int, bytes]:
--- a/crowwinch/errors.py
+++ b/crowwinch/errors.py
@@ -4,6 +4,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+import msgspec
+
+# Errors of decoders for malformed input. Nesting that is too deep is not a
+# `DecodeError`.
+DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
 
 class RunState(enum.IntEnum):
     """Whether a refused or failed request reached a target."""
--- a/crowwinch/fleet/_directory_exchange.py
+++ b/crowwinch/fleet/_directory_exchange.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from crowwinch.directory import DirectoryState
-from crowwinch.errors import CrowwinchError
+from crowwinch.errors import DECODE_ERRORS, CrowwinchError
 from crowwinch.forwarding import SocketAddress
 from crowwinch.generated.fleet_messages import (
     DirectoryItem,
@@ -94,7 +94,7 @@
             aiohttp.ClientError,
             TimeoutError,
             OSError,
-            msgspec.DecodeError,
+            *DECODE_ERRORS,
         ) as error:
             raise DirectoryFetchError(f"{control}: {error!r}") from error
 
--- a/crowwinch/fleet/_endpoint.py
+++ b/crowwinch/fleet/_endpoint.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from crowwinch.errors import PeerRejection
+from crowwinch.errors import DECODE_ERRORS, PeerRejection
 from crowwinch.generated.fleet_messages import FleetUpdate
 
 _LOGGER = logging.getLogger(__name__)
@@ -132,7 +132,7 @@
             return
         try:
             update = _DECODER.decode(memoryview(datagram)[1:])
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             self._count_rejection(PeerRejection.MALFORMED)
             return
         self._receive(update)
--- a/crowwinch/peers/_codec.py
+++ b/crowwinch/peers/_codec.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from crowwinch.errors import PeerMessageError, PeerRejection
+from crowwinch.errors import DECODE_ERRORS, PeerMessageError, PeerRejection
 from crowwinch.generated import peer_messages as messages
 from crowwinch.generated.bases import MessageStruct
 
@@ -122,5 +122,5 @@
         raise PeerMessageError(PeerRejection.UNKNOWN_TYPE, f"type {raw[1]}")
     try:
         return decoder(memoryview(raw)[2:])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise PeerMessageError(PeerRejection.MALFORMED, str(error)) from error
--- a/crowwinch/platform/_documents.py
+++ b/crowwinch/platform/_documents.py
@@ -1,11 +1,13 @@
 """Decodes documents that the operator and targets write to the store."""
 
 import logging
+import re
 from typing import Annotated
 
 import msgspec
 
 from crowwinch.directory import TargetEntry, TargetState
+from crowwinch.errors import DECODE_ERRORS
 from crowwinch.forwarding import (
     Engine,
     RequestLimits,
@@ -25,10 +27,20 @@
 _DEFAULT_TIMEOUT_MS = 60_000.0
 _ROUTE_KINDS = {"safe": RouteKind.SAFE, "unsafe": RouteKind.UNSAFE}
 _TARGET_STATES = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
-_NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+# Larger integers are not exact in every JSON implementation, and some do not
+# fit the messages between routers.
+_MAX_INTEGER = 2**53
+_MAX_SLOTS = 65_535
+_Integer = Annotated[int, msgspec.Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)]
+_NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
 _NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 
 
+# Attempts name their target in a header.
+_IDENTIFIER = re.compile(r"[!-~]{1,200}")
+
+
 class _Split(msgspec.Struct):
     Service: str
     Weight: _NonNegativeFloat = 1.0
@@ -42,7 +54,7 @@
     RouteType: str
     TimeoutMs: _NonNegativeFloat = _DEFAULT_TIMEOUT_MS
     TargetLatencyMs: _NonNegativeFloat = 0.0
-    Priority: int = 0
+    Priority: _Integer = 0
     Service: str = ""
     TrafficSplit: list[_Split] = []
     MaxAttempts: _NonNegativeInt = 1
@@ -51,7 +63,7 @@
 
 
 class _Engine(msgspec.Struct):
-    Slots: _NonNegativeInt = 0
+    Slots: _Slots = 0
     KvCapacity: _NonNegativeFloat = 0.0
 
 
@@ -72,11 +84,11 @@
 class _Tenant(msgspec.Struct):
     Name: str
     ApiKeys: list[str] = []
-    Priority: int | None = None
+    Priority: _Integer | None = None
 
 
 class _Configuration(msgspec.Struct):
-    Version: int
+    Version: _Integer
     Routes: list[_Route] = []
     Services: list[_Service] = []
     Limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -88,10 +100,10 @@
     Address: str
     State: str
     Zone: str = ""
-    Slots: _NonNegativeInt = 0
+    Slots: _Slots = 0
     # Start time in Unix milliseconds. It distinguishes restarts because a
     # target may keep its identifier.
-    born: int = 0
+    born: _NonNegativeInt = 0
 
 
 class DocumentCodec:
@@ -131,7 +143,7 @@
     """
     try:
         document = msgspec.json.decode(value, type=_Configuration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"malformed configuration: {error}") from error
     limits = document.Limits
     return RoutingTable(
@@ -213,18 +225,24 @@
     try:
         document = msgspec.json.decode(value, type=_Target)
         address = parse_address(document.Address)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         _LOGGER.warning(
             "target entry ignored", extra={"key": key, "cause": str(error)}
         )
         return None
     state = _TARGET_STATES.get(document.State)
-    if state is None or not identifier:
+    if state is None:
         _LOGGER.warning(
             "target entry ignored",
             extra={"key": key, "cause": f"unknown state {document.State!r}"},
         )
         return None
+    if _IDENTIFIER.fullmatch(identifier) is None:
+        _LOGGER.warning(
+            "target entry ignored",
+            extra={"key": key, "cause": "identifier is not a header value"},
+        )
+        return None
     return TargetEntry(
         identifier=identifier,
         service=document.Service,
--- a/crowwinch/platform/_store.py
+++ b/crowwinch/platform/_store.py
@@ -14,6 +14,7 @@
     Listing,
     StoreError,
 )
+from crowwinch.errors import DECODE_ERRORS
 from crowwinch.forwarding import SocketAddress
 
 # Configuration and targets are the only items, so one watch covers both.
@@ -143,7 +144,7 @@
             raise StoreError(f"{path}: unexpected status {answer.status}")
         try:
             return msgspec.json.decode(body, type=model)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise StoreError(f"{path}: malformed answer: {error}") from error
 
 
--- a/crowwinch/platform/tests/test_documents.py
+++ b/crowwinch/platform/tests/test_documents.py
@@ -105,6 +105,7 @@
 
     def test_malformed_documents_are_ignored(self):
         codec = DocumentCodec()
+        nested = b"[" * 100_000 + b"]" * 100_000
         cases = (
             b"",
             b"{",
@@ -113,9 +114,11 @@
             b'{"Version": "7"}',
             _configuration(Routes=[{"Name": "x"}]),
             _configuration(Limits={"MaxBodyBytes": -1}),
+            _configuration(Version=2**64),
+            _configuration()[:-1] + b', "x": ' + nested + b"}",
         )
         for value in cases:
-            with self.subTest(value):
+            with self.subTest(value[:200]):
                 with self.assertLogs("crowwinch.platform", "WARNING"):
                     self.assertIsNone(codec.decode("op/config", value))
 
@@ -157,15 +160,32 @@
             {"Slots": -1},
             {"born": 1.5},
             {"Service": None},
+            {"Slots": 10**400},
+            {"Slots": 2**64},
+            {"born": 10**400},
+            {"born": 2**64},
+            {"Address": "10.0.0.1:" + "9" * 5_000},
+            {"Slots": 1e300},
         )
         values = [json.dumps(self._ENTRY | change) for change in changes]
         values += ["", "null", "[]", '{"State": "ready"}']
+        nested = "[" * 100_000 + "]" * 100_000
+        values.append(json.dumps(self._ENTRY)[:-1] + f', "x": {nested}}}')
+        values += [nested, json.dumps(self._ENTRY).replace('"llm"', nested)]
         encoded = [value.encode() for value in values] + [b"\xff\x00"]
         for value in encoded:
-            with self.subTest(value):
+            with self.subTest(value[:200]):
                 with self.assertLogs("crowwinch.platform", "WARNING"):
                     self.assertIsNone(decode_target("servers/i-1", value))
 
+    def test_identifiers_that_are_no_header_values_are_ignored(self):
+        """Guards against headers that a key of the store adds to requests."""
+        value = json.dumps(self._ENTRY).encode()
+        for key in ("a\r\nX-Y: z", "\u00e9", "a b", "\ud800"):
+            with self.subTest(key):
+                with self.assertLogs("crowwinch.platform", "WARNING"):
+                    self.assertIsNone(decode_target(f"servers/{key}", value))
+
     def test_registration_without_identifier_is_ignored(self):
         value = json.dumps(self._ENTRY).encode()
         with self.assertLogs("crowwinch.platform", "WARNING"):
--- a/crowwinch/platform/tests/test_store.py
+++ b/crowwinch/platform/tests/test_store.py
@@ -77,6 +77,15 @@
         with self.assertRaises(HistoryLostError):
             await self.client.watch(6, 2.0)
 
+    async def test_deeply_nested_answer_raises_store_error(self):
+        """Guards against a watch that ends at an answer it cannot decode."""
+        nested = "[" * 100_000 + "]" * 100_000
+        self.answers = [
+            web.Response(text=f'{{"CurrentRev": 5, "x": {nested}}}')
+        ]
+        with self.assertRaises(StoreError):
+            await self.client.watch(6, 2.0)
+
     async def test_invalid_answers_raise_store_error(self):
         cases = {
             "unavailable": web.Response(status=503),
--- a/crowwinch/routing/_costs.py
+++ b/crowwinch/routing/_costs.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from crowwinch.errors import DECODE_ERRORS
 from crowwinch.generated.documents import Group
 
 _BYTES_PER_TOKEN = 4
@@ -83,7 +84,7 @@
         """
         try:
             document = msgspec.json.decode(body)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return False
         usage = usage_of(document)
         if usage is None:
--- a/crowwinch/routing/_handler.py
+++ b/crowwinch/routing/_handler.py
@@ -9,6 +9,7 @@
 from crowwinch.configuration import Snapshot
 from crowwinch.coordination import Clock
 from crowwinch.errors import (
+    DECODE_ERRORS,
     RefusalError,
     RefusalReason,
     RetryReason,
@@ -280,13 +281,13 @@
 def _reports_not_run(body: bytes) -> bool:
     try:
         return _ERROR_DECODER.decode(body).error.run_state == "not_run"
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return False
 
 
 def _is_document(body: bytes) -> bool:
     try:
         msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return False
     return True
--- a/crowwinch/routing/_prefixes.py
+++ b/crowwinch/routing/_prefixes.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from crowwinch.coordination import Clock, identifier, owner
+from crowwinch.errors import DECODE_ERRORS
 from crowwinch.generated.documents import Target
 
 # Reusing a shorter common prefix saves too little to justify a preference: 512
@@ -84,7 +85,7 @@
                     opening = b"".join(map(bytes, messages[:index]))
                     last = sum(map(len, messages[-2:]))
                     return cls(opening, len(prompt) - last)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        except DECODE_ERRORS:
             pass
         return None
 
--- a/crowwinch/targets/_load.py
+++ b/crowwinch/targets/_load.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from crowwinch.errors import DECODE_ERRORS
 from crowwinch.targets._client import (
     IncompleteAnswerError,
     TargetCall,
@@ -48,7 +49,7 @@
         if answer.status != 200:
             raise IncompleteAnswerError(f"/load has status {answer.status}")
         return _DECODER.decode(await answer.read())
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise IncompleteAnswerError(f"/load is malformed: {error}") from error
     finally:
         answer.close()
--- a/crowwinch/targets/_sse.py
+++ b/crowwinch/targets/_sse.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from crowwinch.errors import DECODE_ERRORS
 from crowwinch.targets._client import IncompleteAnswerError
 
 _SEPARATOR = b"\n\n"
@@ -65,6 +66,6 @@
         return False
     try:
         document = _DECODER.decode(event.removeprefix(b"data:"))
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return False
     return bool(document.choices)
