Target client: do not trust a refusal that may be of an earlier request

Reported by other operators: a faulty target wrote an earlier refusal once more on a kept connection; callers were told that their request had not run while the target ran it, or it ran at a second target.

Cause: a response with the id of another request is skipped, but one without an id was taken for the response to the latest request. With the header that says "not run", a request that must not be repeated was answered 503.

Change: on a connection that has carried a response before, a response without an id closes the connection, and the request may have run. The first response of a connection can only belong to its request.

Evidence: in the new test a target repeats its refusal before it answers the next, unsafe request. With the id of the earlier request it was and is skipped; without an id the caller got 503 before, 502 (unknown) now.

--- a/crowwinch/forwarding/_target_client.py
+++ b/crowwinch/forwarding/_target_client.py
@@ -48,6 +48,7 @@
         self._idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
         self._idle_close: asyncio.TimerHandle | None = None
         self._response_payload: Any = None
+        self._has_responded = False
 
     def expect(self, attempt_id: str) -> None:
         """Sets the request to match and cancels the idle time-out."""
@@ -57,17 +58,29 @@
             self._idle_close = None
 
     async def read(self) -> Any:
-        """Returns the head and the payload of the matching response."""
+        """Returns the head and the payload of the matching response.
+
+        Raises:
+            ClientOSError: If a response does not say which request it belongs
+                to, and may belong to an earlier one of this connection.
+        """
         while True:
             message, payload = await super().read()
             if message.code >= 200:
                 attempt_id = message.headers.get(self.attempt_header)
+                if attempt_id is None and self._has_responded:
+                    self.close()
+                    raise ClientOSError(
+                        "response without an attempt id on a connection that "
+                        "was used before"
+                    )
                 if (
                     attempt_id is not None
                     and attempt_id != self._expected_attempt_id
                 ):
                     await payload.read()
                     continue
+                self._has_responded = True
                 self._update_idle_timeout(message.headers)
                 self._response_payload = payload
                 payload.on_eof(self._schedule_idle_close)
--- a/crowwinch/forwarding/tests/test_forwarding.py
+++ b/crowwinch/forwarding/tests/test_forwarding.py
@@ -421,6 +421,24 @@
         reply = await router.call(body=b"x" * 500_000)
         self.assertEqual((reply.status, reply.body), (413, b"no"))
 
+    async def test_earlier_refusal_that_is_repeated_is_not_trusted(self):
+        """Guards against "not run" for a request that a target runs."""
+        cases = {
+            "id of the earlier request": ("attempt-1", 200),
+            "no id": (None, 502),
+        }
+        for name, (repeated_id, status) in cases.items():
+            with self.subTest(name):
+                router = await self.router(
+                    _repeat_refusal(repeated_id),
+                    kind=RouteKind.UNSAFE,
+                    timeout_s=0.5,
+                )
+                self.assertEqual((await router.call()).status, 503)
+                reply = await router.call(attempt_id="attempt-2")
+                self.assertEqual(self.targets[0].connections, 1)
+                self.assertEqual(reply.status, status)
+
     async def test_requests_with_a_part_that_crashes_targets_are_refused(self):
         """Guards against targets that crash one after the other."""
         router = await self.router(respond_ok)
@@ -482,5 +500,37 @@
         self.assertTrue(router.crashes.is_empty)
 
 
+def _repeat_refusal(repeated_id):
+    """Returns a script that writes its first refusal again before an answer."""
+    refusals = []
+
+    async def script(request, writer):
+        if not refusals:
+            refusals.append(request)
+            writer.write(
+                make_response(
+                    request, b"", "503 Full", _NOT_RUN_HEADER, seal=False
+                )
+            )
+            return True
+        refusal = make_response(
+            request,
+            b"",
+            "503 Full",
+            _NOT_RUN_HEADER,
+            seal=False,
+            attempt_id=repeated_id or "",
+        )
+        if repeated_id is None:
+            refusal = refusal.replace(b"X-Crowwinch-Attempt-Id: \r\n", b"")
+        writer.write(refusal)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(make_response(request))
+        return True
+
+    return script
+
+
 def _digest(part):
     return xxhash.xxh3_64_hexdigest(part.encode())
