Delivery: write only the rest of a stream into a broken stream

Reported by other operators: a stream broke off and the next target answered with an error. Callers found the error's text, or its whole head, in the middle of their stream, or the stream ended as if it were complete.

Cause: only answers that were buffered were checked against a started response. An error above 1 MiB is not buffered and was written with its head behind the events; a stream that began again at its first event repeated events. The same class, going on with what cannot go on: a large plain body that broke off was sent for again, and a stream whose events have no ids was resumed from the start.

Change: into a started response only a successful stream is written, and only if it goes on after the last event. A started response is repeated only if it is a resumable stream whose last event has an id; else it ends incomplete.

--- a/crowwinch/forwarding/_delivery.py
+++ b/crowwinch/forwarding/_delivery.py
@@ -30,13 +30,13 @@
         AttemptError: If the response is incomplete.
     """
     call = context.call
+    resumes_stream = response.is_stream and response.is_success
+    if call.is_started and not resumes_stream:
+        raise AttemptError(
+            f"the stream was not resumed: {response.status}", may_have_run=True
+        )
     if response.body is not None:
         on_event()
-        if call.is_started:
-            raise AttemptError(
-                f"the stream was not resumed: {response.status}",
-                may_have_run=True,
-            )
         await call.send_response(
             response.status, response.reason, response.headers, response.body
         )
@@ -62,14 +62,23 @@
     """
     call = context.call
     splitter = EventSplitter()
+    resumes_after = context.last_event_id if call.is_started else None
     async for data in exchange.chunks():
         events = splitter.feed(data)
         if not events:
             continue
+        if resumes_after is not None and splitter.repeats(resumes_after):
+            raise AttemptError(
+                f"the stream was resumed at event {splitter.first_id} after "
+                f"event {resumes_after}",
+                may_have_run=True,
+            )
         on_event()
-        context.last_event_id = splitter.last_id or context.last_event_id
         if not call.is_started:
             await call.start(response.status, response.reason, response.headers)
+        # Without an id, no other target could tell where to go on.
+        context.relayed_event_id = splitter.last_id
+        context.last_event_id = splitter.last_id or context.last_event_id
         await call.write(events)
     if splitter.has_incomplete_event:
         raise AttemptError(
--- a/crowwinch/forwarding/_events.py
+++ b/crowwinch/forwarding/_events.py
@@ -1,8 +1,10 @@
 """Splits a byte stream into complete server-sent events."""
 
+import re
+
 _LF_SEPARATOR = b"\n\n"
 _CRLF_SEPARATOR = b"\r\n\r\n"
-_ID_FIELD = b"id:"
+_ID_LINE = re.compile(rb"^id:(.*)$", re.MULTILINE)
 
 
 class EventSplitter:
@@ -15,8 +17,14 @@
     def __init__(self) -> None:
         """Starts with an empty buffer."""
         self._buffer = b""
+        self._first_id: str | None = None
         self._last_id: str | None = None
 
+    @property
+    def first_id(self) -> str | None:
+        """Id of the first complete event with an id, None before it."""
+        return self._first_id
+
     @property
     def last_id(self) -> str | None:
         """Id of the last complete event with an id, None before the first."""
@@ -39,22 +47,23 @@
             else 0,
         )
         complete, self._buffer = data[:end], data[end:]
-        self._update_last_id(complete)
+        self._update_ids(complete)
         return complete
 
-    def take_incomplete_event(self) -> bytes:
-        """Returns and removes the bytes after the last complete event."""
-        incomplete, self._buffer = self._buffer, b""
-        return incomplete
-
-    def _update_last_id(self, events: bytes) -> None:
-        position = events.rfind(b"\n" + _ID_FIELD)
-        if position >= 0:
-            start = position + 1
-        elif events.startswith(_ID_FIELD):
-            start = 0
-        else:
+    def repeats(self, last_id: str) -> bool:
+        """Returns whether the stream begins with events up to a given one.
+
+        Ids that are not numbers cannot be compared.
+        """
+        try:
+            return int(self._first_id or "") <= int(last_id)
+        except ValueError:
+            return False
+
+    def _update_ids(self, events: bytes) -> None:
+        ids = _ID_LINE.findall(events)
+        if not ids:
             return
-        line = events[start:].split(b"\n", 1)[0]
-        value = line[len(_ID_FIELD) :].strip()
-        self._last_id = value.decode("ascii", "replace")
+        self._last_id = ids[-1].strip().decode("ascii", "replace")
+        if self._first_id is None:
+            self._first_id = ids[0].strip().decode("ascii", "replace")
--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -6,7 +6,7 @@
 
 from crowwinch.errors import RunState
 from crowwinch.forwarding._call import Call
-from crowwinch.forwarding._model import Route, RoutingTable
+from crowwinch.forwarding._model import Route, RouteKind, RoutingTable
 from crowwinch.forwarding._target_set import Target
 from crowwinch.sharing import RequestFeatures, Work
 
@@ -28,6 +28,8 @@
         possible_runs: Number of targets that may have run the request.
         attempt_count: Number of attempts, including those that were refused.
         last_event_id: Id of the event after which a stream resumes.
+        relayed_event_id: Id of the last event that the caller got, None without
+            one.
         excluded: Targets at which an attempt has failed.
         attempts: Log entry of each attempt.
         first_event_at: Monotonic time in seconds at which the first event was
@@ -50,6 +52,7 @@
     possible_runs: int = 0
     attempt_count: int = 0
     last_event_id: str | None = None
+    relayed_event_id: str | None = None
     excluded: set[str] = field(default_factory=set)
     attempts: list[dict[str, object]] = field(default_factory=list)
     first_event_at: float | None = None
@@ -78,6 +81,14 @@
         """Whether a target may have run the request."""
         return self.possible_runs > 0
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether another target can go on with the started response."""
+        return (
+            self.route.kind is RouteKind.RESUMABLE_STREAM
+            and self.relayed_event_id is not None
+        )
+
     @property
     def run_state(self) -> RunState:
         """Run state that a refusal reports."""
--- a/crowwinch/forwarding/_retry_policy.py
+++ b/crowwinch/forwarding/_retry_policy.py
@@ -91,6 +91,8 @@
         self._record_failure(context, target, error)
         context.excluded.add(target)
         may_retry = not context.may_have_run or context.route.kind.allows_retry
+        if context.call.is_started and not context.can_resume:
+            may_retry = False
         if (
             may_retry
             and self._is_within_limits(context)
--- a/crowwinch/forwarding/tests/test_streams.py
+++ b/crowwinch/forwarding/tests/test_streams.py
@@ -9,6 +9,7 @@
     ScriptedTarget,
     chunk,
     event,
+    make_response,
     reset,
     respond_ok,
     stream_head,
@@ -20,6 +21,10 @@
     return False
 
 
+def _start_large_body(request):
+    return make_response(request, b"x" * 1_200_000, length=2_000_000)
+
+
 class DeadlineTest(RouterTest):
     """Guards against late responses and against leaked slots."""
 
@@ -225,6 +230,76 @@
         ]
         router.target_set.update(entries, router.routing)
 
+    async def test_other_answers_are_not_written_into_a_broken_stream(self):
+        """Guards against error texts and repeated events within a stream."""
+        large = b"error " * 200_000
+        answers = {
+            "error": lambda request: make_response(request, b"e", "500 Error"),
+            "large error": lambda request: make_response(
+                request, large, "500 Error"
+            ),
+            "large error as events": lambda request: make_response(
+                request,
+                large,
+                "500 Error",
+                "Content-Type: text/event-stream\r\n",
+            ),
+            "no stream": make_response,
+            "large body": lambda request: make_response(request, large),
+            "no content": lambda request: make_response(
+                request, b"", "204 No Content"
+            ),
+            "from the start": lambda request: (
+                stream_head(request) + chunk(event(1)) + chunk(b"")
+            ),
+        }
+        for name, answer in answers.items():
+            with self.subTest(name):
+                reply = await self._call_with_answers(
+                    stream_head, answer, RouteKind.RESUMABLE_STREAM
+                )
+                self.assertEqual(reply.status, 200)
+                self.assertFalse(reply.is_complete)
+                self.assertEqual(reply.body, event(1) + event(2))
+
+    async def test_started_answers_that_cannot_go_on_are_not_repeated(self):
+        """Guards against a second answer behind the start of the first."""
+        cases = {
+            "large body": (RouteKind.SAFE, _start_large_body),
+            "events without ids": (
+                RouteKind.RESUMABLE_STREAM,
+                lambda request: stream_head(request) + chunk(b"data: x\n\n"),
+            ),
+        }
+        for name, (kind, start) in cases.items():
+            with self.subTest(name):
+                reply = await self._call_with_answers(start, start, kind, ())
+                self.assertFalse(reply.is_complete)
+                self.assertEqual(self.attempt_count, 1)
+
+    async def _call_with_answers(self, start, answer, kind, numbers=(1, 2)):
+        """Breaks off the first answer and replaces the second."""
+        attempts = []
+
+        async def script(request, writer):
+            attempts.append(request)
+            if len(attempts) > 1:
+                writer.write(answer(request))
+                await writer.drain()
+                return False
+            writer.write(start(request))
+            for number in numbers:
+                writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            reset(writer)
+            return False
+
+        router = await self.router(
+            script, script, kind=kind, is_engine=kind is not RouteKind.SAFE
+        )
+        return await router.call()
+
     async def test_streams_that_cannot_be_resumed_end_incomplete(self):
         broken = self._stream(range(1, 4), then=None)
         router = await self.router(
