Targets: use no target that says in an answer that it leaves (DRAIN)

A target that leaves says so in all its answers, which may be known before the store or a peer tells. Requests still went there for as long as the directory called the target ready.

Change: the header is decoded in the adapter; a target that sends it gets nothing new from this router until it starts again (another start time), also while the directory calls it ready. Answers of another target at the address do not count.

Evidence: in the new test both targets answer with the header and stay ready in the directory; each gets one request, and one more after a restart. Without the change the header is not read at all.

--- a/crowwinch/forwarding/_exchange.py
+++ b/crowwinch/forwarding/_exchange.py
@@ -1,6 +1,6 @@
 """Sends one attempt to a target and reads its response."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import aiohttp
@@ -77,6 +77,7 @@
         codec: WireCodec,
         address: str,
         attempt_id: str,
+        on_head: Callable[[ResponseHead], None] = lambda head: None,
     ) -> None:
         """Initializes the exchange without sending.
 
@@ -85,11 +86,14 @@
             codec: Translates headers.
             address: `IP:PORT` of the target.
             attempt_id: Identifier that the response must repeat.
+            on_head: Called with the head of each response of the target, also
+                of one that is not relayed.
         """
         self._client = client
         self._codec = codec
         self._address = address
         self._attempt_id = attempt_id
+        self._on_head = on_head
         self._response: aiohttp.ClientResponse | None = None
         self._buffered = b""
 
@@ -126,6 +130,8 @@
             ) from error
         self._response = response
         head = self._codec.decode_response(response.status, response.headers)
+        if not head.is_other_target:
+            self._on_head(head)
         if head.not_run:
             response.release()
             raise AttemptError(
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -1,6 +1,8 @@
 """Forwards a request: routing, admission, attempts, response."""
 
 import asyncio
+import functools
+import logging
 from collections.abc import Callable, Mapping
 
 from crowwinch.coordination import Clock
@@ -8,17 +10,23 @@
 from crowwinch.forwarding._call import Call
 from crowwinch.forwarding._delivery import deliver
 from crowwinch.forwarding._exchange import AttemptError, Exchange
-from crowwinch.forwarding._messages import AttemptHead, WireCodec
+from crowwinch.forwarding._messages import (
+    AttemptHead,
+    ResponseHead,
+    WireCodec,
+)
 from crowwinch.forwarding._model import Route, RoutingTable
 from crowwinch.forwarding._request_context import RequestContext
 from crowwinch.forwarding._request_log import CALLER_GONE, SERVED, RequestLog
 from crowwinch.forwarding._retry_policy import RetryPolicy
 from crowwinch.forwarding._sharing_state import Placement, SharingState
 from crowwinch.forwarding._target_client import TargetClient
-from crowwinch.forwarding._target_set import TargetSet
+from crowwinch.forwarding._target_set import Target, TargetSet
 from crowwinch.observability import Metrics
 from crowwinch.sharing import Decision, Reservation, Ticket, Verdict, Work
 
+_LOGGER = logging.getLogger(__name__)
+
 # Used where the route has no time-out or the caller sets no deadline.
 _DEFAULT_TIMEOUT_S = 60.0
 # Retry delay after a refusal for lack of a configuration or of a target; it
@@ -305,6 +313,7 @@
             self._codec,
             str(target.address),
             call.head.attempt_id,
+            functools.partial(self._note_head, target),
         )
         try:
             context.possible_runs += 1
@@ -344,6 +353,17 @@
             reservation.finish()
             self.schedule_poll()
 
+    def _note_head(self, target: Target, head: ResponseHead) -> None:
+        """Applies what a response says about its target."""
+        if head.is_leaving and self._targets.mark_leaving(target):
+            _LOGGER.info(
+                "target says that it leaves",
+                extra={
+                    "target": target.identifier,
+                    "started_ms": target.life,
+                },
+            )
+
     def _deadline_refusal(self, context: RequestContext) -> RefusalError:
         if context.may_have_run:
             return RefusalError(
--- a/crowwinch/forwarding/_messages.py
+++ b/crowwinch/forwarding/_messages.py
@@ -62,12 +62,14 @@
         is_sealed: Whether the response carries the seal of the target.
         not_run: Whether the target guarantees that it did not run the request.
         is_other_target: Whether the address now belongs to another target.
+        is_leaving: Whether the target says that it is leaving.
     """
 
     attempt_id: str
     is_sealed: bool
     not_run: bool
     is_other_target: bool
+    is_leaving: bool = False
 
 
 class WireCodec(Protocol):
--- a/crowwinch/forwarding/_target_set.py
+++ b/crowwinch/forwarding/_target_set.py
@@ -6,6 +6,8 @@
 from crowwinch.forwarding._model import RoutingTable, SocketAddress
 from crowwinch.sharing import TargetView
 
+# Targets that said that they leave; the oldest are forgotten first.
+_MAX_LEAVING = 1_000
 # Used if neither the target nor its service specifies the number of slots.
 _DEFAULT_SLOTS = 8
 
@@ -46,6 +48,10 @@
         """
         self._zone = availability_zone
         self._on_removed = on_removed
+        self._routing: RoutingTable | None = None
+        # Start time of each target that said that it leaves. The directory may
+        # still call it ready.
+        self._leaving: dict[str, int] = {}
         self._targets: dict[str, Target] = {}
         self._views: dict[str, TargetView] = {}
         self._by_service: dict[str, list[TargetView]] = {}
@@ -72,7 +78,12 @@
             routing: Current configuration, None if unknown; it supplies the
                 capacity of the targets.
         """
-        current = {target.identifier: target for target in targets}
+        self._routing = routing
+        current = {
+            target.identifier: target
+            for target in targets
+            if self._leaving.get(target.identifier) != target.life
+        }
         for identifier, previous in self._targets.items():
             target = current.get(identifier)
             if target is None or target.life != previous.life:
@@ -86,6 +97,21 @@
         for view in self._views.values():
             self._by_service.setdefault(view.service, []).append(view)
 
+    def mark_leaving(self, target: Target) -> bool:
+        """Stops using a target that says that it leaves, until it restarts.
+
+        Returns:
+            Whether this was not known before.
+        """
+        if self._leaving.get(target.identifier) == target.life:
+            return False
+        self._leaving.pop(target.identifier, None)
+        self._leaving[target.identifier] = target.life
+        if len(self._leaving) > _MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self.update(list(self._targets.values()), self._routing)
+        return True
+
     def _build_view(
         self, target: Target, routing: RoutingTable | None
     ) -> TargetView:
--- a/crowwinch/forwarding/tests/test_forwarding.py
+++ b/crowwinch/forwarding/tests/test_forwarding.py
@@ -1,10 +1,11 @@
 """Tests of forwarding, with well-behaved and faulty targets."""
 
 import asyncio
+import dataclasses
 
 import xxhash
 
-from crowwinch.forwarding import RequestLimits, RouteKind
+from crowwinch.forwarding import RequestLimits, RouteKind, Target
 from crowwinch.forwarding.tests.support import (
     RouterTest,
     chunk,
@@ -421,6 +422,31 @@
         reply = await router.call(body=b"x" * 500_000)
         self.assertEqual((reply.status, reply.body), (413, b"no"))
 
+    async def test_target_that_says_it_leaves_gets_no_more_requests(self):
+        """Guards against requests to a leaving target listed as ready."""
+        leaving = _write_response(
+            lambda request: make_response(
+                request, extra="Server-Leaving: 1\r\n"
+            ),
+            True,
+        )
+        router = await self.router(leaving, leaving)
+        for number in range(2):
+            reply = await router.call(attempt_id=f"attempt-{number}")
+            self.assertEqual(reply.status, 200)
+        entries = [
+            Target(f"i-{number}", 0, "s", each.address, "az", 8)
+            for number, each in enumerate(self.targets)
+        ]
+        router.target_set.update(entries, router.routing)
+        self.assertEqual([len(each.requests) for each in self.targets], [1, 1])
+        self.assertIsNone(router.target_set.get("i-0"))
+        restarted = dataclasses.replace(entries[0], life=1)
+        router.target_set.update([restarted, entries[1]], router.routing)
+        reply = await router.call(attempt_id="attempt-3")
+        self.assertEqual(reply.status, 200)
+        self.assertEqual([len(each.requests) for each in self.targets], [2, 1])
+
     async def test_earlier_refusal_that_is_repeated_is_not_trusted(self):
         """Guards against "not run" for a request that a target runs."""
         cases = {
--- a/crowwinch/platform/_headers.py
+++ b/crowwinch/platform/_headers.py
@@ -28,6 +28,9 @@
 # Proves that the target itself produced the answer.
 _SERVER_SEAL = "X-Crowwinch-Server-Seal"
 _NOT_EXECUTED = "X-Crowwinch-Not-Executed"
+# In all answers of a target that leaves.
+_SERVER_LEAVING = "Server-Leaving"
+_LEAVING_VALUE = "1"
 _MISDIRECTED_STATUS = 421
 
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -130,6 +133,8 @@
             is_sealed=_SERVER_SEAL in headers,
             not_run=_NOT_EXECUTED in headers or status == _MISDIRECTED_STATUS,
             is_other_target=status == _MISDIRECTED_STATUS,
+            is_leaving=headers.get(_SERVER_LEAVING, "").strip()
+            == _LEAVING_VALUE,
         )
 
     def relayed_headers(
