--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -364,6 +364,15 @@
                 },
             )
 
+        if head.hold_s is not None:
+            self._sharing.health.hold(
+                target.identifier, target.life, head.hold_s
+            )
+            _LOGGER.info(
+                "target wants no requests for a time",
+                extra={"target": target.identifier, "seconds": head.hold_s},
+            )
+
     def _deadline_refusal(self, context: RequestContext) -> RefusalError:
         if context.may_have_run:
             return RefusalError(
--- a/crowwinch/forwarding/_messages.py
+++ b/crowwinch/forwarding/_messages.py
@@ -63,6 +63,8 @@
         not_run: Whether the target guarantees that it did not run the request.
         is_other_target: Whether the address now belongs to another target.
         is_leaving: Whether the target says that it is leaving.
+        hold_s: Seconds for which an overloaded target wants no more requests
+            from this router, None if it does not say.
     """
 
     attempt_id: str
@@ -70,6 +72,7 @@
     not_run: bool
     is_other_target: bool
     is_leaving: bool = False
+    hold_s: float | None = None
 
 
 class WireCodec(Protocol):
--- a/crowwinch/forwarding/tests/test_forwarding.py
+++ b/crowwinch/forwarding/tests/test_forwarding.py
@@ -447,6 +447,31 @@
         self.assertEqual(reply.status, 200)
         self.assertEqual([len(each.requests) for each in self.targets], [2, 1])
 
+    async def test_target_that_asks_for_a_pause_gets_no_requests(self):
+        """Guards against requests to an overloaded target that refuses them."""
+        refuse = _write_response(
+            lambda request: make_response(
+                request,
+                b"",
+                "503 Full",
+                _NOT_RUN_HEADER + "Retry-After: 2\r\n",
+                seal=False,
+            ),
+            True,
+        )
+        router = await self.router(refuse, timeout_s=0.5)
+        replies = [await router.call(attempt_id="attempt-0")]
+        replies += await asyncio.gather(
+            *(router.call(attempt_id=f"attempt-{n}") for n in range(1, 5))
+        )
+        self.assertEqual([reply.status for reply in replies], [503] * 5)
+        self.assertEqual(self.attempt_count, 1)
+        self.assertGreater(float(replies[1].headers["retry-after"]), 1.0)
+        self.targets[0].script = respond_ok
+        await asyncio.sleep(2.0)
+        reply = await router.call(attempt_id="attempt-5")
+        self.assertEqual(reply.status, 200)
+
     async def test_earlier_refusal_that_is_repeated_is_not_trusted(self):
         """Guards against "not run" for a request that a target runs."""
         cases = {
--- a/crowwinch/platform/_headers.py
+++ b/crowwinch/platform/_headers.py
@@ -1,5 +1,6 @@
 """Platform-specific headers of requests and responses."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -31,6 +32,10 @@
 # In all answers of a target that leaves.
 _SERVER_LEAVING = "Server-Leaving"
 _LEAVING_VALUE = "1"
+# In seconds, possibly a fraction.
+_RETRY_AFTER = "Retry-After"
+_MAX_RETRY_AFTER_S = 3_600.0
+_UNAVAILABLE_STATUS = 503
 _MISDIRECTED_STATUS = 421
 
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -135,6 +140,11 @@
             is_other_target=status == _MISDIRECTED_STATUS,
             is_leaving=headers.get(_SERVER_LEAVING, "").strip()
             == _LEAVING_VALUE,
+            hold_s=(
+                _decode_seconds(headers.get(_RETRY_AFTER, ""))
+                if status == _UNAVAILABLE_STATUS
+                else None
+            ),
         )
 
     def relayed_headers(
@@ -169,6 +179,17 @@
     return value if value >= 0 else None
 
 
+def _decode_seconds(text: str) -> float | None:
+    """Decodes a time in seconds; a date or a malformed value yields None."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    if not 0.0 < seconds < math.inf:
+        return None
+    return min(seconds, _MAX_RETRY_AFTER_S)
+
+
 def _decode_token_counts(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
     return _decode_count(first) or 0, _decode_count(second) or 0
--- a/crowwinch/platform/tests/test_headers.py
+++ b/crowwinch/platform/tests/test_headers.py
@@ -149,6 +149,27 @@
                 self.assertEqual(head.not_run, not_run)
                 self.assertEqual(head.is_other_target, is_other)
 
+    def test_state_that_a_target_reports(self):
+        """Guards against pauses that never end and states that are ignored."""
+        cases = (
+            (200, {"Server-Leaving": "1"}, True, None),
+            (200, {"Server-Leaving": "0"}, False, None),
+            (503, {"Retry-After": "1.5"}, False, 1.5),
+            (429, {"Retry-After": "1.5"}, False, None),
+            (503, {"Retry-After": "1e9"}, False, 3_600.0),
+            *(
+                (503, {"Retry-After": text}, False, None)
+                for text in ("", "soon", "-1", "0", "nan", "inf", "Sat, 5 Dec")
+            ),
+        )
+        for status, headers, is_leaving, hold_s in cases:
+            with self.subTest(status=status, headers=headers):
+                head = _CODEC.decode_response(
+                    status, CIMultiDictProxy(CIMultiDict(headers))
+                )
+                self.assertEqual(head.is_leaving, is_leaving)
+                self.assertEqual(head.hold_s, hold_s)
+
     def test_hop_by_hop_headers_of_answers_are_removed(self):
         headers = CIMultiDictProxy(
             CIMultiDict(
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -10,7 +10,13 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 
 from crowwinch.coordination import Clock
 from crowwinch.sharing._claim import Claim
@@ -185,7 +191,9 @@
             work, statuses.values(), ticket.excluded
         )
         if not candidates:
-            return self._decide_without_target(ticket, waited)
+            return self._decide_without_target(
+                ticket, waited, _hold_left_s(ticket, statuses.values())
+            )
         claim = Claim(
             share_use=self._shares.use_of_share(work.workspace, work.cost),
             relative_use=self._shares.relative_use(work.workspace),
@@ -226,18 +234,31 @@
         )
 
     def _decide_without_target(
-        self, ticket: Ticket, waited: float
+        self, ticket: Ticket, waited: float, hold_left_s: float
     ) -> Decision | None:
         max_wait_s = ticket.deadline - ticket.arrived
-        if waited < min(_NO_TARGET_MAX_WAIT_S, max_wait_s):
+        has_time = waited < min(_NO_TARGET_MAX_WAIT_S, max_wait_s)
+        if has_time and hold_left_s < _NO_TARGET_MAX_WAIT_S:
             return None
         return Decision(
             Verdict.REFUSE_NO_TARGET,
-            retry_after_s=_NO_TARGET_RETRY_S
+            retry_after_s=max(_NO_TARGET_RETRY_S, hold_left_s)
             * (1 + _RETRY_JITTER * self._random()),
         )
 
 
+def _hold_left_s(ticket: Ticket, statuses: Iterable[TargetStatus]) -> float:
+    """Returns the seconds until a target wants requests, 0 if one does now."""
+    return min(
+        (
+            status.hold_left_s
+            for status in statuses
+            if status.target.identifier not in ticket.excluded
+        ),
+        default=0.0,
+    )
+
+
 def _send_decision(candidate: Candidate) -> Decision:
     return Decision(
         Verdict.SEND,
--- a/crowwinch/sharing/_health.py
+++ b/crowwinch/sharing/_health.py
@@ -7,6 +7,8 @@
 # Initial back-off after a failed connection; doubles with each further failure.
 _INITIAL_BACKOFF_S = 0.5
 _MAX_BACKOFF_S = 4.0
+# Targets that asked for a pause; the oldest are forgotten first.
+_MAX_HOLDS = 1_000
 # Weight of the latest response in the moving average of failures.
 _SMOOTHING_FACTOR = 0.2
 # Minimum failure rate at which a target counts as failing.
@@ -30,6 +32,9 @@
         """Creates an instance without records."""
         self._clock = clock
         self._records: dict[str, _Record] = {}
+        # End of each pause by target and its start time. A target that is
+        # removed from the directory and comes back still wants its pause.
+        self._holds: dict[tuple[str, int], float] = {}
 
     def record_response(self, target: str, is_good: bool) -> None:
         """Records whether a response was complete, or failed or truncated."""
@@ -54,6 +59,27 @@
         record.blocked_until = now + record.backoff_s
         record.backoff_s = min(record.backoff_s * 2, _MAX_BACKOFF_S)
 
+    def hold(self, target: str, life: int, seconds: float) -> None:
+        """Sends nothing to a target for a time that it asked for.
+
+        Args:
+            target: Identifier of the target.
+            life: Start of the target; a restart ends the pause.
+            seconds: Length of the pause in seconds.
+        """
+        until = self._clock.monotonic() + seconds
+        known = self._holds.pop((target, life), 0.0)
+        self._holds[target, life] = max(until, known)
+        if len(self._holds) > _MAX_HOLDS:
+            del self._holds[next(iter(self._holds))]
+
+    def hold_left_s(self, target: str, life: int) -> float:
+        """Returns the seconds until a target wants requests again."""
+        if not self._holds:
+            return 0.0
+        until = self._holds.get((target, life), 0.0)
+        return max(until - self._clock.monotonic(), 0.0)
+
     def is_blocked(self, target: str) -> bool:
         """Returns whether a target is in back-off after a failed connection."""
         record = self._records.get(target)
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -49,6 +49,7 @@
         target: The target.
         has_connection: Whether this router may open another connection.
         is_blocked: Whether it is in back-off after a failed connection.
+        hold_left_s: Seconds until it wants requests again, 0 if it does now.
         waiting_s: Modelled prefill time of the prompts queued at the target.
         use: Active requests at the target as a fraction of its slots.
         delay_s: Delay of the first event beyond prefill: the recent delay, the
@@ -58,6 +59,7 @@
     target: TargetView
     has_connection: bool
     is_blocked: bool
+    hold_left_s: float
     waiting_s: float
     use: float
     delay_s: float
@@ -143,6 +145,7 @@
             target=target,
             has_connection=self.has_connection(target),
             is_blocked=health.is_blocked(identifier),
+            hold_left_s=health.hold_left_s(identifier, target.life),
             waiting_s=loads.reading_s(identifier),
             use=use,
             delay_s=delay,
@@ -156,13 +159,14 @@
     ) -> list[Candidate]:
         """Returns the usable targets, the one with the lowest loss first.
 
-        Targets without a free connection are omitted; those in back-off are
-        omitted unless there are no others.
+        Targets without a free connection and those that want no requests are
+        omitted; those in back-off are omitted unless there are no others.
         """
         usable = [
             status
             for status in statuses
             if status.target.identifier not in excluded
+            and not status.hold_left_s
         ]
         reachable = [status for status in usable if not status.is_blocked]
         forecasts = self._forecast(work, reachable or usable)
--- a/crowwinch/sharing/tests/test_retries.py
+++ b/crowwinch/sharing/tests/test_retries.py
@@ -68,3 +68,14 @@
         self.assertGreater(health.failing_share("t"), 0.4)
         clock.move_to(3.5)
         self.assertEqual(health.failing_share("t"), 0.0)
+
+    def test_pause_outlasts_removal_but_not_a_restart(self):
+        clock = ManualClock()
+        health = TargetHealth(clock)
+        health.hold("t", 1, 5.0)
+        health.hold("t", 1, 2.0)
+        health.remove_target("t")
+        self.assertEqual(health.hold_left_s("t", 1), 5.0)
+        self.assertEqual(health.hold_left_s("t", 2), 0.0)
+        clock.move_to(5.0)
+        self.assertEqual(health.hold_left_s("t", 1), 0.0)
