Directory: follow a store that returns from an older copy

The store may come back from a copy some seconds old. Its revisions go back and are given out again for other changes; the era in its answers rises.

Cause of what would fail: revisions never decreased, so a listing of the copy was ignored as older, and changes with revisions below the known one were skipped, departures of targets among them. Peers compared revisions only.

Change: listings, changes, updates and pages carry the era, and era goes before revision everywhere. A listing of a higher era is adopted at its lower revision; changes of another era make the watch list again; a peer in another era gets the whole directory. The newest configuration stays in force. A target that had said that it leaves is not used because the copy calls it ready, until it restarts; one that was removed is not used for 5 s, since an entry that nobody writes again expires.

--- a/crowwinch/directory/_model.py
+++ b/crowwinch/directory/_model.py
@@ -64,18 +64,33 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All items of the store, complete up to `revision`."""
+    """All items of the store, complete up to `revision`.
+
+    Attributes:
+        revision: Store revision of the listing.
+        items: All items.
+        era: Rises each time the store was restored from a copy. Revisions of
+            different eras cannot be compared.
+    """
 
     revision: int
     items: tuple[Item, ...]
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes after an earlier revision, complete up to `revision`."""
+    """Changes after an earlier revision, complete up to `revision`.
+
+    Attributes:
+        revision: Store revision up to which the changes are complete.
+        items: Changed items.
+        era: Era of the store, as in `Listing`.
+    """
 
     revision: int
     items: tuple[Item, ...]
+    era: int = 0
 
 
 class DocumentDecoder(Protocol):
--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -2,11 +2,13 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
 from crowwinch.coordination import Clock
 from crowwinch.directory._model import (
     Changes,
     DocumentDecoder,
+    HistoryLostError,
     Item,
     Listing,
     TargetEntry,
@@ -24,6 +26,10 @@
 # Limit on the removals kept for lagging routers. A router that is further
 # behind gets a complete listing.
 _MAX_REMOVALS = 1000
+# Time after a restoration of the store for which targets that were removed
+# before are not used: their entries may be of the copy. Entries that no live
+# target writes again expire after three heartbeats.
+_RESTORED_ENTRY_S = 5.0
 # Time for which departures are reported to peers: two rounds of updates in a
 # fleet of 200 routers.
 _DEPARTURE_REPORT_S = 2.0
@@ -31,6 +37,22 @@
 _MAX_DEPARTURE_REPORTS = 64
 
 
+@dataclass(frozen=True, slots=True)
+class _Departure:
+    """A target that left.
+
+    Attributes:
+        started_ms: Start time of the target in Unix milliseconds.
+        is_announced: Whether the target itself said that it leaves. If not, its
+            entry may have lapsed although it lives.
+        era: Era of the store in which it left.
+    """
+
+    started_ms: int
+    is_announced: bool
+    era: int
+
+
 class DirectoryState:
     """Merges items from the store and from peers by revision.
 
@@ -54,6 +76,12 @@
         self._lapsed: dict[str, float] = {}
         self._routing: RoutingTable | None = None
         self._revision = 0
+        self._era = 0
+        # Targets that left, by item key. An older copy of the store still calls
+        # them ready.
+        self._departed: dict[str, _Departure] = {}
+        # Monotonic time until which entries of removed targets are not trusted.
+        self._distrust_until = float("-inf")
         # Revision of each removal by key, in order of arrival.
         self._removals: dict[str, int] = {}
         # The removals after this revision are complete.
@@ -87,6 +115,7 @@
             for key, entry in self._targets.items()
             if entry.state is TargetState.READY
             and self._departures.get(key, (0, 0.0))[0] <= self._revision
+            and not self._is_outdated(key, entry)
         ]
 
     @property
@@ -94,6 +123,11 @@
         """Revision up to which all changes are included."""
         return self._revision
 
+    @property
+    def era(self) -> int:
+        """Era of the store to which the revision belongs."""
+        return self._era
+
     @property
     def version(self) -> int:
         """Version of the current configuration, 0 before the first one."""
@@ -124,6 +158,7 @@
                 for key, item in self._items.items()
                 if key not in self._lapsed
             ),
+            self._era,
         )
 
     def changes_since(self, revision: int) -> Changes | None:
@@ -145,6 +180,7 @@
                 for item in (*self.listing().items, *removed)
                 if item.revision > revision
             ),
+            self._era,
         )
 
     def record_failure(self, since: float) -> None:
@@ -164,10 +200,17 @@
 
     def apply_listing(self, listing: Listing) -> None:
         """Applies a complete listing unless it is older than this state."""
-        if listing.revision < self._revision:
+        if listing.era > self._era:
+            self._start_era(listing)
+        if (listing.era, listing.revision) < (self._era, self._revision):
             _LOGGER.warning(
                 "older listing ignored",
-                extra={"offered": listing.revision, "known": self._revision},
+                extra={
+                    "offered": listing.revision,
+                    "known": self._revision,
+                    "offered_era": listing.era,
+                    "era": self._era,
+                },
             )
             return
         self._start_lapse_grace()
@@ -183,7 +226,15 @@
         self._removals_complete_after = self._revision
 
     def apply_changes(self, changes: Changes) -> None:
-        """Applies changes of the store that follow the known revision."""
+        """Applies changes of the store that follow the known revision.
+
+        Raises:
+            HistoryLostError: If the store is in another era.
+        """
+        if changes.era != self._era:
+            raise HistoryLostError(
+                f"store is in era {changes.era}, the directory in {self._era}"
+            )
         self._apply(changes.items, changes.revision)
 
     def apply_peer_changes(self, changes: Changes) -> None:
@@ -192,7 +243,7 @@
         Changes with an older revision than this state are ignored because their
         items may have been removed since.
         """
-        if changes.revision >= self._revision:
+        if changes.era == self._era and changes.revision >= self._revision:
             self._start_lapse_grace()
             self._apply(changes.items, changes.revision)
 
@@ -237,9 +288,61 @@
         for key in expired:
             del self._lapsed[key]
             self._delete(key)
-        if expired:
+        is_trust_restored = (
+            self._distrust_until != float("-inf")
+            and now >= self._distrust_until
+        )
+        if is_trust_restored:
+            self._distrust_until = float("-inf")
+        if expired or is_trust_restored:
             self._notify()
 
+    def _start_era(self, listing: Listing) -> None:
+        """Starts anew after the store was restored from an older copy.
+
+        What the copy lacks is written again within about two seconds, as after
+        an outage. The newest configuration stays in force, and targets that
+        left are not used because the copy still holds their entries.
+        """
+        _LOGGER.warning(
+            "store restored from a copy",
+            extra={
+                "era": listing.era,
+                "revision": listing.revision,
+                "known": self._revision,
+            },
+        )
+        if self._items:
+            now = self._clock.monotonic()
+            self._recovered_at = now
+            self._distrust_until = now + _RESTORED_ENTRY_S
+        present = {item.key for item in listing.items}
+        for key in [key for key in self._items if key not in present]:
+            self._remove(key)
+        # Values that the copy repeats are applied again at any revision.
+        self._items = {
+            key: Item(key, 0, item.value) for key, item in self._items.items()
+        }
+        self._removals.clear()
+        self._departures.clear()
+        self._era = listing.era
+        self._revision = 0
+        self._removals_complete_after = 0
+
+    def _is_outdated(self, key: str, entry: TargetEntry) -> bool:
+        """Returns whether an entry may be older than the target's departure."""
+        departure = self._departed.get(key)
+        if (
+            departure is None
+            or departure.started_ms != entry.started_ms
+            or departure.era == self._era
+        ):
+            return False
+        return (
+            departure.is_announced
+            or self._clock.monotonic() < self._distrust_until
+        )
+
     def _start_lapse_grace(self) -> None:
         """Starts the grace period for lapsed targets after an outage."""
         now = self._clock.monotonic()
@@ -294,6 +397,7 @@
         self._targets[key] = decoded
         if decoded.state is TargetState.LEAVING:
             self._record_departure(key, self._items[key].revision)
+            self._record_departed(key, decoded)
         if before != decoded:
             _LOGGER.info(
                 "target changed",
@@ -321,6 +425,14 @@
         if len(self._departures) > _MAX_REMOVALS:
             del self._departures[next(iter(self._departures))]
 
+    def _record_departed(self, key: str, target: TargetEntry) -> None:
+        self._departed.pop(key, None)
+        self._departed[key] = _Departure(
+            target.started_ms, target.state is TargetState.LEAVING, self._era
+        )
+        if len(self._departed) > _MAX_REMOVALS:
+            del self._departed[next(iter(self._departed))]
+
     def _record_removal(self, key: str, revision: int) -> None:
         self._removals.pop(key, None)
         self._removals[key] = revision
@@ -336,6 +448,7 @@
         if target is not None:
             revision = self._removals.get(key, self._revision)
             self._record_departure(key, revision)
+            self._record_departed(key, target)
             _LOGGER.info(
                 "target removed",
                 extra={"target": target.identifier, "revision": revision},
--- a/crowwinch/directory/tests/test_state.py
+++ b/crowwinch/directory/tests/test_state.py
@@ -7,6 +7,7 @@
 from crowwinch.directory import (
     Changes,
     DirectoryState,
+    HistoryLostError,
     Item,
     Listing,
     TargetEntry,
@@ -255,3 +256,77 @@
         self.state.apply_changes(Changes(12, (_deleted("a", 12),)))
         self._synchronize_other()
         self.assertIn("a", self.other.targets)
+
+
+class RestoredStoreTest(unittest.TestCase):
+    """Guards against a directory that an older copy of the store reverts."""
+
+    def setUp(self):
+        self.clock = ManualClock(100.0)
+        self.state = DirectoryState(self.clock, _Decoder())
+        self.state.apply_listing(
+            Listing(
+                20,
+                tuple(_item(key, 5) for key in "abd") + (_item("c", 3, "c:4"),),
+                era=1,
+            )
+        )
+        self.state.apply_changes(
+            Changes(22, (_item("a", 21, "leaving"), _deleted("b", 22)), era=1)
+        )
+        self.state.apply_changes(Changes(23, (_item("e", 23),), era=1))
+
+    def _available(self):
+        return {entry.identifier for entry in self.state.available_targets()}
+
+    def _restore(self, *items):
+        self.state.apply_listing(Listing(12, items, era=2))
+
+    def _advance_clock(self, seconds):
+        self.clock.move_to(self.clock.monotonic() + seconds)
+        self.state.expire_lapsed()
+
+    def test_changes_of_another_era_are_not_applied(self):
+        for era in (0, 2):
+            with self.subTest(era=era), self.assertRaises(HistoryLostError):
+                self.state.apply_changes(
+                    Changes(24, (_deleted("d", 24),), era=era)
+                )
+        self.state.apply_peer_changes(Changes(24, (_deleted("d", 24),), era=2))
+        self.assertEqual(self._available(), {"d", "e"})
+
+    def test_copy_with_lower_revisions_is_adopted(self):
+        self._restore(_item("d", 5), _item("c", 3, "c:3"))
+        self.assertEqual((self.state.era, self.state.revision), (2, 12))
+        self.assertEqual(self.state.version, 4)
+        self.state.apply_changes(Changes(13, (_deleted("d", 13),), era=2))
+        self._advance_clock(2.5)
+        self.assertEqual(self._available(), set())
+
+    def test_listing_of_an_earlier_era_is_ignored(self):
+        self._restore(_item("d", 5))
+        self.state.apply_listing(Listing(30, (), era=1))
+        self.assertEqual((self.state.era, self.state.revision), (2, 12))
+
+    def test_targets_that_the_copy_lacks_may_register_again(self):
+        self._restore(_item("d", 5))
+        self.assertEqual(self._available(), {"d", "e"})
+        self._advance_clock(1.5)
+        self.state.apply_changes(Changes(13, (_item("e", 13),), era=2))
+        self._advance_clock(2.0)
+        self.assertEqual(self._available(), {"d", "e"})
+
+    def test_targets_that_left_are_not_used_because_of_the_copy(self):
+        """Guards against requests to a target that had said that it leaves."""
+        self._restore(_item("a", 5), _item("b", 5), _item("d", 5))
+        self.assertEqual(self._available(), {"d", "e"})
+        self._advance_clock(5.5)
+        # The entry of `b` did not expire, so the target lives.
+        self.assertEqual(self._available(), {"b", "d"})
+
+    def test_first_listing_of_a_router_is_trusted(self):
+        state = DirectoryState(self.clock, _Decoder())
+        state.apply_listing(Listing(7, (_item("a", 5),), era=4))
+        self.assertEqual(len(state.available_targets()), 1)
+        state.apply_changes(Changes(8, (_deleted("a", 8),), era=4))
+        self.assertEqual(state.available_targets(), [])
--- a/crowwinch/fleet/_directory_exchange.py
+++ b/crowwinch/fleet/_directory_exchange.py
@@ -15,6 +15,7 @@
 
 _PATH = "/v1/directory"
 _AFTER_PARAMETER = "after"
+_ERA_PARAMETER = "era"
 _SHUTDOWN_TIMEOUT_S = 0.1
 # Pages from this size on are compressed. A table of 1,500 routes takes half a
 # second on a link of 10 Mbit/s, for each peer that fetches it.
@@ -69,13 +70,16 @@
             await self._runner.cleanup()
 
     async def fetch(
-        self, control: str, after: int, timeout_s: float
+        self, control: str, after: int, era: int, timeout_s: float
     ) -> DirectoryPage:
         """Fetches the changes of a peer's directory after a revision.
 
+        A peer in another era of the store returns its whole directory.
+
         Args:
             control: Control address of the peer.
             after: Last known revision; 0 requests the whole directory.
+            era: Era of the store to which the revision belongs.
             timeout_s: Maximum time in seconds until the page is complete.
 
         Raises:
@@ -86,7 +90,10 @@
         try:
             async with self._session.get(
                 f"http://{control}{_PATH}",
-                params={_AFTER_PARAMETER: str(after)},
+                params={
+                    _AFTER_PARAMETER: str(after),
+                    _ERA_PARAMETER: str(era),
+                },
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 return _DECODER.decode(await response.read())
@@ -101,8 +108,11 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.method != "GET" or request.path != _PATH:
             return web.Response(status=404)
-        after = request.query.get(_AFTER_PARAMETER, "")
-        page = build_page(self._state, int(after) if after.isdecimal() else 0)
+        page = build_page(
+            self._state,
+            _parse_count(request.query.get(_AFTER_PARAMETER, "")),
+            _parse_count(request.query.get(_ERA_PARAMETER, "")),
+        )
         body = _ENCODER.encode(page)
         response = web.Response(body=body, content_type="application/msgpack")
         if len(body) >= _MIN_COMPRESSED_BYTES:
@@ -110,17 +120,24 @@
         return response
 
 
-def build_page(state: DirectoryState, after: int) -> DirectoryPage:
+def _parse_count(text: str) -> int:
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def build_page(
+    state: DirectoryState, after: int, era: int = 0
+) -> DirectoryPage:
     """Builds the page for a peer that knows all changes up to a revision.
 
     The page is a complete listing if the history does not reach back to the
-    revision.
+    revision, or the peer is in another era of the store.
 
     Args:
         state: Directory to read.
         after: Last revision that the peer knows.
+        era: Era of the store to which that revision belongs.
     """
-    changes = state.changes_since(after)
+    changes = state.changes_since(after) if era == state.era else None
     content = state.listing() if changes is None else changes
     return DirectoryPage(
         content.revision,
@@ -137,6 +154,7 @@
             for item in content.items
             if _decode_text(item.value) is None
         ],
+        content.era,
     )
 
 
--- a/crowwinch/fleet/_directory_pull.py
+++ b/crowwinch/fleet/_directory_pull.py
@@ -56,8 +56,8 @@
         self._readers = readers
         self._exchange = exchange
         self._lag_start_s: float | None = None
-        # Revision and version whose announcement started the current lag.
-        self._awaited = (0, 0)
+        # Era, revision and version whose announcement started the current lag.
+        self._awaited = (0, 0, 0)
         self._last_fetch_s = float("-inf")
         self._fetch_timeout_s = _MIN_FETCH_TIMEOUT_S
         self._task: asyncio.Task[None] | None = None
@@ -74,13 +74,22 @@
         if self._task is not None:
             self._task.cancel()
 
-    def is_behind(self, revision: int, version: int) -> bool:
+    def is_behind(self, era: int, revision: int, version: int) -> bool:
         """Returns whether a peer's directory is newer than the local one."""
         state = self._state
-        return revision > state.revision or version > state.version
+        if era < state.era:
+            return False
+        is_older = (state.era, state.revision) < (era, revision)
+        return is_older or version > state.version
 
     def note_revision(
-        self, control: str, revision: int, version: int, *, is_preferred: bool
+        self,
+        control: str,
+        era: int,
+        revision: int,
+        version: int,
+        *,
+        is_preferred: bool,
     ) -> None:
         """Handles the announcement of a newer directory by a peer.
 
@@ -89,6 +98,7 @@
 
         Args:
             control: Control address of the peer.
+            era: Era of the store to which the revision belongs.
             revision: Revision of the peer's directory.
             version: Version of the peer's configuration.
             is_preferred: Whether this router may fetch from the peer without
@@ -99,7 +109,7 @@
         now = self._clock.monotonic()
         if self._lag_start_s is None:
             self._lag_start_s = now
-            self._awaited = (revision, version)
+            self._awaited = (era, revision, version)
             self._readers.record_lag(is_lagging=True)
         if now - self._lag_start_s < self._grace_s(is_preferred):
             return
@@ -107,14 +117,16 @@
         if is_running or now - self._last_fetch_s < _MIN_FETCH_INTERVAL_S:
             return
         self._last_fetch_s = now
-        known = state.revision if revision > state.revision else 0
+        is_older = era == state.era and revision > state.revision
+        known = state.revision if is_older else 0
         self._task = asyncio.ensure_future(self._pull(control, known))
 
     def refresh(self) -> None:
         """Ends the lag once the change that started it has been applied."""
-        revision, version = self._awaited
+        era, revision, version = self._awaited
         state = self._state
-        if state.revision >= revision and state.version >= version:
+        is_current = (state.era, state.revision) >= (era, revision)
+        if is_current and state.version >= version:
             self._lag_start_s = None
             self._readers.record_lag(is_lagging=False)
 
@@ -129,7 +141,7 @@
     async def _pull(self, control: str, known: int) -> None:
         try:
             page = await self._exchange.fetch(
-                control, known, self._fetch_timeout_s
+                control, known, self._state.era, self._fetch_timeout_s
             )
         except DirectoryFetchError as error:
             _LOGGER.warning(
@@ -157,13 +169,13 @@
             for item in page.items
         )
         if page.is_complete:
-            self._state.apply_listing(Listing(page.revision, items))
+            self._state.apply_listing(Listing(page.revision, items, page.era))
         else:
             removals = (
                 Item(removal.key, removal.revision, None)
                 for removal in page.removals
             )
             self._state.apply_peer_changes(
-                Changes(page.revision, (*items, *removals))
+                Changes(page.revision, (*items, *removals), page.era)
             )
         self.refresh()
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -301,6 +301,7 @@
                 DepartureReport(key, revision)
                 for key, revision in self._state.recent_departures()
             ],
+            era=self._state.era,
         )
 
     def _receive(self, update: FleetUpdate) -> None:
@@ -329,18 +330,20 @@
             (report.target, report.path) for report in update.prefixes
         )
         sharing.crashes.merge_reports(_decode_suspects(update.crashes))
-        self._state.merge_departures(
-            (report.key, report.revision) for report in update.departures
-        )
+        if update.era == self._state.era:
+            self._state.merge_departures(
+                (report.key, report.revision) for report in update.departures
+            )
         if update.is_leaving:
             self._readers.remove_peer(peer)
         else:
             self._readers.record_peer(peer, ReaderStatus(update.reading))
         if update.availability_zone == self._settings.availability_zone:
             self._zone_peers_last_heard_s[peer] = self._timers.clock.monotonic()
-        if self._pull.is_behind(update.revision, update.version):
+        if self._pull.is_behind(update.era, update.revision, update.version):
             self._pull.note_revision(
                 peer,
+                update.era,
                 update.revision,
                 update.version,
                 is_preferred=self._is_preferred_source(update),
--- a/crowwinch/fleet/tests/support.py
+++ b/crowwinch/fleet/tests/support.py
@@ -67,6 +67,7 @@
         self.silent = set()
         self.written = {}
         self.state = TargetState.READY
+        self.era = 1
         self._pending = []
 
     def write(self, state=TargetState.READY):
@@ -74,6 +75,13 @@
         self.state = state
         self.written[self.revision] = self.clock.monotonic()
 
+    def restore(self, revision, state):
+        """Returns to an older copy; its revisions are given out again."""
+        self.era += 1
+        self.revision = revision
+        self.state = state
+        self.written.clear()
+
     @property
     def item(self):
         return Item("key", self.revision, self.state.value.encode())
@@ -122,15 +130,15 @@
     async def list_items(self):
         store = self._store
         await store.call(self._name, 0.0, lambda: True)
-        return Listing(store.revision, (store.item,))
+        return Listing(store.revision, (store.item,), store.era)
 
     async def watch(self, revision, wait_s):
         store = self._store
-        if store.revision - revision > _HISTORY_REVISIONS:
-            raise HistoryLostError("revision compacted")
+        if not 0 <= store.revision - revision <= _HISTORY_REVISIONS:
+            raise HistoryLostError("no such revision")
         await store.call(self._name, wait_s, lambda: store.revision > revision)
         items = (store.item,) if store.revision > revision else ()
-        return Changes(store.revision, items)
+        return Changes(store.revision, items, store.era)
 
 
 class _FakeNetwork:
@@ -154,10 +162,10 @@
                 continue
             endpoint(update)
 
-    def page(self, source, host, after):
+    def page(self, source, host, after, era):
         if self._is_unreachable(source, host):
             raise DirectoryFetchError(host)
-        return build_page(self.states[host], after)
+        return build_page(self.states[host], after, era)
 
     def _is_unreachable(self, source, host):
         return bool({source, host} & self.frozen) or self.is_partitioned(
@@ -201,9 +209,9 @@
         async def stop(self):
             pass
 
-        async def fetch(self, control, after, timeout_s):
+        async def fetch(self, control, after, era, timeout_s):
             host = control.rpartition(":")[0]
-            return network.page(self._host, host, after)
+            return network.page(self._host, host, after, era)
 
     return _FakeExchange
 
--- a/crowwinch/fleet/tests/test_directory_exchange.py
+++ b/crowwinch/fleet/tests/test_directory_exchange.py
@@ -75,12 +75,24 @@
         value = _configuration(1536)
         self._set(value)
         control = f"{self.address.host}:{self.address.port}"
-        page = await self.exchange.fetch(control, 0, _TIMEOUT_S)
+        page = await self.exchange.fetch(control, 0, 0, _TIMEOUT_S)
         self.assertEqual(
             [(item.key, item.value) for item in page.items],
             [(_KEY, value.decode())],
         )
 
+    async def test_a_peer_in_another_era_gets_all_items(self):
+        """Guards against changes after a revision that was given out again."""
+        self.state.apply_listing(
+            Listing(9, (Item(_KEY, 5, _configuration(1)),), era=2)
+        )
+        control = f"{self.address.host}:{self.address.port}"
+        for era, is_complete in ((1, True), (2, False)):
+            with self.subTest(era=era):
+                page = await self.exchange.fetch(control, 9, era, _TIMEOUT_S)
+                self.assertEqual(page.is_complete, is_complete)
+                self.assertEqual(page.era, 2)
+
     async def test_a_small_page_is_sent_as_it_is(self):
         """Guards against processor time for changes of a few bytes."""
         value = _configuration(2)
--- a/crowwinch/fleet/tests/test_endpoint.py
+++ b/crowwinch/fleet/tests/test_endpoint.py
@@ -172,7 +172,7 @@
         newer.apply_listing(Listing(9, items))
         state, pull, _ = await self._start()
         state.record_failure(0.0)
-        pull.note_revision(address, 9, 0, is_preferred=True)
+        pull.note_revision(address, 0, 9, 0, is_preferred=True)
         await asyncio.sleep(0.2)
         self.assertEqual(state.revision, 9)
         # Values that are not valid UTF-8 are left out.
@@ -191,7 +191,7 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
         while state.revision < 9 and loop.time() - started < 2.0:
-            pull.note_revision(address, 9, 0, is_preferred=True)
+            pull.note_revision(address, 0, 9, 0, is_preferred=True)
             await asyncio.sleep(0.05)
         self.assertEqual(state.revision, 9)
 
@@ -208,7 +208,7 @@
             )
         )
         state.record_failure(0.0)
-        pull.note_revision(address, 8, 0, is_preferred=True)
+        pull.note_revision(address, 0, 8, 0, is_preferred=True)
         await asyncio.sleep(0.2)
         # A new value that is not valid UTF-8 removes the old one.
         self.assertEqual(state.listing().items, (_item("c", 8),))
@@ -225,7 +225,7 @@
         state.record_contact()
         newer.apply_listing(Listing(9, ()))
         for _ in range(10):
-            pull.note_revision(address, 9, 0, is_preferred=True)
+            pull.note_revision(address, 0, 9, 0, is_preferred=True)
             pull.refresh()
             await asyncio.sleep(0.03)
         self.assertEqual(state.revision, 9)
@@ -235,7 +235,7 @@
         state.apply_listing(Listing(5, ()))
         newer, _, address = await self._start()
         newer.apply_listing(Listing(9, ()))
-        pull.note_revision(address, 9, 0, is_preferred=True)
+        pull.note_revision(address, 0, 9, 0, is_preferred=True)
         state.record_contact()
         await asyncio.sleep(0.05)
         # Without a known configuration there is no grace period.
@@ -249,7 +249,7 @@
         older.apply_listing(Listing(4, (Item("a", 4, b"x"),)))
         for peer in (address, f"127.0.0.1:{free_port()}"):
             with self.subTest(peer):
-                pull.note_revision(peer, 99, 0, is_preferred=True)
+                pull.note_revision(peer, 0, 99, 0, is_preferred=True)
                 await asyncio.sleep(0.15)
                 self.assertEqual(state.revision, 5)
                 self.assertEqual(state.listing().items, ())
--- a/crowwinch/fleet/tests/test_store_reading.py
+++ b/crowwinch/fleet/tests/test_store_reading.py
@@ -192,10 +192,10 @@
             isolated = self.fleet.routers[-1].host
             page = self.fleet.network.page
 
-            def failing_page(source, host, after, page=page, isolated=isolated):
+            def failing_page(source, host, *known):
                 if source == isolated:
                     raise DirectoryFetchError(host)
-                return page(source, host, after)
+                return page(source, host, *known)
 
             self.fleet.network.page = failing_page
             await self._run(6.0, writes_every_s=0.5)
@@ -213,10 +213,10 @@
             isolated = self.fleet.routers[-1]
             page = self.fleet.network.page
 
-            def failing_page(source, host, after):
+            def failing_page(source, host, *known):
                 if source == isolated.host:
                     raise DirectoryFetchError(host)
-                return page(source, host, after)
+                return page(source, host, *known)
 
             self.fleet.network.page = failing_page
             self.fleet.store.refused = {isolated.host}
@@ -226,3 +226,28 @@
             self.assertEqual(isolated.state.available_targets(), [])
 
         self._run_scenario(scenario, _SIZES[1:])
+
+    def test_store_that_returns_from_an_older_copy(self):
+        """Guards against routers that wait for revisions of the lost history.
+
+        The revisions of the copy are given out again for other changes.
+        """
+
+        async def scenario():
+            await self._run(2.0, writes_every_s=0.1)
+            store = self.fleet.store
+            store.is_down = True
+            await self._run(0.5)
+            store.is_down = False
+            store.restore(store.revision - 10, TargetState.READY)
+            await self._run(2.0)
+            store.write(TargetState.LEAVING)
+            await self._run(_MAX_DELAY_S)
+            for router in self.fleet.routers:
+                self.assertEqual(
+                    (router.state.era, router.state.revision),
+                    (store.era, store.revision),
+                )
+                self.assertEqual(router.state.available_targets(), [])
+
+        self._run_scenario(scenario)
--- a/crowwinch/platform/_store.py
+++ b/crowwinch/platform/_store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 from collections.abc import Sequence
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -24,6 +25,8 @@
 _CALL_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 0.5
 _GONE_STATUS = 410
+# In all answers; rises by one each time the store was restored from a copy.
+_ERA_HEADER = "Store-Era"
 
 
 class _Item(msgspec.Struct):
@@ -80,16 +83,22 @@
         """
         items: list[Item] = []
         revision: int | None = None
+        first_era = 0
         after = ""
         while True:
             query = {"Prefix": _ALL_ITEMS}
             if after:
                 query["After"] = after
-            page = await self._get("/kv-range", query, _Range, 0.0)
-            revision = page.CurrentRev if revision is None else revision
+            page, era = await self._get("/kv-range", query, _Range, 0.0)
+            if revision is None:
+                revision, first_era = page.CurrentRev, era
+            elif era != first_era:
+                raise HistoryLostError(
+                    f"store restored while it was listed (era {era})"
+                )
             items.extend(_decode_items(page.Items))
             if not page.Truncated or not page.Items:
-                return Listing(revision, tuple(items))
+                return Listing(revision, tuple(items), first_era)
             after = page.Items[-1].Key
 
     async def watch(self, revision: int, wait_s: float) -> Changes:
@@ -109,8 +118,10 @@
             "After": str(revision),
             "WaitMs": str(int(wait_s * 1000)),
         }
-        answer = await self._get("/kv-watch", query, _Watch, wait_s)
-        return Changes(answer.CurrentRev, tuple(_decode_items(answer.events)))
+        answer, era = await self._get("/kv-watch", query, _Watch, wait_s)
+        return Changes(
+            answer.CurrentRev, tuple(_decode_items(answer.events)), era
+        )
 
     async def _get(
         self,
@@ -118,7 +129,8 @@
         query: dict[str, str],
         model: type[msgspec.Struct],
         wait_s: float,
-    ) -> msgspec.Struct:
+    ) -> tuple[Any, int]:
+        """Returns the decoded body of an answer and the era of the store."""
         if self._session is None:
             self._session = aiohttp.ClientSession()
         self._calls += 1
@@ -143,9 +155,15 @@
         if answer.status != 200:
             raise StoreError(f"{path}: unexpected status {answer.status}")
         try:
-            return msgspec.json.decode(body, type=model)
+            document = msgspec.json.decode(body, type=model)
         except DECODE_ERRORS as error:
             raise StoreError(f"{path}: malformed answer: {error}") from error
+        return document, _decode_era(answer.headers.get(_ERA_HEADER, ""))
+
+
+def _decode_era(text: str) -> int:
+    """Decodes the era; a store without eras is in era 0."""
+    return int(text) if text.isascii() and text.isdigit() else 0
 
 
 def _decode_items(items: Sequence[_Item]) -> list[Item]:
--- a/crowwinch/platform/tests/test_store.py
+++ b/crowwinch/platform/tests/test_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import json
 import unittest
 
 from aiohttp import web
@@ -77,6 +78,36 @@
         with self.assertRaises(HistoryLostError):
             await self.client.watch(6, 2.0)
 
+    async def test_answers_hold_the_era_of_the_store(self):
+        """Guards against changes of another history after a restoration."""
+        cases = {"3": 3, "": 0, "x": 0}
+        for text, era in cases.items():
+            with self.subTest(text):
+                body = json.dumps({"Items": [], "CurrentRev": 5, "events": []})
+                answer = web.Response(text=body, headers={"Store-Era": text})
+                again = web.Response(text=body, headers={"Store-Era": text})
+                self.answers = [answer, again]
+                self.assertEqual((await self.client.list_items()).era, era)
+                self.assertEqual((await self.client.watch(5, 0.1)).era, era)
+
+    async def test_restoration_while_listing_starts_anew(self):
+        pages = [
+            web.Response(
+                text=json.dumps(
+                    {
+                        "Items": [_item("a", 3)],
+                        "Truncated": True,
+                        "CurrentRev": 5,
+                    }
+                ),
+                headers={"Store-Era": era},
+            )
+            for era in ("1", "2")
+        ]
+        self.answers = pages
+        with self.assertRaises(HistoryLostError):
+            await self.client.list_items()
+
     async def test_deeply_nested_answer_raises_store_error(self):
         """Guards against a watch that ends at an answer it cannot decode."""
         nested = "[" * 100_000 + "]" * 100_000
