Crashes: refuse no part of a prompt while nothing is answered

Cause: after an outage in which all engines fail one after the other, a part that all requests of a route share was lost at three moments and answered at none. Its requests were refused for 20 s although the engines were back, and being refused, none of them could show that the part is harmless.

Change: a part is refused only once a request with another prompt was answered after the third crash, here or at a peer.

--- a/crowwinch/sharing/_crash_suspects.py
+++ b/crowwinch/sharing/_crash_suspects.py
@@ -71,7 +71,8 @@
         changed: Time of the last change that peers must hear of.
         last_trial: Time at which a refused request was last admitted.
         trial_s: Seconds without a crash until the next one is.
-        is_refused: Whether requests with the feature are refused.
+        limit_reached: Time of the crash from which on requests with the feature
+            are refused, None before.
     """
 
     is_part: bool
@@ -80,7 +81,7 @@
     changed: float = _NEVER
     last_trial: float = _NEVER
     trial_s: float = _FIRST_TRIAL_S
-    is_refused: bool = False
+    limit_reached: float | None = None
 
     @property
     def last_crash(self) -> float:
@@ -91,7 +92,7 @@
         if crash in self.crashes or at <= self.last_answer:
             return False
         self.crashes[crash] = at
-        self.is_refused = self._count_causes() >= _CRASH_LIMIT
+        self.limit_reached = self._find_limit()
         return True
 
     def add_answer(self, at: float) -> bool:
@@ -102,18 +103,19 @@
         }
         is_changed = len(remaining) < len(self.crashes)
         self.crashes = remaining
-        self.is_refused = self._count_causes() >= _CRASH_LIMIT
+        self.limit_reached = self._find_limit()
         return is_changed
 
-    def _count_causes(self) -> int:
-        """Returns the number of crashes that do not have the same cause."""
-        if not self.is_part:
-            return len(self.crashes)
+    def _find_limit(self) -> float | None:
+        """Returns the time at which the crashes have had enough causes."""
+        min_gap_s = _SAME_CAUSE_S if self.is_part else 0.0
         count, counted_at = 0, _NEVER
         for at in sorted(self.crashes.values()):
-            if at - counted_at >= _SAME_CAUSE_S:
+            if at - counted_at >= min_gap_s:
                 count, counted_at = count + 1, at
-        return count
+                if count == _CRASH_LIMIT:
+                    return at
+        return None
 
 
 class CrashSuspects:
@@ -146,6 +148,8 @@
         self._fleet_size = fleet_size
         # The feature with the oldest change first.
         self._evidence: OrderedDict[str, _Evidence] = OrderedDict()
+        # Time of the latest answer to any request with a prompt.
+        self._last_prompt_answer = _NEVER
 
     @property
     def is_empty(self) -> bool:
@@ -173,6 +177,8 @@
             features: Features of the request.
             at: Monotonic time at which the answer began.
         """
+        if features.parts:
+            self._note_prompt_answer(at)
         for feature in (features.content, *features.parts):
             self._add_answer(feature, at)
 
@@ -186,7 +192,7 @@
         self._expire()
         for feature in (features.content, *features.parts):
             evidence = self._evidence.get(feature)
-            if evidence is None or not evidence.is_refused:
+            if evidence is None or not self._is_refused(evidence):
                 continue
             if not self._takes_trial(evidence):
                 return feature
@@ -198,7 +204,8 @@
         due = [
             (feature, evidence)
             for feature, evidence in self._evidence.items()
-            if evidence.is_refused or now - evidence.changed <= _REPORT_S
+            if evidence.limit_reached is not None
+            or now - evidence.changed <= _REPORT_S
         ]
         due.sort(key=lambda entry: len(entry[1].crashes), reverse=True)
         return [
@@ -222,6 +229,8 @@
                     report.feature, report.is_part, crash, now - age_s
                 )
             if report.answer_age_s is not None:
+                if report.is_part:
+                    self._note_prompt_answer(now - report.answer_age_s)
                 self._add_answer(report.feature, now - report.answer_age_s)
 
     def _add_crash(
@@ -245,6 +254,20 @@
             evidence.changed = self._clock.monotonic()
             self._evidence.move_to_end(feature)
 
+    def _note_prompt_answer(self, at: float) -> None:
+        self._last_prompt_answer = max(self._last_prompt_answer, at)
+
+    def _is_refused(self, evidence: _Evidence) -> bool:
+        """Returns whether requests with a feature are refused.
+
+        While no request at all is answered, the targets have failed for another
+        reason than a part of the prompt.
+        """
+        reached = evidence.limit_reached
+        if reached is None:
+            return False
+        return not evidence.is_part or self._last_prompt_answer > reached
+
     def _takes_trial(self, evidence: _Evidence) -> bool:
         now = self._clock.monotonic()
         quiet_s = now - max(evidence.last_crash, evidence.last_trial)
--- a/crowwinch/sharing/tests/test_crash_suspects.py
+++ b/crowwinch/sharing/tests/test_crash_suspects.py
@@ -27,6 +27,10 @@
             _features(content, *parts), self.clock.monotonic()
         )
 
+    def _answer_others(self):
+        for router in range(3):
+            self._answer("other", "other part", router=router)
+
     def _advance(self, seconds):
         self.clock.move_to(self.clock.monotonic() + seconds)
 
@@ -54,12 +58,25 @@
         self.assertEqual(self._refused("content"), [True] * 3)
         self.assertEqual(self._refused("other"), [False] * 3)
 
+    def test_part_is_not_refused_while_nothing_is_answered(self):
+        """Guards against an outage of all targets that outlasts its cause."""
+        for number in range(4):
+            self._crash(f"crash-{number}", f"r{number}", "first")
+            self._advance(0.5)
+        self._exchange()
+        self.assertEqual(self._refused("new", "first"), [False] * 3)
+        self._answer("other", "first")
+        self._exchange()
+        self._answer("another", "second")
+        self.assertEqual(self._refused("new", "first"), [False] * 3)
+
     def test_part_is_refused_whatever_else_the_request_holds(self):
         """Guards against requests of which no two are alike."""
         for number in range(3):
             self._crash(f"crash-{number}", f"r{number}", "bad", router=number)
             self._advance(0.5)
             self._exchange()
+        self._answer_others()
         self.assertEqual(self._refused("new", "first", "bad"), [True] * 3)
 
     def test_part_of_answered_requests_is_not_refused(self):
@@ -94,6 +111,7 @@
         self._advance(10.0)
         self.routers[2] = CrashSuspects(self.clock)
         self._exchange()
+        self._answer_others()
         self.assertEqual(self._refused("new", "bad"), [True] * 3)
 
     def test_refusal_ends_when_a_request_on_trial_is_answered(self):
@@ -101,6 +119,7 @@
         for number in range(3):
             self._crash(f"crash-{number}", f"r{number}", "bad")
             self._advance(0.5)
+        self._answer_others()
         self._advance(20.0)
         self.assertFalse(self._refused("trial", "bad")[0])
         self.assertTrue(self._refused("next", "bad")[0])
@@ -112,6 +131,7 @@
         for number in range(3):
             self._crash(f"crash-{number}", f"r{number}", "bad")
             self._advance(0.5)
+        self._answer_others()
         admitted = 0
         for _ in range(1_400):
             self._advance(0.1)
@@ -129,6 +149,9 @@
                 self.clock.monotonic(),
             )
             self._advance(0.5)
+        suspects.record_answer(
+            _features("other", "other part"), self.clock.monotonic()
+        )
         self._advance(20.0)
         features = _features("r", "bad")
         self.assertIsNotNone(suspects.refused_feature(features))
