--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -2,9 +2,9 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
 
 from crowwinch.coordination import Clock
+from crowwinch.directory._departures import Departures
 from crowwinch.directory._model import (
     Changes,
     DocumentDecoder,
@@ -26,31 +26,6 @@
 # Limit on the removals kept for lagging routers. A router that is further
 # behind gets a complete listing.
 _MAX_REMOVALS = 1000
-# Time after a restoration of the store for which targets that were removed
-# before are not used: their entries may be of the copy. Entries that no live
-# target writes again expire after three heartbeats.
-_RESTORED_ENTRY_S = 5.0
-# Time for which departures are reported to peers: two rounds of updates in a
-# fleet of 200 routers.
-_DEPARTURE_REPORT_S = 2.0
-# Departures reported at a time, so that an update stays small.
-_MAX_DEPARTURE_REPORTS = 64
-
-
-@dataclass(frozen=True, slots=True)
-class _Departure:
-    """A target that left.
-
-    Attributes:
-        started_ms: Start time of the target in Unix milliseconds.
-        is_announced: Whether the target itself said that it leaves. If not, its
-            entry may have lapsed although it lives.
-        era: Era of the store in which it left.
-    """
-
-    started_ms: int
-    is_announced: bool
-    era: int
 
 
 class DirectoryState:
@@ -77,18 +52,11 @@
         self._routing: RoutingTable | None = None
         self._revision = 0
         self._era = 0
-        # Targets that left, by item key. An older copy of the store still calls
-        # them ready.
-        self._departed: dict[str, _Departure] = {}
-        # Monotonic time until which entries of removed targets are not trusted.
-        self._distrust_until = float("-inf")
         # Revision of each removal by key, in order of arrival.
         self._removals: dict[str, int] = {}
         # The removals after this revision are complete.
         self._removals_complete_after = 0
-        # Departures known here or announced by peers, as pairs of the revision
-        # and the monotonic time at which they became known.
-        self._departures: dict[str, tuple[int, float]] = {}
+        self._departures = Departures(clock)
         self._last_contact = float("inf")
         self._failing_since: float | None = None
         self._recovered_at = float("-inf")
@@ -114,8 +82,8 @@
             entry
             for key, entry in self._targets.items()
             if entry.state is TargetState.READY
-            and self._departures.get(key, (0, 0.0))[0] <= self._revision
-            and not self._is_outdated(key, entry)
+            and not self._departures.is_announced(key, self._revision + 1)
+            and not self._departures.is_outdated(key, entry, self._era)
         ]
 
     @property
@@ -249,13 +217,7 @@
 
     def recent_departures(self) -> list[tuple[str, int]]:
         """Returns keys and revisions of the latest departures, for peers."""
-        oldest = self._clock.monotonic() - _DEPARTURE_REPORT_S
-        recent = [
-            (key, revision)
-            for key, (revision, known_at) in self._departures.items()
-            if known_at >= oldest
-        ]
-        return recent[-_MAX_DEPARTURE_REPORTS:]
+        return self._departures.recent()
 
     def merge_departures(self, departures: Iterable[tuple[str, int]]) -> None:
         """Stops using targets that a peer knows to be leaving or removed.
@@ -266,14 +228,8 @@
         Args:
             departures: Keys of the targets and revisions of the changes.
         """
-        announced = [
-            (key, revision)
-            for key, revision in departures
-            if revision > self._revision
-            and revision > self._departures.get(key, (0, 0.0))[0]
-        ]
+        announced = self._departures.announce(departures, self._revision)
         for key, revision in announced:
-            self._record_departure(key, revision)
             _LOGGER.info(
                 "departure announced by a peer",
                 extra={"key": key, "revision": revision},
@@ -288,34 +244,28 @@
         for key in expired:
             del self._lapsed[key]
             self._delete(key)
-        is_trust_restored = (
-            self._distrust_until != float("-inf")
-            and now >= self._distrust_until
-        )
-        if is_trust_restored:
-            self._distrust_until = float("-inf")
+        is_trust_restored = self._departures.expire()
         if expired or is_trust_restored:
             self._notify()
 
     def _start_era(self, listing: Listing) -> None:
-        """Starts anew after the store was restored from an older copy.
+        """Starts anew, after the store was restored or with the first listing.
 
-        What the copy lacks is written again within about two seconds, as after
-        an outage. The newest configuration stays in force, and targets that
-        left are not used because the copy still holds their entries.
+        What an older copy lacks is written again within about two seconds, as
+        after an outage. The newest configuration stays in force, and targets
+        that left are not used because the copy still holds their entries.
         """
-        _LOGGER.warning(
-            "store restored from a copy",
-            extra={
-                "era": listing.era,
-                "revision": listing.revision,
-                "known": self._revision,
-            },
-        )
-        if self._items:
-            now = self._clock.monotonic()
-            self._recovered_at = now
-            self._distrust_until = now + _RESTORED_ENTRY_S
+        is_restored = bool(self._items)
+        if is_restored:
+            _LOGGER.warning(
+                "store restored from a copy",
+                extra={
+                    "era": listing.era,
+                    "revision": listing.revision,
+                    "known": self._revision,
+                },
+            )
+            self._recovered_at = self._clock.monotonic()
         present = {item.key for item in listing.items}
         for key in [key for key in self._items if key not in present]:
             self._remove(key)
@@ -324,25 +274,11 @@
             key: Item(key, 0, item.value) for key, item in self._items.items()
         }
         self._removals.clear()
-        self._departures.clear()
+        self._departures.start_era(is_restored=is_restored)
         self._era = listing.era
         self._revision = 0
         self._removals_complete_after = 0
 
-    def _is_outdated(self, key: str, entry: TargetEntry) -> bool:
-        """Returns whether an entry may be older than the target's departure."""
-        departure = self._departed.get(key)
-        if (
-            departure is None
-            or departure.started_ms != entry.started_ms
-            or departure.era == self._era
-        ):
-            return False
-        return (
-            departure.is_announced
-            or self._clock.monotonic() < self._distrust_until
-        )
-
     def _start_lapse_grace(self) -> None:
         """Starts the grace period for lapsed targets after an outage."""
         now = self._clock.monotonic()
@@ -396,8 +332,9 @@
         before = self._targets.get(key)
         self._targets[key] = decoded
         if decoded.state is TargetState.LEAVING:
-            self._record_departure(key, self._items[key].revision)
-            self._record_departed(key, decoded)
+            self._departures.record(
+                key, decoded, self._items[key].revision, self._era
+            )
         if before != decoded:
             _LOGGER.info(
                 "target changed",
@@ -419,20 +356,6 @@
             return
         self._delete(key)
 
-    def _record_departure(self, key: str, revision: int) -> None:
-        self._departures.pop(key, None)
-        self._departures[key] = (revision, self._clock.monotonic())
-        if len(self._departures) > _MAX_REMOVALS:
-            del self._departures[next(iter(self._departures))]
-
-    def _record_departed(self, key: str, target: TargetEntry) -> None:
-        self._departed.pop(key, None)
-        self._departed[key] = _Departure(
-            target.started_ms, target.state is TargetState.LEAVING, self._era
-        )
-        if len(self._departed) > _MAX_REMOVALS:
-            del self._departed[next(iter(self._departed))]
-
     def _record_removal(self, key: str, revision: int) -> None:
         self._removals.pop(key, None)
         self._removals[key] = revision
@@ -447,8 +370,7 @@
         target = self._targets.pop(key, None)
         if target is not None:
             revision = self._removals.get(key, self._revision)
-            self._record_departure(key, revision)
-            self._record_departed(key, target)
+            self._departures.record(key, target, revision, self._era)
             _LOGGER.info(
                 "target removed",
                 extra={"target": target.identifier, "revision": revision},
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -380,6 +380,22 @@
         self._writer.close()
 
 
+def write_response(make_data, keep_open: bool = False) -> Script:
+    """Returns a script that writes a response.
+
+    Args:
+        make_data: Returns the bytes of the response to a request.
+        keep_open: Whether the connection stays open.
+    """
+
+    async def script(request, writer):
+        writer.write(make_data(request))
+        await writer.drain()
+        return keep_open
+
+    return script
+
+
 async def respond_ok(
     request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> bool:
