Platform stand-in: a store that returns from a copy, and a test with processes

The stand-in keeps a copy of its items and returns to it, gives the revisions out again, and says its era in all answers.

The new test runs three routers: after the restoration the newest configuration stays in force, a target that had said that it leaves gets nothing although the copy calls it ready, and the next configuration is in force everywhere in time.

--- a/standins/operators_platform.py
+++ b/standins/operators_platform.py
@@ -30,6 +30,8 @@
         self._events: list[dict[str, object]] = []
         self._revision = 1
         self._changed = asyncio.Event()
+        self._era = 1
+        self._copy: tuple[dict[str, dict[str, object]], int] = ({}, 1)
         # Answers 503 to callers whose address starts with one of these.
         self.refused: list[str] = []
         self.calls = 0
@@ -43,6 +45,8 @@
             web.post("/test/delete", self._delete),
             web.post("/test/refuse", self._refuse),
             web.post("/test/compact", self._compact),
+            web.post("/test/copy", self._take_copy),
+            web.post("/test/restore", self._restore),
             web.get("/test/calls", self._calls),
         ]
 
@@ -83,7 +87,10 @@
             "Truncated": len(items) > 50,
             "CurrentRev": self._revision,
         }
-        return web.json_response(page)
+        return self._answer(page)
+
+    def _answer(self, body: object) -> web.Response:
+        return web.json_response(body, headers={"Store-Era": str(self._era)})
 
     async def _watch(self, request: web.Request) -> web.Response:
         if self._is_refused(request):
@@ -92,7 +99,10 @@
         prefix = request.query["Prefix"]
         end = time.monotonic() + int(request.query["WaitMs"]) / 1000
         while True:
-            if self._events and after < int(self._events[0]["Revision"]) - 1:
+            is_compacted = (
+                self._events and after < int(self._events[0]["Revision"]) - 1
+            )
+            if is_compacted or after > self._revision:
                 return web.Response(status=410)
             changed = self._changed
             events = [
@@ -103,7 +113,7 @@
             ]
             left = end - time.monotonic()
             if events or left <= 0:
-                return web.json_response(
+                return self._answer(
                     {"events": events, "CurrentRev": self._revision}
                 )
             try:
@@ -134,6 +144,22 @@
         self._add({"Key": "gap", "Revision": self._revision, "Deleted": True})
         return web.Response()
 
+    async def _take_copy(self, request: web.Request) -> web.Response:
+        del request
+        self._copy = (dict(self._items), self._revision)
+        return web.Response()
+
+    async def _restore(self, request: web.Request) -> web.Response:
+        """Returns to the copy; its revisions are given out again."""
+        del request
+        items, self._revision = self._copy
+        self._items = dict(items)
+        self._events.clear()
+        self._era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return web.Response()
+
     async def _calls(self, request: web.Request) -> web.Response:
         del request
         return web.json_response(self.calls)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -112,6 +112,14 @@
         """Lets the store forget its history."""
         call("POST", f"{self.store.url}/test/compact")
 
+    def copy_store(self) -> None:
+        """Lets the store keep a copy of its items."""
+        call("POST", f"{self.store.url}/test/copy")
+
+    def restore_store(self) -> None:
+        """Lets the store return from its copy."""
+        call("POST", f"{self.store.url}/test/restore")
+
     def start_target(self, name: str, service: str) -> None:
         """Starts a target and registers it."""
         options = ("--engine",) if service == "llm" else ()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -193,6 +193,29 @@
         for _ in range(20):
             self.assertEqual(fleet.ask(1, "/look/a")[0], 401)
 
+    def test_a_store_restored_from_a_copy_reverts_nothing(self):
+        """Guards against an old copy in force and changes that are missed."""
+        fleet = self.fleet
+        fleet.copy_store()
+        fleet.put("op/config", configuration(8))
+        fleet.register("i-desk-1", "desk", "draining")
+        time.sleep(1.0)
+        before = fleet.runs()["i-desk-1"]
+        fleet.restore_store()
+        answers = []
+        for number in range(30):
+            answers.append(fleet.ask(number % 3, "/look/a")[0])
+            time.sleep(0.05)
+        self.assertEqual(answers, [200] * 30)
+        self.assertEqual(fleet.runs()["i-desk-1"], before)
+        fleet.put("op/config", configuration(9, Tenants=[]))
+        for index in range(3):
+            taken = wait_for(
+                lambda index=index: fleet.ask(index, "/look/a")[0] == 401,
+                f"router {index} accepts the key",
+            )
+            self.assertLess(taken, _CONFIG_APPLY_S)
+
     def _logged(self):
         """Returns the log lines of requests by their id."""
         text = self.fleet.log(0).read_text()
