Forwarding: pass on no refusal of a target that does not say "not run"

Only a response with the header for it states that a target did not run the request. A 503, 429 or 408 without it was passed on with its status, which tells a caller that the request has not run and may be sent again, also on routes whose requests run at most once.

Change: on such routes it counts as a request that may have run: 502, run state unknown, without the target's seal. Requests that may be repeated are retried or get the target's answer as before.

Evidence: six cases of the new test fail without the change, all pass with it.

--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -16,6 +16,7 @@
     WireCodec,
 )
 from crowwinch.forwarding._model import Route, RoutingTable
+from crowwinch.forwarding._refusals import NOT_RUN_STATUSES
 from crowwinch.forwarding._request_context import RequestContext
 from crowwinch.forwarding._request_log import CALLER_GONE, SERVED, RequestLog
 from crowwinch.forwarding._retry_policy import RetryPolicy
@@ -331,7 +332,13 @@
                 ),
                 call.body,
             )
-            if self._retry_policy.should_retry(context, response):
+            is_unproved_refusal = (
+                response.status in NOT_RUN_STATUSES
+                and not context.route.kind.allows_retry
+            )
+            if is_unproved_refusal or self._retry_policy.should_retry(
+                context, response
+            ):
                 raise AttemptError(
                     f"target answered {response.status}", may_have_run=True
                 )
--- a/crowwinch/forwarding/_refusals.py
+++ b/crowwinch/forwarding/_refusals.py
@@ -10,7 +10,7 @@
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 # Statuses that guarantee to callers that the request did not run.
-_NOT_RUN = frozenset((429, _UNAVAILABLE))
+NOT_RUN_STATUSES = frozenset((408, 421, 429, _UNAVAILABLE))
 
 
 def status_of(refusal: RefusalError) -> int:
@@ -23,7 +23,7 @@
     status = refusal.status
     if refusal.reason is RefusalReason.CRASH_SUSPECT:
         status = _UNAVAILABLE
-    if refusal.run_state is not RunState.NOT_RUN and status in _NOT_RUN:
+    if refusal.run_state is not RunState.NOT_RUN and status in NOT_RUN_STATUSES:
         return _BAD_GATEWAY
     return status
 
--- a/crowwinch/forwarding/tests/test_faulty_targets.py
+++ b/crowwinch/forwarding/tests/test_faulty_targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 
 import xxhash
 
@@ -261,6 +262,22 @@
         reply = await router.call(attempt_id="attempt-5")
         self.assertEqual(reply.status, 200)
 
+    async def test_refusal_that_does_not_say_not_run_is_not_passed_on(self):
+        """Guards against "not run" for a request that a target may have run."""
+        for status in ("503 Busy", "429 Busy", "408 Slow"):
+            for kind in (RouteKind.UNSAFE, RouteKind.STREAM):
+                with self.subTest(status, kind=kind):
+                    router = await self.router(
+                        write_response(
+                            functools.partial(make_response, status=status)
+                        ),
+                        kind=kind,
+                    )
+                    reply = await router.call()
+                    self.assertEqual(reply.status, 502)
+                    self.assertNotIn("x-crowwinch-server-seal", reply.headers)
+                    self.assertEqual(self.attempt_count, 1)
+
     async def test_earlier_refusal_that_is_repeated_is_not_trusted(self):
         """Guards against "not run" for a request that a target runs."""
         cases = {
