Crashes: report only what a router observed itself, and what is refused

Cause: each router repeated for 2 s what it had just heard from others, so that after a crash with many requests on the way all routers sent up to 32 reports in each update, which all others merged again. Every router reaches all peers with its own observations within a round of updates.

Change: recent changes are reported by the router that observed them; what is refused is reported by all, so that a router that restarts hears of it.

Evidence: in the new test two routers that heard of a crash report nothing; with the change left out they report as much as the first.

--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -370,7 +370,6 @@
                     "started_ms": target.life,
                 },
             )
-
         if head.hold_s is not None:
             self._sharing.health.hold(
                 target.identifier, target.life, head.hold_s
--- a/crowwinch/sharing/_crash_suspects.py
+++ b/crowwinch/sharing/_crash_suspects.py
@@ -22,8 +22,8 @@
 _FIRST_TRIAL_S = 20.0
 _EXPIRY_S = 600.0
 _CAPACITY = 4096
-# Changes are reported to peers for this time, which covers two rounds of
-# updates in a fleet of 200 routers.
+# What a router observes is reported to peers for this time, which covers two
+# rounds of updates in a fleet of 200 routers.
 _REPORT_S = 2.0
 _MAX_REPORTS = 32
 _NEVER = float("-inf")
@@ -67,8 +67,9 @@
     Attributes:
         is_part: Whether the feature is a part of the prompt.
         crashes: Monotonic time of each crash after the last answer.
-        last_answer: Time at which the latest answer began.
-        changed: Time of the last change that peers must hear of.
+        last_answer: Time at which the latest answer was complete.
+        changed: Time of the last change.
+        observed: Time of the last change that this router observed itself.
         last_trial: Time at which a refused request was last admitted.
         trial_s: Seconds without a crash until the next one is.
         limit_reached: Time of the crash from which on requests with the feature
@@ -79,6 +80,7 @@
     crashes: dict[str, float] = field(default_factory=dict)
     last_answer: float = _NEVER
     changed: float = _NEVER
+    observed: float = _NEVER
     last_trial: float = _NEVER
     trial_s: float = _FIRST_TRIAL_S
     limit_reached: float | None = None
@@ -166,21 +168,25 @@
             features: Features of the request that was lost.
             at: Monotonic time of the crash.
         """
-        self._add_crash(features.content, False, crash, at)
-        for part in features.parts:
-            self._add_crash(part, True, crash, at)
+        now = self._clock.monotonic()
+        for feature in (features.content, *features.parts):
+            is_part = feature != features.content
+            if self._add_crash(feature, is_part, crash, at):
+                self._evidence[feature].observed = now
 
     def record_answer(self, features: RequestFeatures, at: float) -> None:
         """Records that a target answered a request and did not crash.
 
         Args:
             features: Features of the request.
-            at: Monotonic time at which the answer began.
+            at: Monotonic time at which the answer was complete.
         """
         if features.parts:
             self._note_prompt_answer(at)
+        now = self._clock.monotonic()
         for feature in (features.content, *features.parts):
-            self._add_answer(feature, at)
+            if self._add_answer(feature, at):
+                self._evidence[feature].observed = now
 
     def refused_feature(self, features: RequestFeatures) -> str | None:
         """Returns the feature for which a request is refused, None without one.
@@ -199,13 +205,17 @@
         return None
 
     def reports(self) -> list[SuspectReport]:
-        """Returns what peers must hear: what is refused and recent changes."""
+        """Returns what peers must hear.
+
+        That is what is refused, whoever observed it, and what this router has
+        observed recently.
+        """
         now = self._clock.monotonic()
         due = [
             (feature, evidence)
             for feature, evidence in self._evidence.items()
             if evidence.limit_reached is not None
-            or now - evidence.changed <= _REPORT_S
+            or now - evidence.observed <= _REPORT_S
         ]
         due.sort(key=lambda entry: len(entry[1].crashes), reverse=True)
         return [
@@ -235,24 +245,30 @@
 
     def _add_crash(
         self, feature: str, is_part: bool, crash: str, at: float
-    ) -> None:
+    ) -> bool:
+        """Adds a crash; returns whether it is new."""
         now = self._clock.monotonic()
         if now - at > _EXPIRY_S:
-            return
+            return False
         evidence = self._evidence.get(feature)
         if evidence is None:
             evidence = self._evidence[feature] = _Evidence(is_part)
-        if evidence.add_crash(crash, at):
+        is_new = evidence.add_crash(crash, at)
+        if is_new:
             evidence.changed = now
             self._evidence.move_to_end(feature)
         if len(self._evidence) > _CAPACITY:
             self._evidence.popitem(last=False)
+        return is_new
 
-    def _add_answer(self, feature: str, at: float) -> None:
+    def _add_answer(self, feature: str, at: float) -> bool:
+        """Adds an answer; returns whether it refutes known crashes."""
         evidence = self._evidence.get(feature)
-        if evidence is not None and evidence.add_answer(at):
-            evidence.changed = self._clock.monotonic()
-            self._evidence.move_to_end(feature)
+        if evidence is None or not evidence.add_answer(at):
+            return False
+        evidence.changed = self._clock.monotonic()
+        self._evidence.move_to_end(feature)
+        return True
 
     def _note_prompt_answer(self, at: float) -> None:
         self._last_prompt_answer = max(self._last_prompt_answer, at)
--- a/crowwinch/sharing/tests/test_crash_suspects.py
+++ b/crowwinch/sharing/tests/test_crash_suspects.py
@@ -104,6 +104,16 @@
         self._exchange()
         self.assertEqual(self._refused("new", "part"), [False] * 3)
 
+    def test_what_a_peer_reported_is_not_reported_again(self):
+        """Guards against reports that all routers repeat after each crash."""
+        self._crash("crash", "content", "part")
+        self._exchange()
+        self.assertEqual(
+            [len(router.reports()) for router in self.routers], [2, 0, 0]
+        )
+        self._advance(2.5)
+        self.assertEqual(self.routers[0].reports(), [])
+
     def test_restarted_router_hears_what_is_refused(self):
         for number in range(3):
             self._crash(f"crash-{number}", f"r{number}", "bad")
