Fault matrix: a case that fails leaves no broken fleet to the next one

The fleet is shared by the class, so five tests after it found no router 1 and failed: "all routers serve" not within 10 s, then connections refused.

Change: before each test, a fleet with a router that has ended is replaced. The error of a router that is not ready shows the end of its log, which fleets of the matrix now keep. No check, bound or case changes.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -18,6 +18,7 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _START_TIMEOUT_S = 20.0
+_LOG_LINES_SHOWN = 12
 # Below the range of outgoing connections, which begins at 32768 on Linux.
 _PORTS = (16384, 32768)
 # Test modules that run side by side draw from slices of their own.
@@ -354,10 +355,20 @@
                 if time.monotonic() > end or router.handle.poll() is not None:
                     code = router.handle.poll()
                     raise RuntimeError(
-                        f"{router.name} is not ready, exit code {code}"
+                        f"{router.name} is not ready, exit code {code}; "
+                        f"end of the log:\n{self._log_end()}"
                     )
                 time.sleep(0.05)
 
+    @property
+    def has_exited_router(self) -> bool:
+        """Whether a router has ended that was not replaced."""
+        return any(router.handle.poll() is not None for router in self.routers)
+
+    def _log_end(self) -> str:
+        lines = pathlib.Path(self.log_path).read_text("utf-8").splitlines()
+        return "\n".join(lines[-_LOG_LINES_SHOWN:])
+
     def stop(self) -> None:
         """Stops every process that this fleet started."""
         running = [*self.routers, *self.targets.values()]
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import tempfile
 import time
 from collections.abc import Callable, Mapping, Sequence
 
@@ -78,7 +79,8 @@
     Group `queue` and service `narrow` have one slot, which makes a second
     request wait. Service `slow` keeps a call at its target for 4 s.
     """
-    fleet = Fleet()
+    _, log_path = tempfile.mkstemp(prefix="crowwinch-", suffix=".log")
+    fleet = Fleet(log_path=log_path)
     try:
         fleet.start_platform()
         if relay:
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -28,6 +28,12 @@
         cls.fleet.stop()
         print(f"{cls.__name__}: {cls.cases} cases")
 
+    def setUp(self):
+        # A case that failed must not make the next ones fail.
+        if self.fleet.has_exited_router:
+            self.fleet.stop()
+            type(self).fleet = matrix.start_fleet()
+
     def _case(self, name, inject, heal, lost_counts=False, during_s=2.0):
         """Runs load, a fault, its end, and checks all invariants.
 
