Sharing, forwarding: a class for leads, a module for event times

The pause of a target has a test at the placer. The decision that a response is not passed on stood in two places; it is one method of the retry policy. The log files that fleets of the fault matrix keep are closed, and removed at the end of the process.

Behaviour, bounds and cases are unchanged.

--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -9,6 +9,7 @@
 from crowwinch.errors import RefusalError, RefusalReason, RunState
 from crowwinch.forwarding._call import Call
 from crowwinch.forwarding._delivery import deliver
+from crowwinch.forwarding._event_recorder import EventRecorder
 from crowwinch.forwarding._exchange import AttemptError, Exchange
 from crowwinch.forwarding._messages import (
     AttemptHead,
@@ -16,7 +17,6 @@
     WireCodec,
 )
 from crowwinch.forwarding._model import Route, RoutingTable
-from crowwinch.forwarding._refusals import NOT_RUN_STATUSES
 from crowwinch.forwarding._request_context import RequestContext
 from crowwinch.forwarding._request_log import CALLER_GONE, SERVED, RequestLog
 from crowwinch.forwarding._retry_policy import RetryPolicy
@@ -24,7 +24,7 @@
 from crowwinch.forwarding._target_client import TargetClient
 from crowwinch.forwarding._target_set import Target, TargetSet
 from crowwinch.observability import Metrics
-from crowwinch.sharing import Decision, Reservation, Ticket, Verdict, Work
+from crowwinch.sharing import Decision, Ticket, Verdict, Work
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -316,6 +316,13 @@
             call.head.attempt_id,
             functools.partial(self._note_head, target),
         )
+        events = EventRecorder(
+            self._clock,
+            context,
+            reservation,
+            started,
+            functools.partial(self._note_first_event, context, decision),
+        )
         try:
             context.possible_runs += 1
             response = await exchange.open(
@@ -332,19 +339,10 @@
                 ),
                 call.body,
             )
-            is_unproved_refusal = (
-                response.status in NOT_RUN_STATUSES
-                and not context.route.kind.allows_retry
-            )
-            if is_unproved_refusal or self._retry_policy.should_retry(
-                context, response
-            ):
+            if self._retry_policy.is_failure(context, response):
                 raise AttemptError(
                     f"target answered {response.status}", may_have_run=True
                 )
-            events = _EventRecorder(
-                self, context, reservation, started, decision
-            )
             await deliver(context, exchange, response, events.record_event)
             self._sharing.health.record_response(
                 decision.target, response.status < 500
@@ -408,10 +406,10 @@
         finally:
             self._log.record_end(call, context, refusal.code)
 
-    def record_first_event(
+    def _note_first_event(
         self, context: RequestContext, decision: Decision, seconds: float
     ) -> None:
-        """Updates load and speed estimates after the first event.
+        """Updates estimates and decides what waits after the first event.
 
         Args:
             context: State of the request.
@@ -419,8 +417,13 @@
             seconds: Time in seconds from the start of the attempt to the first
                 event of the response.
         """
-        if not context.work.prompt_tokens:
-            return
+        if context.work.prompt_tokens:
+            self._record_prefill(context, decision, seconds)
+        self.schedule_poll()
+
+    def _record_prefill(
+        self, context: RequestContext, decision: Decision, seconds: float
+    ) -> None:
         self._log.record_first_event(seconds)
         self._sharing.loads.record_first_event(
             decision.target, seconds - decision.forecast_s
@@ -440,38 +443,3 @@
     """
     for _ in range(_SOCKET_EVENT_ITERATIONS):
         await asyncio.sleep(0)
-
-
-class _EventRecorder:
-    """Records the times of the events of one attempt."""
-
-    def __init__(
-        self,
-        forwarder: Forwarder,
-        context: RequestContext,
-        reservation: Reservation,
-        started: float,
-        decision: Decision,
-    ) -> None:
-        self._forwarder = forwarder
-        self._context = context
-        self._reservation = reservation
-        self._started = started
-        self._decision = decision
-        self._is_first_event = True
-
-    def record_event(self) -> None:
-        """Records that the target has sent an event."""
-        now = self._forwarder.clock.monotonic()
-        self._context.record_event(now)
-        if not self._is_first_event:
-            return
-        self._is_first_event = False
-        self._context.attempt_began_at = now
-        self._reservation.record_first_event()
-        seconds = now - self._started
-        self._context.attempts[-1]["first_event_s"] = round(seconds, 3)
-        self._forwarder.record_first_event(
-            self._context, self._decision, seconds
-        )
-        self._forwarder.schedule_poll()
--- a/crowwinch/forwarding/_retry_policy.py
+++ b/crowwinch/forwarding/_retry_policy.py
@@ -7,6 +7,7 @@
 from crowwinch.errors import RefusalError, RefusalReason, RetryReason
 from crowwinch.forwarding._crash_detector import CrashDetector
 from crowwinch.forwarding._exchange import AttemptError, TargetResponse
+from crowwinch.forwarding._refusals import NOT_RUN_STATUSES
 from crowwinch.forwarding._request_context import RequestContext
 from crowwinch.forwarding._sharing_state import SharingState
 
@@ -64,13 +65,18 @@
                 _CRASH_RETRY_S,
             )
 
-    def should_retry(
+    def is_failure(
         self, context: RequestContext, response: TargetResponse
     ) -> bool:
-        """Returns whether to retry at another target after a 5xx response."""
+        """Returns whether a response is not passed on to the caller.
+
+        That is a 5xx response to a request that may be retried, and one whose
+        status would tell the caller that a request which may have run has not.
+        """
+        if not context.route.kind.allows_retry:
+            return response.status in NOT_RUN_STATUSES
         return (
             response.status >= 500
-            and context.route.kind.allows_retry
             and not context.call.is_started
             and self._is_within_limits(context)
         )
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -6,7 +6,7 @@
 
 Load: more is asked than all targets serve. The rules that say who waits, in
 which order and for how long are classes of their own: `StartOrder`,
-`WaitLimits`, `LateAnswers`, `StandingQueues` and `TimelyRequests`.
+`WaitLimits`, `LateAnswers`, `Leads`, `StandingQueues` and `TimelyRequests`.
 """
 
 from collections import deque
--- a/crowwinch/sharing/_claim.py
+++ b/crowwinch/sharing/_claim.py
@@ -2,10 +2,6 @@
 
 from dataclasses import dataclass
 
-# Lead below which a workspace is behind others. The counts of peers are up to
-# two seconds old.
-_BEHIND_LEAD = 0.9
-
 
 @dataclass(slots=True)
 class Claim:
@@ -36,11 +32,6 @@
         """Whether the request is within its workspace's share."""
         return self.share_use <= 1.0
 
-    @property
-    def is_behind(self) -> bool:
-        """Whether its workspace gets clearly less than others that wait."""
-        return 0.0 < self.lead < _BEHIND_LEAD
-
     @property
     def is_large(self) -> bool:
         """Whether its workspace uses at least the mean of all."""
--- a/crowwinch/sharing/_headroom.py
+++ b/crowwinch/sharing/_headroom.py
@@ -6,6 +6,7 @@
 
 from crowwinch.sharing._claim import Claim
 from crowwinch.sharing._late_answers import LateAnswers
+from crowwinch.sharing._leads import Leads
 from crowwinch.sharing._placer import Candidate
 
 # Fractions of the batch and of the target latency available to a request just
@@ -27,11 +28,6 @@
 # with above-average use. The limit decreases with relative use, so that small
 # workspaces find short queues even in the first seconds of a load spike.
 _ABOVE_AVERAGE_LATENCY_FRACTION = 0.8
-# Use of a workspace, as a multiple of an even use, from which it leaves room to
-# others that wait. A workspace whose requests wait at many routers otherwise
-# takes what becomes free before one whose requests wait at few.
-_MAX_LEAD = 1.15
-_LEAD_EXPONENT = 3.0
 # Fraction of the target latency that a forecast may take. The rest covers its
 # error.
 _IN_TIME_FRACTION = 0.8
@@ -51,21 +47,16 @@
     return _has_room_over_share(candidate, claim)
 
 
-def _lead_factor(claim: Claim) -> float:
-    """Returns the fraction of its limits left to a workspace that leads."""
-    return max(claim.lead / _MAX_LEAD, 1.0) ** -_LEAD_EXPONENT
-
-
 def _has_room_within_share(candidate: Candidate, claim: Claim) -> bool:
-    lead_factor = _lead_factor(claim)
-    if candidate.use >= lead_factor:
+    lead_fraction = Leads.limit_fraction(claim)
+    if candidate.use >= lead_fraction:
         return False
-    latency = claim.latency_s * lead_factor
+    latency = claim.latency_s * lead_fraction
     has_short_queue = candidate.waiting_s <= _SHORT_QUEUE_S
     if claim.is_large and LateAnswers.is_late(candidate, claim):
         fraction = LateAnswers.batch_fraction(claim)
         return has_short_queue and candidate.use < fraction
-    if claim.relative_use > 1.0 and not claim.is_behind:
+    if claim.relative_use > 1.0 and not Leads.is_behind(claim):
         factor = claim.relative_use**-_OVER_SHARE_EXPONENT
         latency *= _ABOVE_AVERAGE_LATENCY_FRACTION * factor
     total_s = claim.total_wait_s + candidate.expected_s
@@ -75,7 +66,9 @@
 def _has_room_over_share(candidate: Candidate, claim: Claim) -> bool:
     if candidate.recompute_tokens and candidate.use > _MAX_RECOMPUTE_USE:
         return False
-    factor = claim.share_use**-_OVER_SHARE_EXPONENT * _lead_factor(claim)
+    factor = claim.share_use**-_OVER_SHARE_EXPONENT * Leads.limit_fraction(
+        claim
+    )
     own_s = candidate.expected_s - candidate.queue_s
     expected_s = candidate.queue_s + min(
         own_s, claim.latency_s * _MAX_PREFILL_FRACTION
--- a/crowwinch/sharing/tests/test_headroom.py
+++ b/crowwinch/sharing/tests/test_headroom.py
@@ -27,7 +27,13 @@
     )
 
 
-def _claim(share_use, prior_wait_s=0.0, relative_use=1.0, is_contended=False):
+def _claim(
+    share_use,
+    prior_wait_s=0.0,
+    relative_use=1.0,
+    is_contended=False,
+    lead=0.0,
+):
     return Claim(
         share_use,
         relative_use,
@@ -35,9 +41,30 @@
         waited_s=0.0,
         prior_wait_s=prior_wait_s,
         is_contended=is_contended,
+        lead=lead,
     )
 
 
+class LeadTest(unittest.TestCase):
+    """Guards against workspaces that take the room of others that wait."""
+
+    def test_limits_fall_with_the_lead(self):
+        """The engine is half full, and its queue takes half of the time."""
+        candidate = _candidate(queue_s=0.3, use=0.5)
+        for share_use in (0.8, 1.2):
+            for lead, expected in ((0.0, True), (1.1, True), (2.0, False)):
+                with self.subTest(share_use=share_use, lead=lead):
+                    claim = _claim(share_use, relative_use=0.9, lead=lead)
+                    self.assertIs(has_room(candidate, claim), expected)
+
+    def test_large_workspace_that_is_behind_is_not_held_back(self):
+        candidate = _candidate(queue_s=0.3, use=0.5)
+        for lead, expected in ((0.5, True), (0.0, False), (1.0, False)):
+            with self.subTest(lead=lead):
+                claim = _claim(0.5, relative_use=3.0, lead=lead)
+                self.assertIs(has_room(candidate, claim), expected)
+
+
 class ReturningCallerTest(unittest.TestCase):
     """Guards against refusing callers whose answers can still be in time.
 
--- a/crowwinch/sharing/tests/test_placer.py
+++ b/crowwinch/sharing/tests/test_placer.py
@@ -62,6 +62,15 @@
         statuses = [self.placer.observe(target) for target in targets]
         return self.placer.candidates(work, statuses, **options)
 
+    def test_target_that_asked_for_a_pause_is_left_out(self):
+        """Guards against requests to a target that wants none."""
+        work = prompt("a")
+        for target in self.engines:
+            self.health.hold(target.identifier, target.life, 2.0)
+        self.assertEqual(self.candidates(work, self.engines), [])
+        self.clock.move_to(2.0)
+        self.assertEqual(len(self.candidates(work, self.engines)), 6)
+
     def best(self, work):
         """Returns the best candidate."""
         return self.candidates(work, self.engines)[0]
--- a/tests/fault_matrix.py
+++ b/tests/fault_matrix.py
@@ -1,7 +1,9 @@
 """Fleet and checks that the fault matrix uses; the load is in fault_load."""
 
+import atexit
 import collections
 import json
+import os
 import tempfile
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -79,7 +81,9 @@
     Group `queue` and service `narrow` have one slot, which makes a second
     request wait. Service `slow` keeps a call at its target for 4 s.
     """
-    _, log_path = tempfile.mkstemp(prefix="crowwinch-", suffix=".log")
+    descriptor, log_path = tempfile.mkstemp(prefix="crowwinch-", suffix=".log")
+    os.close(descriptor)
+    atexit.register(os.unlink, log_path)
     fleet = Fleet(log_path=log_path)
     try:
         fleet.start_platform()
