--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -1,7 +1,7 @@
 """Membership table of the fleet: peers, their liveness and send schedule."""
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from crowwinch.coordination import Clock
@@ -100,6 +100,26 @@
             ]
         return self._live
 
+    @property
+    def shared_by(self) -> Sequence[str]:
+        """Control addresses of the peers with which capacity is shared.
+
+        These are the live peers. A router that hears fewer than half of the
+        peers that it heard in the last minute is likely cut off from them, and
+        they go on, so all of them count.
+        """
+        live = self.live
+        oldest = self._clock.monotonic() - _PEER_EXPIRY_S
+        heard = [
+            peer.control
+            for peer in self._peers.values()
+            if peer.incarnation
+            and peer.last_heard_s >= oldest
+            and not peer.is_leaving
+        ]
+        is_majority = 2 * (len(live) + 1) > len(heard) + 1
+        return live if is_majority else heard
+
     @property
     def periods_per_round(self) -> int:
         """Update periods needed to send one update to each live peer."""
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -26,13 +26,20 @@
 from crowwinch.generated.fleet_messages import (
     CrashReport,
     CrashTime,
+    DemandReport,
     DepartureReport,
     FleetUpdate,
     PrefixReport,
+    RateLimitMessage,
     TargetReport,
     WorkspaceReport,
 )
-from crowwinch.sharing import SuspectReport, TargetUse, WorkspaceUse
+from crowwinch.sharing import (
+    RateLimitReport,
+    SuspectReport,
+    TargetUse,
+    WorkspaceUse,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -43,8 +50,8 @@
 # cover all requests that are routed together.
 _LONG_PROMPT_DELAY_S = 0.002
 _MS_PER_S = 1000.0
-# Age in milliseconds of an answer that there was not.
-_NO_ANSWER = -1
+# Age in milliseconds of an answer or a request that there was not.
+_NONE_MS = -1
 # When the readers of the store are chosen, a peer counts as down after this
 # time or after this many rounds of updates, whichever is longer.
 _MIN_READER_TIMEOUT_S = 0.5
@@ -159,6 +166,10 @@
         sharing = self._sharing
         sharing.loads.refresh()
         sharing.shares.refresh()
+        sharing.rate_limits.set_fleet(
+            str(self._settings.control), self._table.shared_by
+        )
+        sharing.rate_limits.refresh()
         sharing.admission.poll()
         self._log_membership_changes()
         self._update_reader_role()
@@ -302,6 +313,11 @@
                 for key, revision in self._state.recent_departures()
             ],
             era=self._state.era,
+            rate_limits=_encode_limits(sharing.rate_limits.reports()),
+            demand=[
+                DemandReport(service, round(per_s, 2))
+                for service, per_s in sharing.rate_limits.demand().items()
+            ],
         )
 
     def _receive(self, update: FleetUpdate) -> None:
@@ -330,6 +346,11 @@
             (report.target, report.path) for report in update.prefixes
         )
         sharing.crashes.merge_reports(_decode_suspects(update.crashes))
+        sharing.rate_limits.merge_peer(
+            peer,
+            _decode_limits(update.rate_limits),
+            {report.service: report.per_s for report in update.demand},
+        )
         if update.era == self._state.era:
             self._state.merge_departures(
                 (report.key, report.revision) for report in update.departures
@@ -360,9 +381,7 @@
                 CrashTime(crash, round(age_s * _MS_PER_S))
                 for crash, age_s in report.crash_ages_s.items()
             ],
-            _NO_ANSWER
-            if report.answer_age_s is None
-            else round(report.answer_age_s * _MS_PER_S),
+            _encode_age(report.answer_age_s),
         )
         for report in reports
     ]
@@ -374,9 +393,47 @@
             report.digest,
             report.is_part,
             {each.crash: each.age_ms / _MS_PER_S for each in report.crashes},
-            None
-            if report.answer_age_ms == _NO_ANSWER
-            else report.answer_age_ms / _MS_PER_S,
+            _decode_age(report.answer_age_ms),
+        )
+        for report in reports
+    ]
+
+
+def _encode_limits(
+    reports: Iterable[RateLimitReport],
+) -> list[RateLimitMessage]:
+    return [
+        RateLimitMessage(
+            report.target,
+            report.life,
+            report.per_s,
+            max(round(report.named_age_s * _MS_PER_S), 0),
+            _encode_age(report.cleared_age_s),
+            report.sent,
         )
         for report in reports
     ]
+
+
+def _decode_limits(
+    reports: Iterable[RateLimitMessage],
+) -> list[RateLimitReport]:
+    return [
+        RateLimitReport(
+            report.target,
+            report.life,
+            report.per_s,
+            report.named_age_ms / _MS_PER_S,
+            _decode_age(report.cleared_age_ms),
+            report.sent,
+        )
+        for report in reports
+    ]
+
+
+def _encode_age(age_s: float | None) -> int:
+    return _NONE_MS if age_s is None else max(round(age_s * _MS_PER_S), 0)
+
+
+def _decode_age(age_ms: int) -> float | None:
+    return None if age_ms == _NONE_MS else age_ms / _MS_PER_S
--- a/crowwinch/fleet/tests/test_large_fleets.py
+++ b/crowwinch/fleet/tests/test_large_fleets.py
@@ -4,7 +4,7 @@
 import unittest
 
 from crowwinch.fleet.tests.support import FleetModel
-from crowwinch.sharing import PromptPart, Work
+from crowwinch.sharing import PromptPart, TargetView, Work
 
 # Sizes around the number of destinations of an update, and sizes in which every
 # fourth update went to the same routers.
@@ -71,6 +71,22 @@
 
         self._run_scenario(scenario)
 
+    def test_rate_limit_of_a_target_reaches_all_routers(self):
+        """Guards against routers that learn of a limit only by exceeding it."""
+        view = TargetView("engine", 1, "llm", False, 32, is_engine=True)
+
+        async def scenario(fleet):
+            first, *others = fleet.routers
+            now = fleet.clock.monotonic()
+            first.sharing.rate_limits.observe("engine", 1, 1.0, now)
+            await fleet.run(1.0)
+            waits_s = [
+                router.sharing.rate_limits.wait_s(view) for router in others
+            ]
+            self.assertGreater(min(waits_s), 0.0)
+
+        self._run_scenario(scenario)
+
     def test_active_requests_reach_all_routers(self):
         async def scenario(fleet):
             first, *others = fleet.routers
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -43,6 +43,8 @@
 # less than this fraction of its own prefill time.
 _MAX_QUEUED_PREFILL_RATIO = 0.1
 
+_MAX_UNREADABLE_LIMITS = 1_000
+
 _REFUSALS = {
     Verdict.REFUSE_OVERLOAD: RefusalReason.DEADLINE_UNREACHABLE,
     Verdict.REFUSE_OVER_SHARE: RefusalReason.WORKSPACE_LIMIT,
@@ -93,6 +95,8 @@
         self._retry_policy = RetryPolicy(clock, sharing, client.can_connect)
         self._log = RequestLog(clock, metrics, sharing.shares, describe_state)
         self._is_polling = False
+        # Targets whose unreadable limit was logged.
+        self._unreadable_limits: set[str] = set()
 
     @property
     def clock(self) -> Clock:
@@ -181,6 +185,7 @@
             priority=route.priority,
         )
         self._sharing.budget.record_request(work.service)
+        self._sharing.rate_limits.record_demand(work.service)
         self._sharing.shares.record_demand(work.workspace, work.cost)
         return RequestContext(
             call=call,
@@ -314,7 +319,7 @@
             self._codec,
             str(target.address),
             call.head.attempt_id,
-            functools.partial(self._note_head, target),
+            functools.partial(self._note_head, target, started),
         )
         events = EventRecorder(
             self._clock,
@@ -358,8 +363,17 @@
             reservation.finish()
             self.schedule_poll()
 
-    def _note_head(self, target: Target, head: ResponseHead) -> None:
-        """Applies what a response says about its target."""
+    def _note_head(
+        self, target: Target, started: float, head: ResponseHead
+    ) -> None:
+        """Applies what a response says about its target.
+
+        Args:
+            target: The target.
+            started: Monotonic time at which the attempt started.
+            head: Head of the response.
+        """
+        self._note_rate_limit(target, started, head)
         if head.is_leaving and self._targets.mark_leaving(target):
             _LOGGER.info(
                 "target says that it leaves",
@@ -377,6 +391,37 @@
                 extra={"target": target.identifier, "seconds": head.hold_s},
             )
 
+    def _note_rate_limit(
+        self, target: Target, started: float, head: ResponseHead
+    ) -> None:
+        if head.has_unreadable_limit:
+            self._log_unreadable_limit(target)
+            return
+        if self._sharing.rate_limits.observe(
+            target.identifier, target.life, head.rate_limit, started
+        ):
+            _LOGGER.info(
+                "rate limit of a target changed",
+                extra={
+                    "target": target.identifier,
+                    "started_ms": target.life,
+                    "requests_per_s": head.rate_limit,
+                },
+            )
+
+    def _log_unreadable_limit(self, target: Target) -> None:
+        """Logs once for each target, since all its answers may be alike."""
+        self._log.count_unreadable_limit()
+        if target.identifier in self._unreadable_limits:
+            return
+        if len(self._unreadable_limits) >= _MAX_UNREADABLE_LIMITS:
+            self._unreadable_limits.clear()
+        self._unreadable_limits.add(target.identifier)
+        _LOGGER.warning(
+            "unreadable rate limit of a target ignored",
+            extra={"target": target.identifier},
+        )
+
     def _deadline_refusal(self, context: RequestContext) -> RefusalError:
         if context.may_have_run:
             return RefusalError(
--- a/crowwinch/forwarding/_messages.py
+++ b/crowwinch/forwarding/_messages.py
@@ -65,6 +65,10 @@
         is_leaving: Whether the target says that it is leaving.
         hold_s: Seconds for which an overloaded target wants no more requests
             from this router, None if it does not say.
+        rate_limit: Requests per second that the target accepts from all
+            routers together, None without a limit.
+        has_unreadable_limit: Whether the response names a limit that cannot be
+            read, so that it does not tell whether there is one.
     """
 
     attempt_id: str
@@ -73,6 +77,8 @@
     is_other_target: bool
     is_leaving: bool = False
     hold_s: float | None = None
+    rate_limit: float | None = None
+    has_unreadable_limit: bool = False
 
 
 class WireCodec(Protocol):
--- a/crowwinch/forwarding/_request_log.py
+++ b/crowwinch/forwarding/_request_log.py
@@ -62,6 +62,10 @@
         """Counts a caller that disconnected before its refusal was sent."""
         self._metrics.count("callers_gone")
 
+    def count_unreadable_limit(self) -> None:
+        """Counts an answer that names a rate limit that cannot be read."""
+        self._metrics.count("unreadable_target_limits")
+
     def record_first_event(self, seconds: float) -> None:
         """Records the time to the first event, in seconds."""
         self._metrics.observe("first_event", seconds)
--- a/crowwinch/forwarding/_sharing_state.py
+++ b/crowwinch/forwarding/_sharing_state.py
@@ -13,6 +13,7 @@
     SlidingWindowRetryBudget,
     TargetHealth,
     TargetLoads,
+    TargetRateLimits,
     Verdict,
     Work,
     WorkspaceShares,
@@ -42,6 +43,7 @@
     health: TargetHealth
     loads: TargetLoads
     prefixes: PrefixCacheTracker
+    rate_limits: TargetRateLimits
     shares: WorkspaceShares
     speeds: EngineSpeeds
     deadlines: CallerDeadlines = field(default_factory=CallerDeadlines)
@@ -55,6 +57,7 @@
         if decision.verdict is not Verdict.SEND:
             return Placement(decision, None)
         reservation = self.loads.reserve_decided(decision)
+        self.rate_limits.take(decision.target, decision.target_life)
         self.shares.record_usage(work.workspace, work.cost)
         if work.parts:
             self.prefixes.record_prefill(
@@ -69,4 +72,6 @@
         """
         if placement.reservation is not None:
             placement.reservation.finish()
+            decision = placement.decision
+            self.rate_limits.give_back(decision.target, decision.target_life)
             self.shares.revert_usage(work.workspace, work.cost)
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -37,6 +37,7 @@
     SlidingWindowRetryBudget,
     TargetHealth,
     TargetLoads,
+    TargetRateLimits,
     WorkspaceShares,
 )
 
@@ -190,10 +191,11 @@
     loads, health = TargetLoads(clock), TargetHealth(clock)
     prefixes, speeds = PrefixCacheTracker(clock), EngineSpeeds()
     shares = WorkspaceShares(clock, 4.0)
+    rate_limits = TargetRateLimits(clock)
     return SharingState(
         admission=Admission(
             clock,
-            Placer(loads, prefixes, speeds, health),
+            Placer(loads, prefixes, speeds, health, rate_limits),
             shares,
             targets,
             random.Random(1).random,
@@ -203,6 +205,7 @@
         health=health,
         loads=loads,
         prefixes=prefixes,
+        rate_limits=rate_limits,
         shares=shares,
         speeds=speeds,
     )
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -51,6 +51,7 @@
     SlidingWindowRetryBudget,
     TargetHealth,
     TargetLoads,
+    TargetRateLimits,
     WorkspaceShares,
     time_constant,
 )
@@ -179,13 +180,14 @@
         prefixes = PrefixCacheTracker(self._clock)
         speeds = EngineSpeeds()
         health = TargetHealth(self._clock)
+        rate_limits = TargetRateLimits(self._clock, self._rng.random)
         shares = WorkspaceShares(
             self._clock, time_constant(settings.share_window_s)
         )
         return SharingState(
             admission=Admission(
                 self._clock,
-                Placer(loads, prefixes, speeds, health),
+                Placer(loads, prefixes, speeds, health, rate_limits),
                 shares,
                 self._targets.views_of_service,
                 self._rng.random,
@@ -201,6 +203,7 @@
             health=health,
             loads=loads,
             prefixes=prefixes,
+            rate_limits=rate_limits,
             shares=shares,
             speeds=speeds,
         )
--- a/crowwinch/platform/_headers.py
+++ b/crowwinch/platform/_headers.py
@@ -1,6 +1,7 @@
 """Platform-specific headers of requests and responses."""
 
 import math
+import re
 from collections.abc import Iterable, Mapping
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -32,6 +33,9 @@
 # In all answers of a target that leaves.
 _SERVER_LEAVING = "Server-Leaving"
 _LEAVING_VALUE = "1"
+# Requests per second from all routers together, a decimal number.
+_SERVER_LIMIT = "Server-Limit"
+_DECIMAL_NUMBER = re.compile(r"[0-9]{1,7}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 # In seconds, possibly a fraction.
 _RETRY_AFTER = "Retry-After"
 _MAX_RETRY_AFTER_S = 3_600.0
@@ -133,6 +137,8 @@
         self, status: int, headers: CIMultiDictProxy[str]
     ) -> ResponseHead:
         """Decodes the headers that describe a target's answer."""
+        limit_text = headers.get(_SERVER_LIMIT)
+        rate_limit = _decode_rate(limit_text)
         return ResponseHead(
             attempt_id=headers.get(ATTEMPT_ID, ""),
             is_sealed=_SERVER_SEAL in headers,
@@ -145,6 +151,8 @@
                 if status == _UNAVAILABLE_STATUS
                 else None
             ),
+            rate_limit=rate_limit,
+            has_unreadable_limit=limit_text is not None and rate_limit is None,
         )
 
     def relayed_headers(
@@ -190,6 +198,13 @@
     return min(seconds, _MAX_RETRY_AFTER_S)
 
 
+def _decode_rate(text: str | None) -> float | None:
+    """Decodes a rate per second; absent and malformed values yield None."""
+    if text is None or _DECIMAL_NUMBER.fullmatch(text.strip()) is None:
+        return None
+    return float(text)
+
+
 def _decode_token_counts(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
     return _decode_count(first) or 0, _decode_count(second) or 0
--- a/crowwinch/platform/tests/test_headers.py
+++ b/crowwinch/platform/tests/test_headers.py
@@ -170,6 +170,39 @@
                 self.assertEqual(head.is_leaving, is_leaving)
                 self.assertEqual(head.hold_s, hold_s)
 
+    def test_rate_limit_of_a_target(self):
+        """Guards against limits that are misread or end by a broken header."""
+        cases = (
+            ({}, None, False),
+            ({"Server-Limit": "7.1"}, 7.1, False),
+            ({"Server-Limit": " 40 "}, 40.0, False),
+            ({"Server-Limit": "0"}, 0.0, False),
+            *(
+                ({"Server-Limit": text}, None, True)
+                for text in (
+                    "",
+                    "many",
+                    "-1",
+                    "+1",
+                    "nan",
+                    "inf",
+                    "1e3",
+                    "1_0",
+                    "7,1",
+                    "7.1.2",
+                    "99999999",
+                    "\u0667",
+                )
+            ),
+        )
+        for headers, rate_limit, is_unreadable in cases:
+            with self.subTest(headers=headers):
+                head = _CODEC.decode_response(
+                    200, CIMultiDictProxy(CIMultiDict(headers))
+                )
+                self.assertEqual(head.rate_limit, rate_limit)
+                self.assertEqual(head.has_unreadable_limit, is_unreadable)
+
     def test_hop_by_hop_headers_of_answers_are_removed(self):
         headers = CIMultiDictProxy(
             CIMultiDict(
--- a/crowwinch/sharing/__init__.py
+++ b/crowwinch/sharing/__init__.py
@@ -21,6 +21,7 @@
 )
 from crowwinch.sharing._placer import Candidate, Placer
 from crowwinch.sharing._prefixes import PrefixCacheTracker
+from crowwinch.sharing._rate_limits import RateLimitReport, TargetRateLimits
 from crowwinch.sharing._retries import SlidingWindowRetryBudget
 from crowwinch.sharing._shares import (
     WorkspaceShares,
@@ -41,12 +42,14 @@
     "Placer",
     "PrefixCacheTracker",
     "PromptPart",
+    "RateLimitReport",
     "RequestFeatures",
     "Reservation",
     "SlidingWindowRetryBudget",
     "SuspectReport",
     "TargetHealth",
     "TargetLoads",
+    "TargetRateLimits",
     "TargetUse",
     "TargetView",
     "Ticket",
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -272,4 +272,5 @@
         reading_until_s=candidate.reading_until_s,
         forecast_s=candidate.forecast_s,
         expected_s=candidate.expected_s,
+        target_life=candidate.target.life,
     )
--- a/crowwinch/sharing/_headroom.py
+++ b/crowwinch/sharing/_headroom.py
@@ -38,7 +38,7 @@
 
 def has_room(candidate: Candidate, claim: Claim) -> bool:
     """Returns whether a target can accept a request now."""
-    if candidate.use >= 1.0:
+    if candidate.use >= 1.0 or candidate.limit_wait_s > 0.0:
         return False
     if not candidate.target.is_engine:
         return True
--- a/crowwinch/sharing/_model.py
+++ b/crowwinch/sharing/_model.py
@@ -117,6 +117,7 @@
     Attributes:
         verdict: Outcome.
         target: Identifier of the target, empty for a rejection.
+        target_life: Start of the target.
         unread_tokens: Prompt tokens that the target is expected to prefill.
         recompute_tokens: Shared tokens among them that another target has
             cached.
@@ -142,3 +143,4 @@
     forecast_s: float = 0.0
     expected_s: float = 0.0
     retry_after_s: float = 0.0
+    target_life: int = 0
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -14,6 +14,7 @@
 from crowwinch.sharing._loads import TargetLoads
 from crowwinch.sharing._model import TargetView, Work
 from crowwinch.sharing._prefixes import PrefixCacheTracker
+from crowwinch.sharing._rate_limits import TargetRateLimits
 from crowwinch.sharing._speeds import EngineSpeeds, prefill_seconds
 
 # Expected wait for a slot in a full batch, about half a typical request.
@@ -50,6 +51,8 @@
         has_connection: Whether this router may open another connection.
         is_blocked: Whether it is in back-off after a failed connection.
         hold_left_s: Seconds until it wants requests again, 0 if it does now.
+        limit_wait_s: Seconds until its rate limit allows a request of this
+            router, 0 if it does now.
         waiting_s: Modelled prefill time of the prompts queued at the target.
         use: Active requests at the target as a fraction of its slots.
         delay_s: Delay of the first event beyond prefill: the recent delay, the
@@ -60,6 +63,7 @@
     has_connection: bool
     is_blocked: bool
     hold_left_s: float
+    limit_wait_s: float
     waiting_s: float
     use: float
     delay_s: float
@@ -87,6 +91,8 @@
         is_home: Whether the target is the home of the prefix, to which all
             routers prefer to send it.
         loss: Expected loss of value by choosing this target.
+        limit_wait_s: Seconds until its rate limit allows a request of this
+            router, 0 if it does now.
     """
 
     target: TargetView
@@ -102,6 +108,7 @@
     recompute_tokens: int
     is_home: bool
     loss: float
+    limit_wait_s: float = 0.0
 
 
 class Placer:
@@ -113,12 +120,14 @@
         prefixes: PrefixCacheTracker,
         speeds: EngineSpeeds,
         health: TargetHealth,
+        rate_limits: TargetRateLimits,
     ) -> None:
         """Creates a placer from the inputs of its forecasts."""
         self._loads = loads
         self._prefixes = prefixes
         self._speeds = speeds
         self._health = health
+        self._rate_limits = rate_limits
 
     def alone_s(self, work: Work) -> float:
         """Returns the time to the first event at an idle target in seconds.
@@ -146,6 +155,7 @@
             has_connection=self.has_connection(target),
             is_blocked=health.is_blocked(identifier),
             hold_left_s=health.hold_left_s(identifier, target.life),
+            limit_wait_s=self._rate_limits.wait_s(target),
             waiting_s=loads.reading_s(identifier),
             use=use,
             delay_s=delay,
@@ -290,6 +300,7 @@
         prefill.recompute_tokens,
         is_home,
         _engine_loss(work, expected, prefill.recompute_tokens),
+        status.limit_wait_s,
     )
 
 
@@ -311,6 +322,7 @@
         recompute_tokens=0,
         is_home=False,
         loss=expected,
+        limit_wait_s=status.limit_wait_s,
     )
 
 
--- a/crowwinch/sharing/tests/support.py
+++ b/crowwinch/sharing/tests/support.py
@@ -11,6 +11,7 @@
     PrefixCacheTracker,
     TargetHealth,
     TargetLoads,
+    TargetRateLimits,
     TargetView,
     Ticket,
     Verdict,
@@ -43,6 +44,7 @@
         self.events = Events(self.clock)
         self.loads = TargetLoads(self.clock)
         self.prefixes = PrefixCacheTracker(self.clock)
+        self.rate_limits = TargetRateLimits(self.clock)
         self.shares = WorkspaceShares(self.clock, _WINDOW_S)
         self.shares.set_capacity(capacity)
         self.views = [
@@ -64,6 +66,7 @@
                 self.prefixes,
                 EngineSpeeds(),
                 TargetHealth(self.clock),
+                self.rate_limits,
             ),
             self.shares,
             lambda service: self.views,
--- a/crowwinch/sharing/tests/test_placer.py
+++ b/crowwinch/sharing/tests/test_placer.py
@@ -10,6 +10,7 @@
     PromptPart,
     TargetHealth,
     TargetLoads,
+    TargetRateLimits,
     TargetUse,
     TargetView,
     Work,
@@ -53,7 +54,11 @@
         self.health = TargetHealth(self.clock)
         self.prefixes = PrefixCacheTracker(self.clock)
         self.placer = Placer(
-            self.loads, self.prefixes, EngineSpeeds(), self.health
+            self.loads,
+            self.prefixes,
+            EngineSpeeds(),
+            self.health,
+            TargetRateLimits(self.clock),
         )
         self.engines = [engine(f"e{number}") for number in range(6)]
 
--- a/measurements/_sharing_world.py
+++ b/measurements/_sharing_world.py
@@ -20,6 +20,7 @@
     PrefixCacheTracker,
     TargetHealth,
     TargetLoads,
+    TargetRateLimits,
     TargetView,
     Ticket,
     Verdict,
@@ -178,7 +179,11 @@
         shares = WorkspaceShares(self.clock, time_constant(self.load.window_s))
         shares.set_capacity(self.load.capacity)
         placer = Placer(
-            loads, prefixes, EngineSpeeds(), TargetHealth(self.clock)
+            loads,
+            prefixes,
+            EngineSpeeds(),
+            TargetHealth(self.clock),
+            TargetRateLimits(self.clock),
         )
         admission = Admission(
             self.clock,
