Forwarding: let a stream go on only at the software version that began it (ORDER)

What was seen: two software versions of a service served side by side, and streams held events of both. One cause of several: a router that resumed a broken stream within its answer chose any other target.

Cause: the version in a target's entry was not kept, so no decision could ask for it.

Change: the directory, the target set and the views of admission control keep the software version. A stream is bound to the version of its first event before that event is passed on; attempts after it go to targets of that version only, also when a target has restarted with another version meanwhile. Without a target of the version, the answer breaks off. A stream without an event may begin again at any version.

Evidence: without the binding, two of the three tests of forwarding/tests/test_stream_versions.py fail (both versions in one answer; half of a stream that ends as complete).

What is left are streams that callers take up.

--- a/crowwinch/directory/_model.py
+++ b/crowwinch/directory/_model.py
@@ -36,6 +36,8 @@
         state: Whether the target accepts new requests.
         started_ms: Start time in Unix milliseconds. It distinguishes restarts
             of a target that keeps its identifier.
+        software_version: Version of its software, empty if unknown. What two
+            versions write cannot be joined in one stream.
     """
 
     identifier: str
@@ -45,6 +47,7 @@
     slots: int
     state: TargetState
     started_ms: int
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowwinch/forwarding/_delivery.py
+++ b/crowwinch/forwarding/_delivery.py
@@ -16,6 +16,7 @@
     exchange: Exchange,
     response: TargetResponse,
     on_event: Callable[[], None],
+    on_stream_start: Callable[[], None],
 ) -> None:
     """Relays a buffered response, an event stream or a large body.
 
@@ -25,6 +26,8 @@
         response: Head of the response, and its body if it was buffered.
         on_event: Called when a buffered response or complete events have
             arrived.
+        on_stream_start: Called before the first events of an attempt are
+            passed on.
 
     Raises:
         AttemptError: If the response is incomplete.
@@ -41,7 +44,9 @@
             response.status, response.reason, response.headers, response.body
         )
     elif response.is_stream:
-        await _relay_events(context, exchange, response, on_event)
+        await _relay_events(
+            context, exchange, response, on_event, on_stream_start
+        )
     else:
         await call.start(response.status, response.reason, response.headers)
         async for data in exchange.chunks():
@@ -54,6 +59,7 @@
     exchange: Exchange,
     response: TargetResponse,
     on_event: Callable[[], None],
+    on_stream_start: Callable[[], None],
 ) -> None:
     """Relays complete events as they arrive.
 
@@ -63,6 +69,7 @@
     call = context.call
     splitter = EventSplitter()
     resumes_after = context.last_event_id if call.is_started else None
+    has_events = False
     async for data in exchange.chunks():
         events = splitter.feed(data)
         if not events:
@@ -74,6 +81,9 @@
                 may_have_run=True,
             )
         on_event()
+        if not has_events:
+            has_events = True
+            on_stream_start()
         if not call.is_started:
             await call.start(response.status, response.reason, response.headers)
         # Without an id, no other target could tell where to go on.
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -261,6 +261,7 @@
             on_decision=on_decision,
             excluded=context.excluded,
             prior_wait_s=context.prior_wait_s,
+            software_version=context.software_version,
         )
         self._sharing.admission.submit(ticket)
         try:
@@ -298,6 +299,12 @@
         if target is None:
             self._sharing.release(work, placement)
             raise AttemptError("the target is gone", may_have_run=False)
+        if context.software_version not in (None, target.software_version):
+            self._sharing.release(work, placement)
+            raise AttemptError(
+                "the target has restarted with another software version",
+                may_have_run=False,
+            )
         started = self._clock.monotonic()
         context.target = target
         context.attempt_began_at = None
@@ -311,6 +318,7 @@
                 "expected_s": round(decision.expected_s, 3),
                 "delay_s": round(decision.expected_s - decision.forecast_s, 3),
                 "waited_s": round(started - call.arrived, 3),
+                "software": target.software_version,
                 **self._log.describe_directory(),
             }
         )
@@ -348,7 +356,13 @@
                 raise AttemptError(
                     f"target answered {response.status}", may_have_run=True
                 )
-            await deliver(context, exchange, response, events.record_event)
+            await deliver(
+                context,
+                exchange,
+                response,
+                events.record_event,
+                functools.partial(self._note_stream_start, context, target),
+            )
             self._sharing.health.record_response(
                 decision.target, response.status < 500
             )
@@ -363,6 +377,17 @@
             reservation.finish()
             self.schedule_poll()
 
+    def _note_stream_start(
+        self, context: RequestContext, target: Target
+    ) -> None:
+        """Binds a stream to the software version of its first event.
+
+        Before it, the caller has nothing that another version could not begin
+        again.
+        """
+        if context.software_version is None:
+            context.software_version = target.software_version
+
     def _note_head(
         self, target: Target, started: float, head: ResponseHead
     ) -> None:
--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -30,6 +30,8 @@
         last_event_id: Id of the event after which a stream resumes.
         relayed_event_id: Id of the last event that the caller got, None without
             one.
+        software_version: Version of the software of the targets that may go on
+            with the stream, None before its first event.
         excluded: Targets at which an attempt has failed.
         attempts: Log entry of each attempt.
         first_event_at: Monotonic time in seconds at which the first event was
@@ -53,6 +55,7 @@
     attempt_count: int = 0
     last_event_id: str | None = None
     relayed_event_id: str | None = None
+    software_version: str | None = None
     excluded: set[str] = field(default_factory=set)
     attempts: list[dict[str, object]] = field(default_factory=list)
     first_event_at: float | None = None
--- a/crowwinch/forwarding/_target_set.py
+++ b/crowwinch/forwarding/_target_set.py
@@ -23,6 +23,7 @@
         address: Address that it listens on.
         availability_zone: Availability zone that it runs in.
         slots: Maximum number of concurrent requests, 0 if unknown.
+        software_version: Version of its software, empty if unknown.
     """
 
     identifier: str
@@ -31,6 +32,7 @@
     address: SocketAddress
     availability_zone: str
     slots: int
+    software_version: str = ""
 
 
 class TargetSet:
@@ -127,4 +129,5 @@
             memory_tokens=engine.memory_tokens if engine else 0.0,
             max_connections=service.max_connections if service else 0,
             is_engine=engine is not None,
+            software_version=target.software_version,
         )
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 
 from crowwinch.coordination import SystemClock
@@ -224,7 +224,9 @@
         limits: RequestLimits | None = None,
         max_descriptors: int = 4_000,
         was_late: bool = False,
+        versions: Sequence[str] = (),
     ) -> None:
+        self._versions = versions or [""] * len(targets)
         self._scripted_targets = targets
         self.clock = SystemClock()
         self.metrics = Metrics()
@@ -287,8 +289,10 @@
         await self.server.start()
         self.target_set.update(
             [
-                Target(f"i-{number}", 0, "s", target.address, "az", 8)
-                for number, target in enumerate(self._scripted_targets)
+                Target(f"i-{number}", 0, "s", target.address, "az", 8, version)
+                for number, (target, version) in enumerate(
+                    zip(self._scripted_targets, self._versions, strict=True)
+                )
             ],
             self.routing,
         )
--- /dev/null
+++ b/crowwinch/forwarding/tests/test_stream_versions.py
@@ -0,0 +1,84 @@
+"""Tests of streams while two software versions of a service serve."""
+
+import asyncio
+
+from crowwinch.forwarding import RouteKind
+from crowwinch.forwarding.tests.support import (
+    RouterTest,
+    chunk,
+    event,
+    reset,
+    stream_head,
+)
+
+_LAST_EVENT = 6
+_BREAK_AFTER = 3
+
+
+class StreamVersionTest(RouterTest):
+    """Guards against streams joined from two software versions."""
+
+    async def asyncSetUp(self):
+        self.broken = 0
+        self.breaks_before_events = False
+
+    async def _serve(self, seen, writer):
+        """Breaks off the first stream and completes the others."""
+        writer.write(stream_head(seen))
+        after = int(seen.headers.get("last-event-id", 0))
+        is_broken = not self.broken
+        self.broken += is_broken
+        for number in range(after + 1, _LAST_EVENT + 1):
+            if is_broken and (
+                number > _BREAK_AFTER or self.breaks_before_events
+            ):
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                reset(writer)
+                return False
+            writer.write(chunk(event(number)))
+        writer.write(chunk(b""))
+        await writer.drain()
+        return True
+
+    async def _start_router(self, *versions):
+        return await self.router(
+            *[self._serve] * len(versions),
+            kind=RouteKind.RESUMABLE_STREAM,
+            is_engine=True,
+            max_attempts=4,
+            versions=versions,
+        )
+
+    async def test_stream_goes_on_at_the_version_of_its_first_event(self):
+        versions = ("v1", "v2", "v1", "v2")
+        for _ in range(6):
+            self.broken = 0
+            router = await self._start_router(*versions)
+            reply = await router.call()
+            self.assertTrue(reply.is_complete)
+            used = {
+                version
+                for target, version in zip(self.targets, versions, strict=True)
+                if target.requests
+            }
+            self.assertEqual(len(used), 1)
+            self.assertEqual(self.attempt_count, 2)
+
+    async def test_stream_breaks_off_without_a_target_of_its_version(self):
+        """Guards against an end that makes half of a stream look whole."""
+        router = await self._start_router("v1", "v2")
+        reply = await router.call()
+        self.assertEqual(reply.status, 200)
+        self.assertFalse(reply.is_complete)
+        self.assertEqual(
+            reply.body, b"".join(event(n) for n in range(1, _BREAK_AFTER + 1))
+        )
+        self.assertEqual(self.attempt_count, 1)
+
+    async def test_stream_without_events_begins_again_at_any_version(self):
+        self.breaks_before_events = True
+        router = await self._start_router("v1", "v2")
+        reply = await router.call()
+        self.assertTrue(reply.is_complete)
+        self.assertEqual(self.attempt_count, 2)
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -322,6 +322,7 @@
                     address=entry.address,
                     availability_zone=entry.availability_zone,
                     slots=entry.slots,
+                    software_version=entry.software_version,
                 )
                 for entry in self._state.available_targets()
             ),
--- a/crowwinch/platform/_documents.py
+++ b/crowwinch/platform/_documents.py
@@ -104,6 +104,8 @@
     # Start time in Unix milliseconds. It distinguishes restarts because a
     # target may keep its identifier.
     born: _NonNegativeInt = 0
+    # Version of the target's software, not of its weights.
+    Version: str = ""
 
 
 class DocumentCodec:
@@ -251,4 +253,5 @@
         slots=document.Slots,
         state=state,
         started_ms=document.born,
+        software_version=document.Version,
     )
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -187,12 +187,15 @@
         """Returns the decision, or None if the request stays queued."""
         work = ticket.work
         waited = now - ticket.arrived
-        candidates = self._placer.candidates(
-            work, statuses.values(), ticket.excluded
-        )
+        accepted = [
+            status
+            for status in statuses.values()
+            if ticket.accepts_version(status.target)
+        ]
+        candidates = self._placer.candidates(work, accepted, ticket.excluded)
         if not candidates:
             return self._decide_without_target(
-                ticket, waited, _hold_left_s(ticket, statuses.values())
+                ticket, waited, _hold_left_s(ticket, accepted)
             )
         claim = Claim(
             share_use=self._shares.use_of_share(work.workspace, work.cost),
--- a/crowwinch/sharing/_model.py
+++ b/crowwinch/sharing/_model.py
@@ -89,6 +89,7 @@
         max_connections: Connections that it accepts from all routers, 0 if
             unknown.
         is_engine: Whether it is a model engine.
+        software_version: Version of its software, empty if unknown.
     """
 
     identifier: str
@@ -99,6 +100,7 @@
     memory_tokens: float = 0.0
     max_connections: int = 0
     is_engine: bool = False
+    software_version: str = ""
 
 
 class Verdict(enum.Enum):
--- a/crowwinch/sharing/_ticket.py
+++ b/crowwinch/sharing/_ticket.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
-from crowwinch.sharing._model import Decision, Work
+from crowwinch.sharing._model import Decision, TargetView, Work
 
 # Target latency of requests whose route does not set one.
 _DEFAULT_LATENCY_S = 1.0
@@ -21,6 +21,8 @@
         excluded: Identifiers of targets that must not be used.
         prior_wait_s: Time that the caller has waited before the request
             arrived.
+        software_version: Only targets of this version may run it, None if any
+            may.
         latest_start: Monotonic time from which an answer is likely late; set
             when it is submitted.
     """
@@ -31,9 +33,14 @@
     on_decision: Callable[[Decision], None]
     excluded: Collection[str] = ()
     prior_wait_s: float = 0.0
+    software_version: str | None = None
     latest_start: float = field(default=0.0, init=False)
     is_done: bool = field(default=False, init=False)
 
+    def accepts_version(self, target: TargetView) -> bool:
+        """Returns whether targets of this software version may run it."""
+        return self.software_version in (None, target.software_version)
+
     @property
     def latency_s(self) -> float:
         """Target latency in seconds."""
