--- a/crowwinch/errors.py
+++ b/crowwinch/errors.py
@@ -48,6 +48,7 @@
     IDEMPOTENCY_KEY_UNUSED = 24
     ANSWER_NOT_KEPT = 25
     ROUTER_OVERLOADED = 26
+    STREAM_VERSION_UNKNOWN = 27
 
 
 class RetryReason(enum.IntEnum):
--- a/crowwinch/fleet/_endpoint.py
+++ b/crowwinch/fleet/_endpoint.py
@@ -3,18 +3,19 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
 from crowwinch.errors import DECODE_ERRORS, PeerRejection
-from crowwinch.generated.fleet_messages import FleetUpdate
+from crowwinch.generated.fleet_messages import FleetUpdate, StreamMessage
 
 _LOGGER = logging.getLogger(__name__)
 
-# First byte of each datagram: the version of the wire format, changed with each
-# incompatible format.
-_FORMAT_VERSION = b"\x02"
+# First byte of each datagram: the kind and version of the wire format, changed
+# with each incompatible format.
+_UPDATE_FORMAT = b"\x02"
+_STREAM_FORMAT = b"\x03"
 _MAX_UPDATE_BYTES = 60_000
 # Largest UDP payload, rounded up to a power of two.
 _RECEIVE_BUFFER_BYTES = 65_536
@@ -22,7 +23,10 @@
 # the number that a router receives in one update period.
 _MAX_DATAGRAMS_PER_POLL = 64
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(FleetUpdate)
+_DECODERS = {
+    _UPDATE_FORMAT: msgspec.msgpack.Decoder(FleetUpdate),
+    _STREAM_FORMAT: msgspec.msgpack.Decoder(StreamMessage),
+}
 
 
 class FleetEndpoint:
@@ -39,6 +43,7 @@
         port: int,
         receive: Callable[[FleetUpdate], None],
         count_rejection: Callable[[PeerRejection], None],
+        receive_stream: Callable[[StreamMessage], None] = lambda message: None,
     ) -> None:
         """Creates an endpoint; the socket is opened by `start`.
 
@@ -47,10 +52,12 @@
             port: Port to listen on, and to which updates are sent.
             receive: Called with each decoded update.
             count_rejection: Called with the reason of each dropped datagram.
+            receive_stream: Called with each decoded message about a stream.
         """
         self._host = host
         self._port = port
         self._receive = receive
+        self._receive_stream = receive_stream
         self._count_rejection = count_rejection
         self._socket: socket.socket | None = None
         self._is_polled = False
@@ -108,31 +115,42 @@
 
         Updates over the size limit are logged and dropped.
         """
-        if self._socket is None:
-            return
-        datagram = _FORMAT_VERSION + _ENCODER.encode(update)
+        datagram = _UPDATE_FORMAT + _ENCODER.encode(update)
         if len(datagram) > _MAX_UPDATE_BYTES:
             _LOGGER.error(
                 "update exceeds the datagram size limit; not sent",
                 extra={"bytes": len(datagram)},
             )
             return
-        for host in hosts:
-            try:
-                self._socket.sendto(datagram, (host, self._port))
-            except OSError:
-                # Host unreachable or send buffer full; the next update
-                # supersedes this one.
-                continue
+        self._send_datagram(datagram, hosts)
+
+    def send_stream(self, message: StreamMessage, hosts: Sequence[str]) -> None:
+        """Sends a message about a stream to the peer port of each host."""
+        self._send_datagram(_STREAM_FORMAT + _ENCODER.encode(message), hosts)
 
     def handle_datagram(self, datagram: bytes) -> None:
         """Decodes and dispatches a datagram; counts and drops invalid ones."""
-        if datagram[:1] != _FORMAT_VERSION:
+        decoder = _DECODERS.get(datagram[:1])
+        if decoder is None:
             self._count_rejection(PeerRejection.UNKNOWN_VERSION)
             return
         try:
-            update = _DECODER.decode(memoryview(datagram)[1:])
+            message = decoder.decode(memoryview(datagram)[1:])
         except DECODE_ERRORS:
             self._count_rejection(PeerRejection.MALFORMED)
             return
-        self._receive(update)
+        if isinstance(message, StreamMessage):
+            self._receive_stream(message)
+        else:
+            self._receive(message)
+
+    def _send_datagram(self, datagram: bytes, hosts: Sequence[str]) -> None:
+        if self._socket is None:
+            return
+        for host in hosts:
+            try:
+                self._socket.sendto(datagram, (host, self._port))
+            except OSError:
+                # Host unreachable or send buffer full. The next update
+                # supersedes this one; records go to several hosts.
+                continue
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -18,6 +18,7 @@
 from crowwinch.fleet._directory_pull import DirectoryPull
 from crowwinch.fleet._endpoint import FleetEndpoint
 from crowwinch.fleet._peer_table import PeerTable
+from crowwinch.fleet._stream_records import StreamRecords
 from crowwinch.forwarding import (
     GatewaySettings,
     SharingState,
@@ -31,6 +32,7 @@
     FleetUpdate,
     PrefixReport,
     RateLimitMessage,
+    StreamMessage,
     TargetReport,
     WorkspaceReport,
 )
@@ -100,6 +102,17 @@
             settings.peer_port,
             self._receive,
             count_rejection,
+            self._receive_stream,
+        )
+        # Availability zone of each peer that was heard.
+        self._peer_zones: dict[str, str] = {}
+        self._streams = StreamRecords(
+            timers.clock,
+            str(settings.control),
+            self._live_peer_zones,
+            lambda message, controls: self._endpoint.send_stream(
+                message, _hosts(controls)
+            ),
         )
         self._exchange = DirectoryExchange(state, settings.control)
         self._pull = DirectoryPull(timers.clock, state, readers, self._exchange)
@@ -115,6 +128,11 @@
         self._reader_timeout_s = _MIN_READER_TIMEOUT_S
         self._live: frozenset[str] = frozenset()
 
+    @property
+    def streams(self) -> StreamRecords:
+        """Records of the software versions that began streams."""
+        return self._streams
+
     @property
     def live_peers(self) -> int:
         """Number of peers heard within the liveness timeout."""
@@ -246,7 +264,7 @@
                         self._workspace_reports() if includes_shares else None
                     ),
                 ),
-                [control.rpartition(":")[0] for control in controls],
+                _hosts(controls),
             )
 
     def _workspace_reports(self) -> list[WorkspaceReport]:
@@ -320,11 +338,23 @@
             ],
         )
 
+    def _live_peer_zones(self) -> dict[str, str]:
+        return {
+            peer: self._peer_zones[peer]
+            for peer in self._table.live
+            if peer in self._peer_zones
+        }
+
+    def _receive_stream(self, message: StreamMessage) -> None:
+        if message.control != str(self._settings.control):
+            self._streams.receive(message)
+
     def _receive(self, update: FleetUpdate) -> None:
         if not self._table.accept(update):
             return
         sharing = self._sharing
         peer = update.control
+        self._peer_zones[peer] = update.availability_zone
         sharing.loads.replace_peer_report(
             peer,
             [
@@ -371,6 +401,11 @@
             )
 
 
+def _hosts(controls: Iterable[str]) -> list[str]:
+    """Returns the hosts of control addresses."""
+    return [control.rpartition(":")[0] for control in controls]
+
+
 def _encode_suspects(reports: Iterable[SuspectReport]) -> list[CrashReport]:
     return [
         CrashReport(
--- /dev/null
+++ b/crowwinch/fleet/tests/test_stream_records.py
@@ -0,0 +1,153 @@
+"""Tests of records of streams that several routers hold."""
+
+import asyncio
+import random
+import unittest
+
+from crowwinch.coordination import ManualClock
+from crowwinch.fleet import StreamRecords
+from crowwinch.forwarding import StreamVersionTable
+
+_ZONES = 3
+
+
+class _Network:
+    """Routers that exchange messages about streams."""
+
+    def __init__(self, size, loss=0.0):
+        self.clock = ManualClock()
+        self.rng = random.Random(1)
+        self.loss = loss
+        self.messages = 0
+        self.zones = {f"10.0.0.{n}:1": f"az-{n % _ZONES}" for n in range(size)}
+        self.routers = {}
+        for control in self.zones:
+            self.start(control)
+
+    def start(self, control):
+        """Starts a router without memory."""
+        self.routers[control] = StreamRecords(
+            self.clock,
+            control,
+            lambda: {
+                peer: self.zones[peer]
+                for peer in self.routers
+                if peer != control
+            },
+            self._send,
+        )
+
+    def kill(self, control):
+        self.routers.pop(control)
+
+    def _send(self, message, controls):
+        for control in controls:
+            self.messages += 1
+            router = self.routers.get(control)
+            if router is not None and self.rng.random() >= self.loss:
+                asyncio.get_running_loop().call_soon(router.receive, message)
+
+
+class StreamRecordsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against records that are lost with the router of a stream."""
+
+    async def test_any_router_finds_the_record_after_a_kill(self):
+        for size in (2, 3, 8, 90):
+            with self.subTest(size):
+                network = _Network(size)
+                first, *others = network.routers
+                network.routers[first].record("attempt", "v1")
+                await asyncio.sleep(0)
+                network.kill(first)
+                for control in others:
+                    found = await network.routers[control].find("attempt")
+                    self.assertEqual(found, "v1")
+
+    async def test_records_survive_the_loss_of_a_zone(self):
+        """Guards against records that are held in one zone only."""
+        network = _Network(9)
+        names = [f"attempt-{n}" for n in range(50)]
+        first = next(iter(network.routers))
+        for name in names:
+            network.routers[first].record(name, "v1")
+        await asyncio.sleep(0)
+        for lost in {"az-0", "az-1", "az-2"}:
+            routers = dict(network.routers)
+            network.routers = {
+                control: router
+                for control, router in routers.items()
+                if network.zones[control] != lost and control != first
+            }
+            asker = next(iter(network.routers.values()))
+            found = [await asker.find(name) for name in names]
+            self.assertEqual(found, ["v1"] * len(names))
+            network.routers = routers
+
+    async def test_lost_datagrams_are_sent_again(self):
+        network = _Network(8)
+        first, *_, last = network.routers
+        network.routers[first].record("attempt", "v1")
+        await asyncio.sleep(0)
+        network.kill(first)
+        network.loss = 0.3
+        self.assertEqual(await network.routers[last].find("attempt"), "v1")
+
+    async def test_unknown_stream_is_reported_at_once(self):
+        """Guards against a wait for the time-out when all have answered."""
+        network = _Network(8)
+        router = next(iter(network.routers.values()))
+        async with asyncio.timeout(0.1):
+            self.assertIsNone(await router.find("attempt"))
+
+    async def test_router_without_peers_knows_its_own_records(self):
+        network = _Network(1)
+        (router,) = network.routers.values()
+        router.record("attempt", "v1")
+        self.assertEqual(await router.find("attempt"), "v1")
+        self.assertIsNone(await router.find("other"))
+
+    async def test_few_peers_hold_and_are_asked(self):
+        """Guards against messages that grow with the fleet."""
+        network = _Network(90)
+        first, second, *_ = network.routers
+        network.routers[first].record("attempt", "v1")
+        self.assertEqual(network.messages, 2)
+        await network.routers[second].find("unknown")
+        self.assertLessEqual(network.messages, 2 + 2 * 6)
+
+    async def test_identifier_that_is_not_text(self):
+        """Guards against a request that fails for its identifier."""
+        network = _Network(2)
+        router = next(iter(network.routers.values()))
+        router.record("\udcff" * 9, "v1")
+        self.assertEqual(await router.find("\udcff" * 9), "v1")
+
+
+class StreamVersionTableTest(unittest.TestCase):
+    """Guards against records that are kept for ever or change."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.table = StreamVersionTable(self.clock)
+
+    def test_first_record_counts(self):
+        self.table.record("a", "v1")
+        self.table.record("a", "v2")
+        self.assertEqual(self.table.get("a"), "v1")
+
+    def test_records_end_after_their_last_use(self):
+        self.table.record("a", "v1")
+        self.clock.move_to(50.0)
+        self.table.record("a", "v1")
+        self.clock.move_to(100.0)
+        self.table.record("b", "v1")
+        self.assertEqual(self.table.get("a"), "v1")
+        self.clock.move_to(120.0)
+        self.table.record("c", "v1")
+        self.assertIsNone(self.table.get("a"))
+
+    def test_number_of_records_is_bounded(self):
+        for number in range(20_100):
+            self.table.record(str(number), "v1")
+        self.assertEqual(len(self.table), 20_000)
+        self.assertEqual(self.table.evictions, 100)
--- a/crowwinch/forwarding/__init__.py
+++ b/crowwinch/forwarding/__init__.py
@@ -27,6 +27,11 @@
 )
 from crowwinch.forwarding._server import CallerServer
 from crowwinch.forwarding._sharing_state import SharingState
+from crowwinch.forwarding._stream_versions import (
+    LocalStreamVersions,
+    StreamVersions,
+    StreamVersionTable,
+)
 from crowwinch.forwarding._target_client import TargetClient
 from crowwinch.forwarding._target_set import Target, TargetSet
 from crowwinch.sharing import PromptPart
@@ -41,6 +46,7 @@
     "Exchange",
     "Forwarder",
     "GatewaySettings",
+    "LocalStreamVersions",
     "PromptPart",
     "RequestHead",
     "RequestLimits",
@@ -51,6 +57,8 @@
     "Service",
     "SharingState",
     "SocketAddress",
+    "StreamVersionTable",
+    "StreamVersions",
     "Target",
     "TargetClient",
     "TargetResponse",
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -16,11 +16,12 @@
     ResponseHead,
     WireCodec,
 )
-from crowwinch.forwarding._model import Route, RoutingTable
+from crowwinch.forwarding._model import Route, RouteKind, RoutingTable
 from crowwinch.forwarding._request_context import RequestContext
 from crowwinch.forwarding._request_log import CALLER_GONE, SERVED, RequestLog
 from crowwinch.forwarding._retry_policy import RetryPolicy
 from crowwinch.forwarding._sharing_state import Placement, SharingState
+from crowwinch.forwarding._stream_versions import StreamVersions
 from crowwinch.forwarding._target_client import TargetClient
 from crowwinch.forwarding._target_set import Target, TargetSet
 from crowwinch.observability import Metrics
@@ -65,6 +66,7 @@
         codec: WireCodec,
         metrics: Metrics,
         random: Callable[[], float],
+        streams: StreamVersions,
         describe_state: Callable[[], Mapping[str, object]] = dict,
         was_late: Callable[[], bool] = lambda: False,
     ) -> None:
@@ -79,6 +81,7 @@
             codec: Encodes and decodes headers.
             metrics: Counters and histograms.
             random: Returns a random number in [0, 1).
+            streams: Finds the software versions of streams.
             describe_state: Returns the age and version of this router's state
                 for the request log.
             was_late: Returns whether the process recently lacked processor
@@ -92,6 +95,7 @@
         self._client = client
         self._codec = codec
         self._random = random
+        self._streams = streams
         self._retry_policy = RetryPolicy(clock, sharing, client.can_connect)
         self._log = RequestLog(clock, metrics, sharing.shares, describe_state)
         self._is_polling = False
@@ -221,6 +225,8 @@
         Raises:
             RefusalError: If no response can be returned.
         """
+        if context.is_taken_up:
+            await self._find_stream_version(context)
         while True:
             self._retry_policy.refuse_crash_suspect(context)
             placement = await self._admit(context)
@@ -235,6 +241,23 @@
             else:
                 return
 
+    async def _find_stream_version(self, context: RequestContext) -> None:
+        """Finds the software version that began a stream.
+
+        Raises:
+            RefusalError: If it is not known. Another version must not go on
+                with the stream.
+        """
+        attempt_id = context.call.head.resumed_attempt_id
+        if attempt_id is not None:
+            context.software_version = await self._streams.find(attempt_id)
+        if context.software_version is None:
+            raise RefusalError(
+                RefusalReason.STREAM_VERSION_UNKNOWN,
+                "the software version that began the stream is not known",
+                retry_after_s=_RETRY_DELAY_S,
+            )
+
     async def _admit(self, context: RequestContext) -> Placement:
         """Waits until the request is assigned to a target.
 
@@ -387,6 +410,8 @@
         """
         if context.software_version is None:
             context.software_version = target.software_version
+        if context.route.kind is RouteKind.RESUMABLE_STREAM:
+            self._streams.record(context.stream_id, context.software_version)
 
     def _note_head(
         self, target: Target, started: float, head: ResponseHead
--- a/crowwinch/forwarding/_messages.py
+++ b/crowwinch/forwarding/_messages.py
@@ -23,6 +23,8 @@
         parts: Parts of the prompt in order; the last is not shared with other
             requests.
         last_event_id: Id of the event after which to resume a stream.
+        resumed_attempt_id: Identifier of the attempt that brought the first
+            event of that stream, None if it was not sent.
     """
 
     attempt_id: str
@@ -33,6 +35,7 @@
     output_tokens: int
     parts: tuple[PromptPart, ...]
     last_event_id: str | None
+    resumed_attempt_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -92,6 +92,18 @@
             and self.relayed_event_id is not None
         )
 
+    @property
+    def stream_id(self) -> str:
+        """Attempt that brought the first event of the stream, or will."""
+        return self.call.head.resumed_attempt_id or self.call.head.attempt_id
+
+    @property
+    def is_taken_up(self) -> bool:
+        """Whether the caller got the first events in an earlier request."""
+        return self.route.kind is RouteKind.RESUMABLE_STREAM and bool(
+            self.call.head.last_event_id
+        )
+
     @property
     def run_state(self) -> RunState:
         """Run state that a refusal reports."""
--- a/crowwinch/forwarding/_request_log.py
+++ b/crowwinch/forwarding/_request_log.py
@@ -113,6 +113,10 @@
                 "served_per_s": round(self._shares.served_per_s),
                 "attempts": context.attempts,
             }
+            if context.is_taken_up:
+                entry["resumes"] = call.head.resumed_attempt_id
+                entry["last_event_id"] = call.head.last_event_id
+                entry["software"] = context.software_version
             if context.refused_feature is not None:
                 entry["refused_feature"] = context.refused_feature
             entry |= self._describe_state()
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -14,6 +14,7 @@
     CallerServer,
     Engine,
     Forwarder,
+    LocalStreamVersions,
     RequestLimits,
     Route,
     RouteKind,
@@ -257,6 +258,7 @@
             {KEY: Workspace("tenant")},
             limits or RequestLimits(),
         )
+        self.streams = LocalStreamVersions(self.clock)
         codec = HeaderCodec()
         self.client = TargetClient(codec.attempt_header)
         self.server = CallerServer(
@@ -272,6 +274,7 @@
                 codec,
                 self.metrics,
                 random.Random(1).random,
+                self.streams,
                 was_late=lambda: was_late,
             ),
             lambda: self.routing.limits if self.routing else RequestLimits(),
--- a/crowwinch/forwarding/tests/test_stream_versions.py
+++ b/crowwinch/forwarding/tests/test_stream_versions.py
@@ -15,9 +15,7 @@
 _BREAK_AFTER = 3
 
 
-class StreamVersionTest(RouterTest):
-    """Guards against streams joined from two software versions."""
-
+class _VersionTest(RouterTest):
     async def asyncSetUp(self):
         self.broken = 0
         self.breaks_before_events = False
@@ -50,6 +48,10 @@
             versions=versions,
         )
 
+
+class StreamVersionTest(_VersionTest):
+    """Guards against streams joined from two software versions."""
+
     async def test_stream_goes_on_at_the_version_of_its_first_event(self):
         versions = ("v1", "v2", "v1", "v2")
         for _ in range(6):
@@ -82,3 +84,50 @@
         reply = await router.call()
         self.assertTrue(reply.is_complete)
         self.assertEqual(self.attempt_count, 2)
+
+
+class TakenUpStreamTest(_VersionTest):
+    """Guards against a caller's stream that goes on at another version."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.broken = 1
+
+    async def _take_up(self, router, **options):
+        extra = f"Last-Event-Id: {_BREAK_AFTER}\r\nResumes: first\r\n"
+        return await router.call(attempt_id="second", extra=extra, **options)
+
+    async def test_stream_is_taken_up_at_the_version_that_began_it(self):
+        for version in ("v1", "v2"):
+            with self.subTest(version):
+                router = await self._start_router("v1", "v2", "v1", "v2")
+                router.streams.record("first", version)
+                reply = await self._take_up(router)
+                self.assertTrue(reply.is_complete)
+                used = [bool(target.requests) for target in self.targets]
+                self.assertEqual(sum(used), 1)
+                self.assertEqual(used.index(True) % 2, version == "v2")
+
+    async def test_version_is_recorded_before_the_first_event(self):
+        router = await self._start_router("v1", "v2")
+        reply = await router.call(attempt_id="first")
+        self.assertTrue(reply.is_complete)
+        used = [bool(target.requests) for target in self.targets]
+        version = await router.streams.find("first")
+        self.assertEqual(version, ("v1", "v2")[used.index(True)])
+
+    async def test_stream_is_refused_if_its_version_is_not_known(self):
+        """Guards against a guess, and against a refusal that is not true."""
+        router = await self._start_router("v1", "v2")
+        reply = await self._take_up(router)
+        self.assertEqual(reply.status, 503)
+        self.assertIn(b"stream_version_unknown", reply.body)
+        self.assertIn(b'"run_state":"not_run"', reply.body)
+        self.assertEqual(self.attempt_count, 0)
+
+    async def test_stream_is_refused_if_its_version_has_left(self):
+        router = await self._start_router("v2", "v2")
+        router.streams.record("first", "v1")
+        reply = await self._take_up(router)
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(self.attempt_count, 0)
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -110,6 +110,23 @@
             settings.availability_zone, self._remove_target
         )
         self._sharing = self._build_sharing()
+        self._is_stopping = False
+        self._stopped = asyncio.Event()
+        self._background: set[asyncio.Task[None]] = set()
+        self._fleet = FleetService(
+            self._timers,
+            settings,
+            self._state,
+            self._readers,
+            self._sharing,
+            lambda: self._is_stopping,
+            lambda reason: self._metrics.count_reason(
+                "peer_rejections", reason
+            ),
+        )
+        self._metrics.gauge(
+            "evicted_stream_records", lambda: self._fleet.streams.evictions
+        )
         codec = HeaderCodec()
         self._client = TargetClient(codec.attempt_header)
         self._callers = CallerServer(
@@ -125,6 +142,7 @@
                 codec,
                 self._metrics,
                 self._rng.random,
+                self._fleet.streams,
                 self._describe_state,
                 lambda: self._lag.was_late,
             ),
@@ -135,20 +153,6 @@
             lambda: self._lag.was_late,
             lambda: self._lag.seconds,
         )
-        self._is_stopping = False
-        self._stopped = asyncio.Event()
-        self._background: set[asyncio.Task[None]] = set()
-        self._fleet = FleetService(
-            self._timers,
-            settings,
-            self._state,
-            self._readers,
-            self._sharing,
-            lambda: self._is_stopping,
-            lambda reason: self._metrics.count_reason(
-                "peer_rejections", reason
-            ),
-        )
         self._runners: list[web.ServerRunner] = []
         self._components: list[Component] = [
             TimerDriver(self._timers),
--- a/crowwinch/platform/_documents.py
+++ b/crowwinch/platform/_documents.py
@@ -34,6 +34,7 @@
 _Integer = Annotated[int, msgspec.Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)]
 _NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
 _Slots = Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
+_SoftwareVersion = Annotated[str, msgspec.Meta(max_length=200)]
 _NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -105,7 +106,7 @@
     # target may keep its identifier.
     born: _NonNegativeInt = 0
     # Version of the target's software, not of its weights.
-    Version: str = ""
+    Version: _SoftwareVersion = ""
 
 
 class DocumentCodec:
--- a/crowwinch/platform/_headers.py
+++ b/crowwinch/platform/_headers.py
@@ -24,6 +24,8 @@
 _LENGTH_HINT = "X-Crowwinch-Length-Hint"
 _MODEL = "X-Crowwinch-Model"
 _LAST_EVENT_ID = "Last-Event-Id"
+# Attempt that brought the first event of the stream that is resumed.
+_RESUMES = "Resumes"
 # Identifier of the target that must run the request.
 _EXPECT_TARGET = "X-Crowwinch-Expect-Instance"
 _TENANT = "X-Crowwinch-Tenant"
@@ -107,6 +109,7 @@
             output_tokens=min(hint, output) if hint and output else output,
             parts=_decode_parts(headers.get(_PROMPT_PARTS, "")),
             last_event_id=headers.get(_LAST_EVENT_ID),
+            resumed_attempt_id=headers.get(_RESUMES) or None,
         )
 
     def encode_attempt(
