--- a/crowwinch/directory/__init__.py
+++ b/crowwinch/directory/__init__.py
@@ -13,6 +13,7 @@
 )
 from crowwinch.directory._readers import ReaderStatus, StoreReaderSelector
 from crowwinch.directory._state import DirectoryState
+from crowwinch.directory._version_history import VersionAge
 from crowwinch.directory._watcher import DirectoryWatcher
 
 __all__ = [
@@ -29,4 +30,5 @@
     "StoreReaderSelector",
     "TargetEntry",
     "TargetState",
+    "VersionAge",
 ]
--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -14,6 +14,11 @@
     TargetEntry,
     TargetState,
 )
+from crowwinch.directory._version_history import (
+    VersionAge,
+    VersionHistory,
+    shows_all_targets,
+)
 from crowwinch.forwarding import RoutingTable
 
 _LOGGER = logging.getLogger(__name__)
@@ -57,6 +62,7 @@
         # The removals after this revision are complete.
         self._removals_complete_after = 0
         self._departures = Departures(clock)
+        self._versions = VersionHistory(clock)
         self._last_contact = float("inf")
         self._failing_since: float | None = None
         self._recovered_at = float("-inf")
@@ -86,6 +92,61 @@
             and not self._departures.is_outdated(key, entry, self._era)
         ]
 
+    def only_version(self, service: str, age_s: float) -> str | None:
+        """Returns the only software version that served a service for a time.
+
+        Args:
+            service: Name of the service.
+            age_s: Length of that time in seconds, up to now.
+
+        Returns:
+            The version, None if there were several or it cannot be told.
+        """
+        if not self.is_connected:
+            return None
+        return self._versions.only_version(
+            service, self._targets.values(), age_s
+        )
+
+    @property
+    def history_s(self) -> float:
+        """Seconds for which all software versions that served are known."""
+        return self._versions.covered_s
+
+    def version_reports(self) -> list[VersionAge]:
+        """Returns the software versions of all services, for peers."""
+        return self._versions.reports(self._targets.values())
+
+    def merge_versions(
+        self, ages: Iterable[VersionAge], covered_s: float
+    ) -> None:
+        """Adds the software versions that a peer has seen.
+
+        Args:
+            ages: When each version was last there.
+            covered_s: Seconds for which the peer has seen all versions.
+        """
+        self._versions.merge(ages, covered_s)
+
+    def extend_history(self, changes: Changes, covered_s: float) -> None:
+        """Adds the software versions in changes before the first listing.
+
+        Args:
+            changes: Latest changes of the store.
+            covered_s: Seconds for which they are complete.
+        """
+        if changes.era != self._era or not shows_all_targets(changes.items):
+            return
+        decoded = (
+            self._decoder.decode(item.key, item.value)
+            for item in changes.items
+            if item.value is not None
+        )
+        self._versions.extend(
+            (entry for entry in decoded if isinstance(entry, TargetEntry)),
+            covered_s,
+        )
+
     @property
     def revision(self) -> int:
         """Revision up to which all changes are included."""
@@ -189,6 +250,7 @@
             if key not in present and item.revision <= listing.revision
         ]
         self._apply([*listing.items, *missing], listing.revision)
+        self._versions.start()
         # The listing lacks items that were both added and removed since the
         # last revision, so removals before it are incomplete.
         self._removals_complete_after = self._revision
@@ -330,6 +392,8 @@
             self._targets.pop(key, None)
             return
         before = self._targets.get(key)
+        if before is not None:
+            self._versions.record(before)
         self._targets[key] = decoded
         if decoded.state is TargetState.LEAVING:
             self._departures.record(
@@ -369,6 +433,7 @@
         self._items.pop(key, None)
         target = self._targets.pop(key, None)
         if target is not None:
+            self._versions.record(target)
             revision = self._removals.get(key, self._revision)
             self._departures.record(key, target, revision, self._era)
             _LOGGER.info(
--- a/crowwinch/fleet/__init__.py
+++ b/crowwinch/fleet/__init__.py
@@ -5,6 +5,7 @@
 from crowwinch.fleet._endpoint import FleetEndpoint
 from crowwinch.fleet._peer_table import PeerTable
 from crowwinch.fleet._service import FleetService
+from crowwinch.fleet._stream_origins import StreamOrigins
 from crowwinch.fleet._stream_records import StreamRecords
 
 __all__ = [
@@ -13,5 +14,6 @@
     "FleetEndpoint",
     "FleetService",
     "PeerTable",
+    "StreamOrigins",
     "StreamRecords",
 ]
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -12,6 +12,7 @@
     DirectoryState,
     ReaderStatus,
     StoreReaderSelector,
+    VersionAge,
 )
 from crowwinch.errors import PeerRejection
 from crowwinch.fleet._directory_exchange import DirectoryExchange
@@ -34,6 +35,7 @@
     RateLimitMessage,
     StreamMessage,
     TargetReport,
+    VersionReport,
     WorkspaceReport,
 )
 from crowwinch.sharing import (
@@ -336,6 +338,13 @@
                 DemandReport(service, round(per_s, 2))
                 for service, per_s in sharing.rate_limits.demand().items()
             ],
+            versions=[
+                VersionReport(
+                    age.service, age.version, round(age.age_s * _MS_PER_S)
+                )
+                for age in self._state.version_reports()
+            ],
+            history_ms=round(self._state.history_s * _MS_PER_S),
         )
 
     def _live_peer_zones(self) -> dict[str, str]:
@@ -381,6 +390,13 @@
             _decode_limits(update.rate_limits),
             {report.service: report.per_s for report in update.demand},
         )
+        self._state.merge_versions(
+            (
+                VersionAge(each.service, each.version, each.age_ms / _MS_PER_S)
+                for each in update.versions
+            ),
+            update.history_ms / _MS_PER_S,
+        )
         if update.era == self._state.era:
             self._state.merge_departures(
                 (report.key, report.revision) for report in update.departures
--- /dev/null
+++ b/crowwinch/fleet/_stream_origins.py
@@ -0,0 +1,119 @@
+"""Finds out which software version began a stream that is taken up."""
+
+import asyncio
+import logging
+
+from crowwinch.coordination import Clock
+from crowwinch.directory import (
+    Changes,
+    DirectoryState,
+    HistoryLostError,
+    Store,
+    StoreError,
+)
+from crowwinch.fleet._stream_records import StreamRecords
+from crowwinch.forwarding import TakenUpStream
+
+_LOGGER = logging.getLogger(__name__)
+
+_HISTORY_RETRY_S = 2.0
+
+
+class StreamOrigins:
+    """Finds the software version of a stream by all evidence that there is.
+
+    After the loss of all routers there are no records. If one version alone was
+    there for as long as the stream can be old, it began it.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        records: StreamRecords,
+        state: DirectoryState,
+        store: Store,
+        store_history_s: float,
+    ) -> None:
+        """Creates an instance; the store is read when it is first needed.
+
+        Args:
+            clock: Monotonic time.
+            records: Records of streams at the routers.
+            state: Directory of this router.
+            store: Keeps a history of its changes.
+            store_history_s: Time in seconds for which the store keeps its
+                changes.
+        """
+        self._clock = clock
+        self._records = records
+        self._state = state
+        self._store = store
+        self._store_history_s = store_history_s
+        self._history_lock = asyncio.Lock()
+        self._history_read_at = float("-inf")
+
+    def record(self, attempt_id: str, version: str) -> None:
+        """Records the version that began a stream, here and at peers."""
+        self._records.record(attempt_id, version)
+
+    async def find(self, stream: TakenUpStream) -> str | None:
+        """Returns the version that began a stream, None without proof."""
+        version = None
+        if stream.attempt_id is not None:
+            version = await self._records.find(stream.attempt_id)
+        if version is None:
+            version = await self._find_only_version(stream)
+        return version
+
+    async def _find_only_version(self, stream: TakenUpStream) -> str | None:
+        version = self._state.only_version(stream.service, stream.max_age_s)
+        if version is None and self._state.history_s < self._store_history_s:
+            await self._read_history()
+            version = self._state.only_version(stream.service, stream.max_age_s)
+        return version
+
+    async def _read_history(self) -> None:
+        """Reads the changes of the store that it still keeps."""
+        async with self._history_lock:
+            now = self._clock.monotonic()
+            if now - self._history_read_at < _HISTORY_RETRY_S:
+                return
+            self._history_read_at = now
+            try:
+                changes = await self._find_oldest_changes()
+            except StoreError as error:
+                _LOGGER.warning(
+                    "history of the store not read",
+                    extra={"cause": str(error)},
+                )
+                return
+            self._state.extend_history(changes, self._store_history_s)
+            _LOGGER.info(
+                "history of the store read",
+                extra={
+                    "changes": len(changes.items),
+                    "covered_s": round(self._state.history_s, 2),
+                },
+            )
+
+    async def _find_oldest_changes(self) -> Changes:
+        """Returns the changes after the oldest revision that the store keeps.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+        # The store keeps the changes after `kept`, but not those after `lost`.
+        lost, kept = -1, self._state.revision
+        changes = await self._store.watch(kept, 0.0)
+        step = 1
+        while kept - lost > 1:
+            revision = max(kept - step, lost + 1)
+            try:
+                changes = await self._store.watch(revision, 0.0)
+            except HistoryLostError:
+                lost = revision
+                step = max((kept - lost) // 2, 1)
+            else:
+                kept = revision
+                step = step * 2 if lost < 0 else max((kept - lost) // 2, 1)
+        return changes
--- /dev/null
+++ b/crowwinch/fleet/tests/test_stream_origins.py
@@ -0,0 +1,189 @@
+"""Tests of take-ups after the loss of all records."""
+
+import json
+import unittest
+
+from crowwinch.coordination import ManualClock
+from crowwinch.directory import (
+    Changes,
+    DirectoryState,
+    HistoryLostError,
+    Item,
+    Listing,
+    StoreError,
+    VersionAge,
+)
+from crowwinch.fleet import StreamOrigins, StreamRecords
+from crowwinch.forwarding import TakenUpStream
+from crowwinch.platform import DocumentCodec
+
+_HISTORY_S = 20.0
+_STREAM = TakenUpStream("attempt", "llm", 8.0)
+
+
+def _entry(name, version, revision, state="ready", service="llm"):
+    document = {
+        "Service": service,
+        "Address": "10.0.0.1:80",
+        "State": state,
+        "Version": version,
+        "Sequence": revision,
+    }
+    return Item(f"servers/{name}", revision, json.dumps(document).encode())
+
+
+class _Store:
+    """Keeps the changes after a revision."""
+
+    def __init__(self, changes, oldest):
+        self.changes = changes
+        self.oldest = oldest
+        self.calls = 0
+        self.is_down = False
+
+    async def watch(self, revision, wait_s):
+        self.calls += 1
+        if self.is_down:
+            raise StoreError("down")
+        if revision < self.oldest:
+            raise HistoryLostError("compacted")
+        return Changes(
+            self.changes[-1].revision,
+            tuple(each for each in self.changes if each.revision > revision),
+        )
+
+
+class StreamOriginsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a guess from the versions that are there now."""
+
+    def _start(self, changes, oldest=0):
+        """Starts a router that knows the last state only.
+
+        Args:
+            changes: All changes of the store.
+            oldest: Revision after which the store still keeps them.
+        """
+        self.clock = ManualClock(100.0)
+        self.store = _Store(changes, oldest)
+        self.state = DirectoryState(self.clock, DocumentCodec())
+        items = {item.key: item for item in changes}
+        self.state.apply_listing(
+            Listing(
+                changes[-1].revision,
+                tuple(each for each in items.values() if each.value),
+            )
+        )
+        records = StreamRecords(
+            self.clock, "10.0.0.1:1", dict, lambda message, peers: None
+        )
+        self.origins = StreamOrigins(
+            self.clock, records, self.state, self.store, _HISTORY_S
+        )
+
+    @staticmethod
+    def _release(count=30):
+        """Returns changes that replace version v1 by v2, one by one."""
+        changes, revision = [], 0
+        for number in range(count):
+            changes.append(_entry(f"i-{number}", "v1", number + 1))
+        revision = count
+        for number in range(count):
+            old = f"i-{number}"
+            changes += [
+                _entry(f"j-{number}", "v2", revision + 1),
+                _entry(old, "v1", revision + 2, "draining"),
+                Item(f"servers/{old}", revision + 3, None),
+            ]
+            revision += 3
+        return changes
+
+    async def test_version_that_was_alone_for_the_history(self):
+        changes = self._release()
+        last = changes[-1].revision
+        for oldest in (last, last - 1):
+            with self.subTest(oldest=oldest):
+                later = [
+                    *changes,
+                    _entry("j-0", "v2", last + 1, "draining"),
+                ]
+                self._start(later, last)
+                self.assertEqual(await self.origins.find(_STREAM), "v2")
+
+    async def test_other_version_has_left_within_the_history(self):
+        """Guards against a search that stops before the oldest change."""
+        changes = self._release()
+        last = changes[-1].revision
+        for kept in (1, 2, 3, 4, 5, 7, 8, 9, 40, 90, last):
+            with self.subTest(kept=kept):
+                self._start(changes, last - kept)
+                self.assertIsNone(await self.origins.find(_STREAM))
+                self.assertLessEqual(self.store.calls, 16)
+
+    async def test_target_that_was_removed_without_a_write(self):
+        """Guards against a version that the history does not show."""
+        changes = [
+            _entry("i-1", "v2", 1),
+            _entry("i-2", "v2", 2),
+            Item("servers/i-9", 3, None),
+        ]
+        self._start(changes, 2)
+        self.assertIsNone(await self.origins.find(_STREAM))
+
+    async def test_two_versions_serve(self):
+        self._start([_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)], 2)
+        self.assertIsNone(await self.origins.find(_STREAM))
+
+    async def test_versions_of_other_services_do_not_count(self):
+        other = _entry("i-9", "v7", 1, service="desk")
+        self._start([other, _entry("i-1", "v1", 2)])
+        self.assertEqual(await self.origins.find(_STREAM), "v1")
+
+    async def test_stream_that_may_be_older_than_the_history(self):
+        self._start([_entry("i-1", "v1", 1)], 1)
+        old = TakenUpStream("attempt", "llm", _HISTORY_S)
+        self.assertIsNone(await self.origins.find(old))
+
+    async def test_store_that_does_not_answer(self):
+        self._start([_entry("i-1", "v1", 1)])
+        self.store.is_down = True
+        self.assertIsNone(await self.origins.find(_STREAM))
+
+    async def test_calls_to_the_store_are_bounded(self):
+        """Guards against calls for each take-up of a crowd."""
+        self._start([_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)], 2)
+        for _ in range(50):
+            await self.origins.find(_STREAM)
+        self.assertLessEqual(self.store.calls, 2)
+
+    async def test_router_that_runs_for_long_asks_nobody(self):
+        self._start([_entry("i-1", "v1", 1)])
+        self.clock.move_to(130.0)
+        self.assertEqual(await self.origins.find(_STREAM), "v1")
+        self.assertEqual(self.store.calls, 0)
+
+    async def test_router_learns_of_versions_from_its_peers(self):
+        """Guards against refusals by each router that has just started."""
+        for versions, expected in ((("v1",), "v1"), (("v1", "v2"), None)):
+            with self.subTest(versions=versions):
+                self._start([_entry("i-1", "v1", 1)])
+                self.state.merge_versions(
+                    [VersionAge("llm", version, 5.0) for version in versions],
+                    60.0,
+                )
+                self.assertEqual(await self.origins.find(_STREAM), expected)
+                self.assertEqual(self.store.calls, 0)
+
+    async def test_version_that_left_while_the_router_runs(self):
+        changes = [_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)]
+        self._start(changes)
+        self.clock.move_to(130.0)
+        self.state.apply_changes(Changes(50, (Item("servers/i-1", 50, None),)))
+        self.clock.move_to(135.0)
+        self.assertIsNone(await self.origins.find(_STREAM))
+        self.clock.move_to(145.0)
+        self.assertEqual(await self.origins.find(_STREAM), "v2")
+
+    async def test_record_goes_before_the_history(self):
+        self._start([_entry("i-1", "v1", 1)])
+        self.origins.record("attempt", "v0")
+        self.assertEqual(await self.origins.find(_STREAM), "v0")
--- a/crowwinch/forwarding/__init__.py
+++ b/crowwinch/forwarding/__init__.py
@@ -31,6 +31,7 @@
     LocalStreamVersions,
     StreamVersions,
     StreamVersionTable,
+    TakenUpStream,
 )
 from crowwinch.forwarding._target_client import TargetClient
 from crowwinch.forwarding._target_set import Target, TargetSet
@@ -59,6 +60,7 @@
     "SocketAddress",
     "StreamVersionTable",
     "StreamVersions",
+    "TakenUpStream",
     "Target",
     "TargetClient",
     "TargetResponse",
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -21,7 +21,7 @@
 from crowwinch.forwarding._request_log import CALLER_GONE, SERVED, RequestLog
 from crowwinch.forwarding._retry_policy import RetryPolicy
 from crowwinch.forwarding._sharing_state import Placement, SharingState
-from crowwinch.forwarding._stream_versions import StreamVersions
+from crowwinch.forwarding._stream_versions import StreamVersions, TakenUpStream
 from crowwinch.forwarding._target_client import TargetClient
 from crowwinch.forwarding._target_set import Target, TargetSet
 from crowwinch.observability import Metrics
@@ -248,9 +248,13 @@
             RefusalError: If it is not known. Another version must not go on
                 with the stream.
         """
-        attempt_id = context.call.head.resumed_attempt_id
-        if attempt_id is not None:
-            context.software_version = await self._streams.find(attempt_id)
+        context.software_version = await self._streams.find(
+            TakenUpStream(
+                context.call.head.resumed_attempt_id,
+                context.work.service,
+                context.max_stream_age_s,
+            )
+        )
         if context.software_version is None:
             raise RefusalError(
                 RefusalReason.STREAM_VERSION_UNKNOWN,
--- a/crowwinch/forwarding/_model.py
+++ b/crowwinch/forwarding/_model.py
@@ -43,6 +43,8 @@
         retry_window_s: Window in seconds over which retries are counted.
         share_window_s: Window in seconds over which the usage of workspaces is
             counted.
+        store_history_s: Time in seconds for which the store keeps its changes,
+            0 if unknown.
     """
 
     name: str
@@ -63,6 +65,7 @@
     retry_ratio: float
     retry_window_s: float
     share_window_s: float
+    store_history_s: float = 0.0
 
 
 class RouteKind(enum.Enum):
--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -104,6 +104,16 @@
             self.call.head.last_event_id
         )
 
+    @property
+    def max_stream_age_s(self) -> float:
+        """Maximum time in seconds since a stream that is taken up began.
+
+        Its caller waits no longer than the time-out of the route in all, unless
+        callers of its workspace have been seen to.
+        """
+        left_s = self.call.head.deadline_s or 0.0
+        return max(self.route.timeout_s - left_s, self.prior_wait_s, 0.0)
+
     @property
     def run_state(self) -> RunState:
         """Run state that a refusal reports."""
--- a/crowwinch/forwarding/_stream_versions.py
+++ b/crowwinch/forwarding/_stream_versions.py
@@ -1,6 +1,7 @@
 """Software versions of the targets that began streams."""
 
 from collections import OrderedDict
+from dataclasses import dataclass
 from typing import Protocol
 
 from crowwinch.coordination import Clock
@@ -57,6 +58,21 @@
             self._records.popitem(last=False)
 
 
+@dataclass(frozen=True, slots=True)
+class TakenUpStream:
+    """A stream that a caller takes up after it broke off.
+
+    Attributes:
+        attempt_id: Attempt that brought its first event, None if unknown.
+        service: Service that runs it.
+        max_age_s: Maximum time in seconds since it began.
+    """
+
+    attempt_id: str | None
+    service: str
+    max_age_s: float
+
+
 class StreamVersions(Protocol):
     """Finds the software version that began a stream, at any router."""
 
@@ -68,8 +84,8 @@
             version: Software version of its target.
         """
 
-    async def find(self, attempt_id: str) -> str | None:
-        """Returns the recorded version, None if no record can be found."""
+    async def find(self, stream: TakenUpStream) -> str | None:
+        """Returns the version that began a stream, None without proof."""
 
 
 class LocalStreamVersions:
@@ -87,6 +103,6 @@
         """Records the version that began a stream."""
         self._table.record(attempt_id, version)
 
-    async def find(self, attempt_id: str) -> str | None:
+    async def find(self, stream: TakenUpStream) -> str | None:
         """Returns the recorded version, None without one."""
-        return self._table.get(attempt_id)
+        return self._table.get(stream.attempt_id or "")
--- a/crowwinch/forwarding/tests/test_stream_versions.py
+++ b/crowwinch/forwarding/tests/test_stream_versions.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from crowwinch.forwarding import RouteKind
+from crowwinch.forwarding import RouteKind, TakenUpStream
 from crowwinch.forwarding.tests.support import (
     RouterTest,
     chunk,
@@ -113,7 +113,7 @@
         reply = await router.call(attempt_id="first")
         self.assertTrue(reply.is_complete)
         used = [bool(target.requests) for target in self.targets]
-        version = await router.streams.find("first")
+        version = await router.streams.find(TakenUpStream("first", "s", 5.0))
         self.assertEqual(version, ("v1", "v2")[used.index(True)])
 
     async def test_stream_is_refused_if_its_version_is_not_known(self):
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -21,7 +21,7 @@
     StoreReaderSelector,
 )
 from crowwinch.errors import PeerRejection, RefusalReason, RetryReason
-from crowwinch.fleet import FleetService
+from crowwinch.fleet import FleetService, StreamOrigins
 from crowwinch.forwarding import (
     CallerServer,
     Forwarder,
@@ -142,7 +142,13 @@
                 codec,
                 self._metrics,
                 self._rng.random,
-                self._fleet.streams,
+                StreamOrigins(
+                    self._clock,
+                    self._fleet.streams,
+                    self._state,
+                    self._store,
+                    settings.store_history_s,
+                ),
                 self._describe_state,
                 lambda: self._lag.was_late,
             ),
--- a/crowwinch/platform/_settings.py
+++ b/crowwinch/platform/_settings.py
@@ -40,6 +40,8 @@
 
 class _Platform(msgspec.Struct):
     Address: str
+    # Time for which the store keeps its changes.
+    HistoryS: _NonNegative = 0.0
 
 
 class _Boot(msgspec.Struct):
@@ -117,6 +119,7 @@
         retry_ratio=bounds.RetryBudgetRatio,
         retry_window_s=bounds.BudgetWindowS,
         share_window_s=bounds.QuotaWindowS,
+        store_history_s=boot.Platform.HistoryS,
     )
 
 
