Sharing: let streams that are taken up go before new ones (LOST)

Cause: a take-up has little of its caller's time left, so it counted as a request whose caller had waited for seconds. Such requests get what others leave. Its workspace was charged a second time when its share was checked.

Change: a take-up does not count as late, since its caller has the first events. It goes before the new requests of its workspace, and its cost, charged when the stream began, is not added to the share use. Shares hold as for others.

--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -287,7 +287,9 @@
             deadline=context.deadline,
             on_decision=on_decision,
             excluded=context.excluded,
-            prior_wait_s=context.prior_wait_s,
+            # The caller of a broken stream has its first events in time.
+            prior_wait_s=0.0 if context.is_taken_up else context.prior_wait_s,
+            is_taken_up=context.is_taken_up,
             software_version=context.software_version,
         )
         self._sharing.admission.submit(ticket)
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -21,7 +21,7 @@
 from crowwinch.coordination import Clock
 from crowwinch.sharing._claim import Claim
 from crowwinch.sharing._headroom import has_room
-from crowwinch.sharing._model import Decision, TargetView, Verdict, Work
+from crowwinch.sharing._model import Decision, TargetView, Verdict
 from crowwinch.sharing._placer import Candidate, Placer, TargetStatus
 from crowwinch.sharing._return_times import ReturnTimes
 from crowwinch.sharing._shares import WorkspaceShares
@@ -93,7 +93,7 @@
             if decision is not None:
                 self._finish(ticket, decision)
                 return
-        elif self._is_rejection_certain(ticket.work, queue):
+        elif self._is_rejection_certain(ticket, queue):
             self._finish(ticket, self._refuse_over_share(ticket, now))
             return
         self._standing.note_request(ticket.work.service)
@@ -198,7 +198,9 @@
                 ticket, waited, _hold_left_s(ticket, accepted)
             )
         claim = Claim(
-            share_use=self._shares.use_of_share(work.workspace, work.cost),
+            share_use=self._shares.use_of_share(
+                work.workspace, _uncharged_units(ticket)
+            ),
             relative_use=self._shares.relative_use(work.workspace),
             latency_s=ticket.latency_s,
             waited_s=waited,
@@ -219,14 +221,17 @@
         return self._refuse_over_share(ticket, now)
 
     def _is_rejection_certain(
-        self, work: Work, queue: Collection[Ticket]
+        self, ticket: Ticket, queue: Collection[Ticket]
     ) -> bool:
         """Returns whether a new request would only be rejected later.
 
         That is so over the share once a poll no longer reaches the request.
+        Polls reach streams that are taken up before all others.
         """
+        work = ticket.work
         return (
-            len(queue) >= _MAX_UNDECIDED
+            not ticket.is_taken_up
+            and len(queue) >= _MAX_UNDECIDED
             and self._shares.use_of_share(work.workspace, work.cost) > 1.0
         )
 
@@ -250,6 +255,14 @@
         )
 
 
+def _uncharged_units(ticket: Ticket) -> int:
+    """Returns the units of a request that its workspace was not charged for.
+
+    A stream that is taken up was charged when it began.
+    """
+    return 0 if ticket.is_taken_up else ticket.work.cost
+
+
 def _hold_left_s(ticket: Ticket, statuses: Iterable[TargetStatus]) -> float:
     """Returns the seconds until a target wants requests, 0 if one does now."""
     return min(
--- a/crowwinch/sharing/_start_order.py
+++ b/crowwinch/sharing/_start_order.py
@@ -36,11 +36,14 @@
     def groups(queue: Iterable[Ticket]) -> tuple[list[Ticket], list[Ticket]]:
         """Returns the requests in order, those of late callers apart.
 
-        Requests whose answers can be in time go first. A request that must be
-        refused is at the head of its group, so that it is reached however many
-        others wait.
+        Requests whose answers can be in time go first, streams that are taken
+        up before new ones. A request that must be refused is at the head of its
+        group, so that it is reached however many others wait.
         """
-        ordered = sorted(queue, key=lambda ticket: ticket.latest_start)
+        ordered = sorted(
+            queue,
+            key=lambda ticket: (not ticket.is_taken_up, ticket.latest_start),
+        )
         timely = [ticket for ticket in ordered if not ticket.is_late]
         late = [ticket for ticket in ordered if ticket.is_late]
         return timely, late
--- a/crowwinch/sharing/_ticket.py
+++ b/crowwinch/sharing/_ticket.py
@@ -21,6 +21,8 @@
         excluded: Identifiers of targets that must not be used.
         prior_wait_s: Time that the caller has waited before the request
             arrived.
+        is_taken_up: Whether it goes on with a stream of which the caller has
+            the first events.
         software_version: Only targets of this version may run it, None if any
             may.
         latest_start: Monotonic time from which an answer is likely late; set
@@ -33,6 +35,7 @@
     on_decision: Callable[[Decision], None]
     excluded: Collection[str] = ()
     prior_wait_s: float = 0.0
+    is_taken_up: bool = False
     software_version: str | None = None
     latest_start: float = field(default=0.0, init=False)
     is_done: bool = field(default=False, init=False)
