--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -259,7 +259,6 @@
             raise RefusalError(
                 RefusalReason.STREAM_VERSION_UNKNOWN,
                 "the software version that began the stream is not known",
-                retry_after_s=_RETRY_DELAY_S,
             )
 
     async def _admit(self, context: RequestContext) -> Placement:
--- a/crowwinch/forwarding/tests/test_stream_versions.py
+++ b/crowwinch/forwarding/tests/test_stream_versions.py
@@ -123,6 +123,8 @@
         self.assertEqual(reply.status, 503)
         self.assertIn(b"stream_version_unknown", reply.body)
         self.assertIn(b'"run_state":"not_run"', reply.body)
+        # Later there is no more evidence than now.
+        self.assertNotIn("retry-after", reply.headers)
         self.assertEqual(self.attempt_count, 0)
 
     async def test_stream_is_refused_if_its_version_has_left(self):
