--- a/crowwinch/forwarding/_delivery.py
+++ b/crowwinch/forwarding/_delivery.py
@@ -96,6 +96,12 @@
             may_have_run=True,
             is_connection_lost=True,
         )
+    if not (has_events or response.has_marked_end or context.last_event_id):
+        raise AttemptError(
+            "the connection ended before the first event",
+            may_have_run=True,
+            is_connection_lost=True,
+        )
     if not call.is_started:
         await call.start(response.status, response.reason, response.headers)
     await call.finish()
--- a/crowwinch/forwarding/_exchange.py
+++ b/crowwinch/forwarding/_exchange.py
@@ -54,6 +54,7 @@
         headers: Headers to relay to the caller.
         body: The complete body, or None if it must be read with `chunks`.
         is_stream: Whether the body is a stream of server-sent events.
+        has_marked_end: Whether a body that is cut can be told from a whole one.
     """
 
     status: int
@@ -61,6 +62,7 @@
     headers: list[tuple[str, str]]
     body: bytes | None
     is_stream: bool
+    has_marked_end: bool
 
     @property
     def is_success(self) -> bool:
@@ -184,6 +186,10 @@
             headers=self._codec.relayed_headers(response.headers),
             body=None,
             is_stream=response.content_type == _EVENT_STREAM_TYPE,
+            has_marked_end=(
+                "Content-Length" in response.headers
+                or "Transfer-Encoding" in response.headers
+            ),
         )
         if not (relayed.is_stream and is_success):
             relayed.body = await self._read_body(response)
