--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import logging
 from collections.abc import Callable, Mapping
 
 from crowwinch.coordination import Clock
@@ -13,7 +12,6 @@
 from crowwinch.forwarding._exchange import AttemptError, Exchange
 from crowwinch.forwarding._messages import (
     AttemptHead,
-    ResponseHead,
     WireCodec,
 )
 from crowwinch.forwarding._model import Route, RouteKind, RoutingTable
@@ -23,12 +21,11 @@
 from crowwinch.forwarding._sharing_state import Placement, SharingState
 from crowwinch.forwarding._stream_versions import StreamVersions, TakenUpStream
 from crowwinch.forwarding._target_client import TargetClient
+from crowwinch.forwarding._target_observer import TargetObserver
 from crowwinch.forwarding._target_set import Target, TargetSet
 from crowwinch.observability import Metrics
 from crowwinch.sharing import Decision, Ticket, Verdict, Work
 
-_LOGGER = logging.getLogger(__name__)
-
 # Used where the route has no time-out or the caller sets no deadline.
 _DEFAULT_TIMEOUT_S = 60.0
 # Retry delay after a refusal for lack of a configuration or of a target; it
@@ -44,8 +41,6 @@
 # less than this fraction of its own prefill time.
 _MAX_QUEUED_PREFILL_RATIO = 0.1
 
-_MAX_UNREADABLE_LIMITS = 1_000
-
 _REFUSALS = {
     Verdict.REFUSE_OVERLOAD: RefusalReason.DEADLINE_UNREACHABLE,
     Verdict.REFUSE_OVER_SHARE: RefusalReason.WORKSPACE_LIMIT,
@@ -99,8 +94,7 @@
         self._retry_policy = RetryPolicy(clock, sharing, client.can_connect)
         self._log = RequestLog(clock, metrics, sharing.shares, describe_state)
         self._is_polling = False
-        # Targets whose unreadable limit was logged.
-        self._unreadable_limits: set[str] = set()
+        self._observer = TargetObserver(targets, sharing, self._log)
 
     @property
     def clock(self) -> Clock:
@@ -355,7 +349,7 @@
             self._codec,
             str(target.address),
             call.head.attempt_id,
-            functools.partial(self._note_head, target, started),
+            functools.partial(self._observer.observe_head, target, started),
         )
         events = EventRecorder(
             self._clock,
@@ -418,65 +412,6 @@
         if context.route.kind is RouteKind.RESUMABLE_STREAM:
             self._streams.record(context.stream_id, context.software_version)
 
-    def _note_head(
-        self, target: Target, started: float, head: ResponseHead
-    ) -> None:
-        """Applies what a response says about its target.
-
-        Args:
-            target: The target.
-            started: Monotonic time at which the attempt started.
-            head: Head of the response.
-        """
-        self._note_rate_limit(target, started, head)
-        if head.is_leaving and self._targets.mark_leaving(target):
-            _LOGGER.info(
-                "target says that it leaves",
-                extra={
-                    "target": target.identifier,
-                    "started_ms": target.life,
-                },
-            )
-        if head.hold_s is not None:
-            self._sharing.health.hold(
-                target.identifier, target.life, head.hold_s
-            )
-            _LOGGER.info(
-                "target wants no requests for a time",
-                extra={"target": target.identifier, "seconds": head.hold_s},
-            )
-
-    def _note_rate_limit(
-        self, target: Target, started: float, head: ResponseHead
-    ) -> None:
-        if head.has_unreadable_limit:
-            self._log_unreadable_limit(target)
-            return
-        if self._sharing.rate_limits.observe(
-            target.identifier, target.life, head.rate_limit, started
-        ):
-            _LOGGER.info(
-                "rate limit of a target changed",
-                extra={
-                    "target": target.identifier,
-                    "started_ms": target.life,
-                    "requests_per_s": head.rate_limit,
-                },
-            )
-
-    def _log_unreadable_limit(self, target: Target) -> None:
-        """Logs once for each target, since all its answers may be alike."""
-        self._log.count_unreadable_limit()
-        if target.identifier in self._unreadable_limits:
-            return
-        if len(self._unreadable_limits) >= _MAX_UNREADABLE_LIMITS:
-            self._unreadable_limits.clear()
-        self._unreadable_limits.add(target.identifier)
-        _LOGGER.warning(
-            "unreadable rate limit of a target ignored",
-            extra={"target": target.identifier},
-        )
-
     def _deadline_refusal(self, context: RequestContext) -> RefusalError:
         if context.may_have_run:
             return RefusalError(
--- /dev/null
+++ b/crowwinch/forwarding/_target_observer.py
@@ -0,0 +1,92 @@
+"""Applies what the heads of responses say about their targets."""
+
+import logging
+
+from crowwinch.forwarding._messages import ResponseHead
+from crowwinch.forwarding._request_log import RequestLog
+from crowwinch.forwarding._sharing_state import SharingState
+from crowwinch.forwarding._target_set import Target, TargetSet
+
+_LOGGER = logging.getLogger(__name__)
+
+# Targets whose unreadable limit is not logged again.
+_MAX_UNREADABLE_LIMITS = 1_000
+
+
+class TargetObserver:
+    """Applies departures, pauses and rate limits that targets announce."""
+
+    def __init__(
+        self, targets: TargetSet, sharing: SharingState, log: RequestLog
+    ) -> None:
+        """Creates an observer.
+
+        Args:
+            targets: Targets that accept requests; those that leave are removed.
+            sharing: Gets the pauses and the rate limits.
+            log: Counts responses that cannot be read.
+        """
+        self._targets = targets
+        self._sharing = sharing
+        self._log = log
+        # Targets whose unreadable limit was logged.
+        self._unreadable_limits: set[str] = set()
+
+    def observe_head(
+        self, target: Target, started: float, head: ResponseHead
+    ) -> None:
+        """Applies what a response says about its target.
+
+        Args:
+            target: The target.
+            started: Monotonic time at which the attempt started.
+            head: Head of the response.
+        """
+        self._note_rate_limit(target, started, head)
+        if head.is_leaving and self._targets.mark_leaving(target):
+            _LOGGER.info(
+                "target says that it leaves",
+                extra={
+                    "target": target.identifier,
+                    "started_ms": target.life,
+                },
+            )
+        if head.hold_s is not None:
+            self._sharing.health.hold(
+                target.identifier, target.life, head.hold_s
+            )
+            _LOGGER.info(
+                "target wants no requests for a time",
+                extra={"target": target.identifier, "seconds": head.hold_s},
+            )
+
+    def _note_rate_limit(
+        self, target: Target, started: float, head: ResponseHead
+    ) -> None:
+        if head.has_unreadable_limit:
+            self._log_unreadable_limit(target)
+            return
+        if self._sharing.rate_limits.observe(
+            target.identifier, target.life, head.rate_limit, started
+        ):
+            _LOGGER.info(
+                "rate limit of a target changed",
+                extra={
+                    "target": target.identifier,
+                    "started_ms": target.life,
+                    "requests_per_s": head.rate_limit,
+                },
+            )
+
+    def _log_unreadable_limit(self, target: Target) -> None:
+        """Logs once for each target, since all its answers may be alike."""
+        self._log.count_unreadable_limit()
+        if target.identifier in self._unreadable_limits:
+            return
+        if len(self._unreadable_limits) >= _MAX_UNREADABLE_LIMITS:
+            self._unreadable_limits.clear()
+        self._unreadable_limits.add(target.identifier)
+        _LOGGER.warning(
+            "unreadable rate limit of a target ignored",
+            extra={"target": target.identifier},
+        )
