--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -13,7 +13,7 @@
 from crowwinch.errors import RefusalError, RefusalReason
 from crowwinch.forwarding._call import Call, read_body
 from crowwinch.forwarding._early_refusals import EarlyRefusals
-from crowwinch.forwarding._forwarder import Forwarder
+from crowwinch.forwarding._forwarder import OTHER_ROUTER_RETRY_S, Forwarder
 from crowwinch.forwarding._listener import ConnectionListener
 from crowwinch.forwarding._messages import WireCodec
 from crowwinch.forwarding._model import RequestLimits, SocketAddress
@@ -38,8 +38,6 @@
 # this limit, many reconnecting callers exhausted the descriptors, and requests
 # were read seconds late.
 _KEEP_ALIVE_DESCRIPTOR_SHARE = 0.4
-# Short, because another router can serve the request immediately.
-_OTHER_ROUTER_RETRY_S = 0.05
 # Status of a response that is never sent because the caller disconnected.
 _CALLER_GONE_STATUS = 499
 
@@ -234,6 +232,18 @@
         """Closes each connection after its next response."""
         self._is_draining = True
 
+    def set_shutdown_deadline(self, deadline: float) -> None:
+        """Sets when open requests are ended.
+
+        Args:
+            deadline: Monotonic time.
+        """
+        self._forwarder.set_shutdown_deadline(deadline)
+
+    def end_requests(self) -> None:
+        """Answers all open requests now, as at their deadlines."""
+        self._forwarder.end_requests()
+
     def refuse_new_requests(self) -> None:
         """Refuses requests that arrive from now on."""
         self._refuses_requests = True
@@ -268,14 +278,7 @@
         head = self._codec.decode_request(request.headers)
         call = Call(request, head, b"", arrived, self._closes_connection)
         if self._refuses_requests:
-            return await self._refuse(
-                call,
-                RefusalError(
-                    RefusalReason.SHUTTING_DOWN,
-                    "the router is stopping",
-                    retry_after_s=_OTHER_ROUTER_RETRY_S,
-                ),
-            )
+            return await self._refuse(call, _shutdown_refusal())
         if self._body_bytes > self._body_capacity:
             return await self._refuse(
                 call,
@@ -306,6 +309,9 @@
                 ),
             )
         call = Call(request, head, body, arrived, self._closes_connection)
+        # The shutdown may have gone on while the body arrived.
+        if self._refuses_requests:
+            return await self._refuse(call, _shutdown_refusal())
         await self._forwarder.serve(call)
         if not call.is_started:
             return web.Response(status=_CALLER_GONE_STATUS)
@@ -331,3 +337,11 @@
             self._metrics.count("callers_gone")
         call.response.force_close()
         return call.response
+
+
+def _shutdown_refusal() -> RefusalError:
+    return RefusalError(
+        RefusalReason.SHUTTING_DOWN,
+        "the router is stopping",
+        retry_after_s=OTHER_ROUTER_RETRY_S,
+    )
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -69,6 +69,8 @@
 # the usual 8 s.
 _STOP_MARGIN_S = 1.2
 _DRAIN_POLL_S = 0.05
+# Time to write the answers of requests that the shutdown ends.
+_LAST_ANSWERS_S = 0.2
 # The settings file may change without a signal, so it is polled.
 _SETTINGS_POLL_S = 1.0
 _SHUTDOWN_TIMEOUT_S = 0.1
@@ -272,18 +274,31 @@
 
         Ends early enough to close all connections within the grace period.
         """
-        now = self._clock.monotonic()
-        refuse_from = now + _OUT_OF_ROTATION_S
-        drain_deadline = now + self._settings.stop_grace_s - _STOP_MARGIN_S
-        while (now := self._clock.monotonic()) < drain_deadline:
-            if now >= refuse_from:
+        started = self._clock.monotonic()
+        while True:
+            now = self._clock.monotonic()
+            # The grace period may change while the router stops.
+            end = started + self._settings.stop_grace_s - _STOP_MARGIN_S
+            self._callers.set_shutdown_deadline(end)
+            if now >= started + _OUT_OF_ROTATION_S:
                 self._callers.refuse_new_requests()
                 if not self._callers.active:
                     break
+            if now >= end:
+                await self._end_requests()
+                break
             await asyncio.sleep(_DRAIN_POLL_S)
         _LOGGER.info("shutdown finished", extra={"cut": self._callers.active})
         self._stopped.set()
 
+    async def _end_requests(self) -> None:
+        """Answers the requests that are still open."""
+        self._callers.refuse_new_requests()
+        self._callers.end_requests()
+        end = self._clock.monotonic() + _LAST_ANSWERS_S
+        while self._callers.active and self._clock.monotonic() < end:
+            await asyncio.sleep(_DRAIN_POLL_S)
+
     def _apply_settings(self, settings: GatewaySettings) -> None:
         """Applies settings that changed while the router runs.
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -144,6 +144,22 @@
         for thread in threads:
             thread.join()
 
+    def test_a_grace_period_that_gets_shorter_during_a_stop(self):
+        """Guards against a router that is killed by a changed limit."""
+        fleet = self.fleet
+        for name in ("i-llm-1", "i-llm-2"):
+            fleet.set_work(name, 1.5)
+        thread = threading.Thread(target=fleet.ask, args=(0, "/chat/a"))
+        thread.start()
+        time.sleep(0.3)
+        router = fleet.routers[0]
+        router.signal(signal.SIGTERM)
+        settings = fleet.path / "router-0.toml"
+        text = settings.read_text().replace("GraceS = 8", "GraceS = 5")
+        settings.write_text(text)
+        self.assertEqual(router.handle.wait(5.0), 0)
+        thread.join()
+
     def test_a_killed_target_loses_no_safe_request(self):
         fleet = self.fleet
         answers: list[tuple[int, bytes]] = []
