Sharing: refuse at once what the rate limits of all targets never allow (LIMIT)

Cause: where all targets of a service have rate limits, a request within its share waited up to 0.7 of its target latency for a start that others ahead of it take.

Change: the wait is forecast from the parts of the limits that this router may use, the requests of the same workspace ahead and the workspaces that wait, which take turns. A request is refused when the forecast is twice the longest wait that it may have.

--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -9,6 +9,7 @@
 `WaitLimits`, `LateAnswers`, `Leads`, `StandingQueues` and `TimelyRequests`.
 """
 
+import math
 from collections import deque
 from collections.abc import (
     Callable,
@@ -39,6 +40,7 @@
 # Undecided requests of one workspace after which a poll stops. Later requests
 # would find the same targets full, and under load there are hundreds of them.
 _MAX_UNDECIDED = 8
+_NEGLIGIBLE_RATE = 1e-6
 
 
 class Admission:
@@ -211,7 +213,9 @@
         for candidate in candidates:
             if has_room(candidate, claim):
                 return _send_decision(candidate)
-        if self._wait_limits.may_wait(ticket, claim, candidates):
+        if self._wait_limits.may_wait(
+            ticket, claim, candidates, self._limit_wait_s(ticket, candidates)
+        ):
             return None
         if claim.is_within:
             return Decision(
@@ -220,6 +224,30 @@
             )
         return self._refuse_over_share(ticket, now)
 
+    def _limit_wait_s(
+        self, ticket: Ticket, candidates: Sequence[Candidate]
+    ) -> float:
+        """Returns the seconds until rate limits allow a request, 0 without.
+
+        The workspaces that wait take turns, and requests of the same workspace
+        go before it in their order.
+        """
+        rate = sum(
+            self._placer.limit_rate_per_s(candidate.target)
+            for candidate in candidates
+        )
+        if math.isinf(rate):
+            return 0.0
+        queues = self._queues[ticket.work.service]
+        waiting = sum(1 for queue in queues.values() if queue)
+        queue = queues.get(ticket.work.workspace, ())
+        ahead = sum(
+            1
+            for other in queue
+            if other is not ticket and other.latest_start <= ticket.latest_start
+        )
+        return (ahead + 1) * max(waiting, 1) / max(rate, _NEGLIGIBLE_RATE)
+
     def _is_rejection_certain(
         self, ticket: Ticket, queue: Collection[Ticket]
     ) -> bool:
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -182,6 +182,13 @@
         forecasts = self._forecast(work, reachable or usable)
         return sorted(forecasts, key=lambda candidate: candidate.loss)
 
+    def limit_rate_per_s(self, target: TargetView) -> float:
+        """Returns the rate that a target's limit leaves to this router.
+
+        It is in requests per second, and inf for a target without a limit.
+        """
+        return self._rate_limits.rate_per_s(target)
+
     def has_connection(self, target: TargetView) -> bool:
         """Returns whether this router may open another connection."""
         if not target.max_connections:
--- a/crowwinch/sharing/_rate_limits.py
+++ b/crowwinch/sharing/_rate_limits.py
@@ -280,6 +280,16 @@
             return _RECHECK_S
         return 0.0
 
+    def rate_per_s(self, target: TargetView) -> float:
+        """Returns the requests per second that this router may send.
+
+        It is inf for a target without a limit.
+        """
+        limit = self._limits.get((target.identifier, target.life))
+        if limit is None or not limit.is_in_force:
+            return math.inf
+        return self._own_rate(target, limit)
+
     def take(self, target: str, life: int) -> None:
         """Counts a request that is sent to a target."""
         limit = self._limits.get((target, life))
--- a/crowwinch/sharing/_wait_limits.py
+++ b/crowwinch/sharing/_wait_limits.py
@@ -19,6 +19,8 @@
 # The same for a slot while the queue is not standing. Above 1 because a late
 # answer has more value than a refusal, whose caller returns even later.
 _BURST_MAX_WAIT_FACTOR = 1.5
+# Forecasts of the wait for a rate limit are uncertain: others may leave first.
+_LIMIT_WAIT_SLACK = 2.0
 # A request over the share is rejected before its caller notices the wait.
 _OVER_SHARE_MAX_WAIT_FACTOR = 0.125
 
@@ -37,7 +39,11 @@
         self._standing = standing
 
     def may_wait(
-        self, ticket: Ticket, claim: Claim, candidates: Sequence[Candidate]
+        self,
+        ticket: Ticket,
+        claim: Claim,
+        candidates: Sequence[Candidate],
+        limit_wait_s: float = 0.0,
     ) -> bool:
         """Returns whether a request stays queued.
 
@@ -45,6 +51,8 @@
             ticket: The request.
             claim: Its claim at this moment.
             candidates: Targets that have no room for it.
+            limit_wait_s: Seconds until the rate limits of all targets allow it,
+                0 if a target has no limit.
         """
         if self._is_useless(ticket, claim):
             return False
@@ -52,7 +60,10 @@
             self._max_wait_s(ticket, claim, candidates),
             ticket.deadline - ticket.arrived,
         )
-        return claim.waited_s < max_wait_s
+        return (
+            claim.waited_s < max_wait_s
+            and claim.waited_s + limit_wait_s <= max_wait_s * _LIMIT_WAIT_SLACK
+        )
 
     def _is_useless(self, ticket: Ticket, claim: Claim) -> bool:
         """Returns whether a request could only be answered late.
