--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -133,6 +133,7 @@
         service: str,
         state: str = "ready",
         born: float = 0.001,
+        version: str = "v1",
     ) -> None:
         """Writes the entry of a target that started at a Unix time."""
         address = self.targets[name].url.removeprefix("http://")
@@ -144,6 +145,7 @@
             "State": state,
             "Sequence": 1,
             "born": int(born * 1000),
+            "Version": version,
         }
         self.put(f"servers/{name}", json.dumps(entry).encode())
 
@@ -192,6 +194,7 @@
             "[Bounds]\nDrainMs = 2000\nGraceS = 8\nReuseAfterS = 2\n"
             "RetryBudgetRatio = 0.2\nBudgetWindowS = 10\n"
             f'[Platform]\nAddress = "{self.store_address(index)}"\n'
+            "HistoryS = 20\n"
         )
         with open(self.log(index), "ab") as log:
             handle = subprocess.Popen(
