--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -12,7 +12,6 @@
     DirectoryState,
     ReaderStatus,
     StoreReaderSelector,
-    VersionAge,
 )
 from crowwinch.errors import PeerRejection
 from crowwinch.fleet._directory_exchange import DirectoryExchange
@@ -20,27 +19,30 @@
 from crowwinch.fleet._endpoint import FleetEndpoint
 from crowwinch.fleet._peer_table import PeerTable
 from crowwinch.fleet._stream_records import StreamRecords
+from crowwinch.fleet._update_codec import (
+    decode_demand,
+    decode_rate_limits,
+    decode_suspects,
+    decode_versions,
+    encode_demand,
+    encode_rate_limits,
+    encode_suspects,
+    encode_versions,
+)
 from crowwinch.forwarding import (
     GatewaySettings,
     SharingState,
     SocketAddress,
 )
 from crowwinch.generated.fleet_messages import (
-    CrashReport,
-    CrashTime,
-    DemandReport,
     DepartureReport,
     FleetUpdate,
     PrefixReport,
-    RateLimitMessage,
     StreamMessage,
     TargetReport,
-    VersionReport,
     WorkspaceReport,
 )
 from crowwinch.sharing import (
-    RateLimitReport,
-    SuspectReport,
     TargetUse,
     WorkspaceUse,
 )
@@ -54,8 +56,6 @@
 # cover all requests that are routed together.
 _LONG_PROMPT_DELAY_S = 0.002
 _MS_PER_S = 1000.0
-# Age in milliseconds of an answer or a request that there was not.
-_NONE_MS = -1
 # When the readers of the store are chosen, a peer counts as down after this
 # time or after this many rounds of updates, whichever is longer.
 _MIN_READER_TIMEOUT_S = 0.5
@@ -326,24 +326,16 @@
             ],
             workspaces=None,
             members=[],
-            crashes=_encode_suspects(sharing.crashes.reports()),
+            crashes=encode_suspects(sharing.crashes.reports()),
             prefixes=self._prefix_reports(sequence),
             departures=[
                 DepartureReport(key, revision)
                 for key, revision in self._state.recent_departures()
             ],
             era=self._state.era,
-            rate_limits=_encode_limits(sharing.rate_limits.reports()),
-            demand=[
-                DemandReport(service, round(per_s, 2))
-                for service, per_s in sharing.rate_limits.demand().items()
-            ],
-            versions=[
-                VersionReport(
-                    age.service, age.version, round(age.age_s * _MS_PER_S)
-                )
-                for age in self._state.version_reports()
-            ],
+            rate_limits=encode_rate_limits(sharing.rate_limits.reports()),
+            demand=encode_demand(sharing.rate_limits.demand()),
+            versions=encode_versions(self._state.version_reports()),
             history_ms=round(self._state.history_s * _MS_PER_S),
         )
 
@@ -384,17 +376,14 @@
         sharing.prefixes.merge_peer_prefills(
             (report.target, report.path) for report in update.prefixes
         )
-        sharing.crashes.merge_reports(_decode_suspects(update.crashes))
+        sharing.crashes.merge_reports(decode_suspects(update.crashes))
         sharing.rate_limits.merge_peer(
             peer,
-            _decode_limits(update.rate_limits),
-            {report.service: report.per_s for report in update.demand},
+            decode_rate_limits(update.rate_limits),
+            decode_demand(update.demand),
         )
         self._state.merge_versions(
-            (
-                VersionAge(each.service, each.version, each.age_ms / _MS_PER_S)
-                for each in update.versions
-            ),
+            decode_versions(update.versions),
             update.history_ms / _MS_PER_S,
         )
         if update.era == self._state.era:
@@ -420,71 +409,3 @@
 def _hosts(controls: Iterable[str]) -> list[str]:
     """Returns the hosts of control addresses."""
     return [control.rpartition(":")[0] for control in controls]
-
-
-def _encode_suspects(reports: Iterable[SuspectReport]) -> list[CrashReport]:
-    return [
-        CrashReport(
-            report.feature,
-            len(report.crash_ages_s),
-            report.is_part,
-            [
-                CrashTime(crash, round(age_s * _MS_PER_S))
-                for crash, age_s in report.crash_ages_s.items()
-            ],
-            _encode_age(report.answer_age_s),
-        )
-        for report in reports
-    ]
-
-
-def _decode_suspects(reports: Iterable[CrashReport]) -> list[SuspectReport]:
-    return [
-        SuspectReport(
-            report.digest,
-            report.is_part,
-            {each.crash: each.age_ms / _MS_PER_S for each in report.crashes},
-            _decode_age(report.answer_age_ms),
-        )
-        for report in reports
-    ]
-
-
-def _encode_limits(
-    reports: Iterable[RateLimitReport],
-) -> list[RateLimitMessage]:
-    return [
-        RateLimitMessage(
-            report.target,
-            report.life,
-            report.per_s,
-            max(round(report.named_age_s * _MS_PER_S), 0),
-            _encode_age(report.cleared_age_s),
-            report.sent,
-        )
-        for report in reports
-    ]
-
-
-def _decode_limits(
-    reports: Iterable[RateLimitMessage],
-) -> list[RateLimitReport]:
-    return [
-        RateLimitReport(
-            report.target,
-            report.life,
-            report.per_s,
-            report.named_age_ms / _MS_PER_S,
-            _decode_age(report.cleared_age_ms),
-            report.sent,
-        )
-        for report in reports
-    ]
-
-
-def _encode_age(age_s: float | None) -> int:
-    return _NONE_MS if age_s is None else max(round(age_s * _MS_PER_S), 0)
-
-
-def _decode_age(age_ms: int) -> float | None:
-    return None if age_ms == _NONE_MS else age_ms / _MS_PER_S
--- /dev/null
+++ b/crowwinch/fleet/_update_codec.py
@@ -0,0 +1,117 @@
+"""Translates between the parts of updates and the types of decisions."""
+
+from collections.abc import Iterable, Mapping
+
+from crowwinch.directory import VersionAge
+from crowwinch.generated.fleet_messages import (
+    CrashReport,
+    CrashTime,
+    DemandReport,
+    RateLimitMessage,
+    VersionReport,
+)
+from crowwinch.sharing import RateLimitReport, SuspectReport
+
+_MS_PER_S = 1000.0
+# Age in milliseconds of an answer or a request that there was not.
+_NONE_MS = -1
+
+
+def encode_suspects(reports: Iterable[SuspectReport]) -> list[CrashReport]:
+    """Returns the messages about requests that crash targets."""
+    return [
+        CrashReport(
+            report.feature,
+            len(report.crash_ages_s),
+            report.is_part,
+            [
+                CrashTime(crash, round(age_s * _MS_PER_S))
+                for crash, age_s in report.crash_ages_s.items()
+            ],
+            _encode_age(report.answer_age_s),
+        )
+        for report in reports
+    ]
+
+
+def decode_suspects(reports: Iterable[CrashReport]) -> list[SuspectReport]:
+    """Returns what a peer knows of requests that crash targets."""
+    return [
+        SuspectReport(
+            report.digest,
+            report.is_part,
+            {each.crash: each.age_ms / _MS_PER_S for each in report.crashes},
+            _decode_age(report.answer_age_ms),
+        )
+        for report in reports
+    ]
+
+
+def encode_rate_limits(
+    reports: Iterable[RateLimitReport],
+) -> list[RateLimitMessage]:
+    """Returns the messages about rate limits of targets."""
+    return [
+        RateLimitMessage(
+            report.target,
+            report.life,
+            report.per_s,
+            max(round(report.named_age_s * _MS_PER_S), 0),
+            _encode_age(report.cleared_age_s),
+            report.sent,
+        )
+        for report in reports
+    ]
+
+
+def decode_rate_limits(
+    reports: Iterable[RateLimitMessage],
+) -> list[RateLimitReport]:
+    """Returns what a peer knows of rate limits of targets."""
+    return [
+        RateLimitReport(
+            report.target,
+            report.life,
+            report.per_s,
+            report.named_age_ms / _MS_PER_S,
+            _decode_age(report.cleared_age_ms),
+            report.sent,
+        )
+        for report in reports
+    ]
+
+
+def _encode_age(age_s: float | None) -> int:
+    return _NONE_MS if age_s is None else max(round(age_s * _MS_PER_S), 0)
+
+
+def _decode_age(age_ms: int) -> float | None:
+    return None if age_ms == _NONE_MS else age_ms / _MS_PER_S
+
+
+def encode_demand(per_s: Mapping[str, float]) -> list[DemandReport]:
+    """Returns the messages about requests per second by service."""
+    return [
+        DemandReport(service, round(rate, 2)) for service, rate in per_s.items()
+    ]
+
+
+def decode_demand(reports: Iterable[DemandReport]) -> dict[str, float]:
+    """Returns the requests per second that a peer gets, by service."""
+    return {report.service: report.per_s for report in reports}
+
+
+def encode_versions(ages: Iterable[VersionAge]) -> list[VersionReport]:
+    """Returns the messages about software versions."""
+    return [
+        VersionReport(age.service, age.version, round(age.age_s * _MS_PER_S))
+        for age in ages
+    ]
+
+
+def decode_versions(reports: Iterable[VersionReport]) -> list[VersionAge]:
+    """Returns the software versions that a peer has seen."""
+    return [
+        VersionAge(report.service, report.version, report.age_ms / _MS_PER_S)
+        for report in reports
+    ]
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import math
 from collections.abc import Callable, Mapping
 
 from crowwinch.coordination import Clock
@@ -19,8 +18,8 @@
 from crowwinch.forwarding._request_context import RequestContext
 from crowwinch.forwarding._request_log import CALLER_GONE, SERVED, RequestLog
 from crowwinch.forwarding._retry_policy import RetryPolicy
-from crowwinch.forwarding._route_durations import RouteDurations
 from crowwinch.forwarding._sharing_state import Placement, SharingState
+from crowwinch.forwarding._shutdown import Shutdown
 from crowwinch.forwarding._stream_versions import StreamVersions, TakenUpStream
 from crowwinch.forwarding._target_client import TargetClient
 from crowwinch.forwarding._target_observer import TargetObserver
@@ -33,8 +32,6 @@
 # Retry delay after a refusal for lack of a configuration or of a target; it
 # gives the router time to read a lost configuration again.
 _RETRY_DELAY_S = 1.0
-# Short, because another router can serve the request immediately.
-OTHER_ROUTER_RETRY_S = 0.05
 # Event loop iterations needed to read the end of a connection and cancel its
 # request. Each takes up to 60 ms in a process that lacks processor time.
 _SOCKET_EVENT_ITERATIONS = 2
@@ -98,10 +95,7 @@
         self._retry_policy = RetryPolicy(clock, sharing, client.can_connect)
         self._log = RequestLog(clock, metrics, sharing.shares, describe_state)
         self._is_polling = False
-        self._durations = RouteDurations(clock)
-        self._shutdown_deadline = math.inf
-        # Time limits of the requests that are being forwarded.
-        self._time_limits: set[asyncio.Timeout] = set()
+        self._shutdown = Shutdown(clock)
         self._observer = TargetObserver(targets, sharing, self._log)
 
     @property
@@ -109,6 +103,11 @@
         """Monotonic clock."""
         return self._clock
 
+    @property
+    def shutdown(self) -> Shutdown:
+        """Limits the requests that are taken while the router stops."""
+        return self._shutdown
+
     def schedule_poll(self) -> None:
         """Schedules a decision on the waiting requests.
 
@@ -125,23 +124,6 @@
         self._is_polling = False
         self._sharing.admission.poll()
 
-    def set_shutdown_deadline(self, deadline: float) -> None:
-        """Refuses requests that cannot be answered before a shutdown.
-
-        Args:
-            deadline: Monotonic time at which open requests are ended.
-        """
-        self._shutdown_deadline = deadline
-
-    def end_requests(self) -> None:
-        """Answers all open requests now, as at their deadlines.
-
-        Answers that have begun are broken off.
-        """
-        now = asyncio.get_running_loop().time()
-        for time_limit in self._time_limits:
-            time_limit.reschedule(now)
-
     async def serve(self, call: Call) -> None:
         """Forwards a request.
 
@@ -150,17 +132,14 @@
         context: RequestContext | None = None
         try:
             context = self._resolve_request(call)
-            self._refuse_before_shutdown(context)
+            self._shutdown.refuse_if_too_late(context)
             if self._was_late():
                 await _process_socket_events()
             async with asyncio.timeout(
                 context.deadline - self._clock.monotonic()
             ) as time_limit:
-                self._time_limits.add(time_limit)
-                try:
+                with self._shutdown.track(time_limit):
                     await self._serve(context)
-                finally:
-                    self._time_limits.discard(time_limit)
         except TimeoutError:
             assert context is not None
             await self._finish_refused(
@@ -175,9 +154,7 @@
             # The caller disconnected while the response was written.
             self._log.record_end(call, context, CALLER_GONE)
         else:
-            self._durations.record(
-                context.route.name, self._clock.monotonic() - call.arrived
-            )
+            self._shutdown.record_answer(context)
             self._log.record_end(call, context, SERVED)
 
     def _resolve_request(self, call: Call) -> RequestContext:
@@ -235,24 +212,6 @@
             last_event_id=head.last_event_id,
         )
 
-    def _refuse_before_shutdown(self, context: RequestContext) -> None:
-        """Refuses a request that may outlast a router that stops.
-
-        Raises:
-            RefusalError: If it may.
-        """
-        now = self._clock.monotonic()
-        end = min(
-            context.deadline,
-            now + self._durations.expected_s(context.route.name),
-        )
-        if end > self._shutdown_deadline:
-            raise RefusalError(
-                RefusalReason.SHUTTING_DOWN,
-                "the router stops before the answer would be complete",
-                retry_after_s=OTHER_ROUTER_RETRY_S,
-            )
-
     def _choose_service(self, route: Route) -> str:
         services = list(route.services.items())
         if len(services) == 1:
--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -13,11 +13,12 @@
 from crowwinch.errors import RefusalError, RefusalReason
 from crowwinch.forwarding._call import Call, read_body
 from crowwinch.forwarding._early_refusals import EarlyRefusals
-from crowwinch.forwarding._forwarder import OTHER_ROUTER_RETRY_S, Forwarder
+from crowwinch.forwarding._forwarder import Forwarder
 from crowwinch.forwarding._listener import ConnectionListener
 from crowwinch.forwarding._messages import WireCodec
 from crowwinch.forwarding._model import RequestLimits, SocketAddress
 from crowwinch.forwarding._overload import OverloadDetector
+from crowwinch.forwarding._shutdown import shutdown_refusal
 from crowwinch.observability import Metrics
 
 _LOGGER = logging.getLogger(__name__)
@@ -238,11 +239,11 @@
         Args:
             deadline: Monotonic time.
         """
-        self._forwarder.set_shutdown_deadline(deadline)
+        self._forwarder.shutdown.set_deadline(deadline)
 
     def end_requests(self) -> None:
         """Answers all open requests now, as at their deadlines."""
-        self._forwarder.end_requests()
+        self._forwarder.shutdown.end_requests()
 
     def refuse_new_requests(self) -> None:
         """Refuses requests that arrive from now on."""
@@ -278,7 +279,7 @@
         head = self._codec.decode_request(request.headers)
         call = Call(request, head, b"", arrived, self._closes_connection)
         if self._refuses_requests:
-            return await self._refuse(call, _shutdown_refusal())
+            return await self._refuse(call, shutdown_refusal())
         if self._body_bytes > self._body_capacity:
             return await self._refuse(
                 call,
@@ -311,7 +312,7 @@
         call = Call(request, head, body, arrived, self._closes_connection)
         # The shutdown may have gone on while the body arrived.
         if self._refuses_requests:
-            return await self._refuse(call, _shutdown_refusal())
+            return await self._refuse(call, shutdown_refusal())
         await self._forwarder.serve(call)
         if not call.is_started:
             return web.Response(status=_CALLER_GONE_STATUS)
@@ -337,11 +338,3 @@
             self._metrics.count("callers_gone")
         call.response.force_close()
         return call.response
-
-
-def _shutdown_refusal() -> RefusalError:
-    return RefusalError(
-        RefusalReason.SHUTTING_DOWN,
-        "the router is stopping",
-        retry_after_s=OTHER_ROUTER_RETRY_S,
-    )
