Shutdown: end open requests also while one is at its deadline

A request that had just reached its deadline raised an error when all open requests were ended, so the others were cut without an answer, and the task that ends the process failed. Found by reading. The test fails without the check (RuntimeError).

--- a/crowwinch/forwarding/_shutdown.py
+++ b/crowwinch/forwarding/_shutdown.py
@@ -74,7 +74,8 @@
         """
         now = asyncio.get_running_loop().time()
         for time_limit in self._time_limits:
-            time_limit.reschedule(now)
+            if not time_limit.expired():
+                time_limit.reschedule(now)
 
 
 def shutdown_refusal() -> RefusalError:
--- a/crowwinch/forwarding/tests/test_shutdown.py
+++ b/crowwinch/forwarding/tests/test_shutdown.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from crowwinch.coordination import SystemClock
 from crowwinch.forwarding import RouteKind
+from crowwinch.forwarding._shutdown import Shutdown
 from crowwinch.forwarding.tests.support import (
     RouterTest,
     make_response,
@@ -108,6 +110,17 @@
         self.assertEqual(reply.status, 504)
         self.assertIn(b'"run_state":"unknown"', reply.body)
 
+    async def test_request_at_its_deadline_when_the_grace_period_ends(self):
+        """Guards against an error that leaves the other requests open."""
+        shutdown = Shutdown(SystemClock())
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.01) as time_limit:
+                with shutdown.track(time_limit):
+                    try:
+                        await asyncio.sleep(1.0)
+                    finally:
+                        shutdown.end_requests()
+
     async def test_waiting_request_is_refused_as_not_run_at_the_end(self):
         router = await self._start(respond_ok)
         router.target_set.update((), router.routing)
