--- a/crowwinch/fleet/_stream_records.py
+++ b/crowwinch/fleet/_stream_records.py
@@ -56,6 +56,10 @@
         """Number of records that were dropped for lack of room."""
         return self._table.evictions
 
+    def holds(self, attempt_id: str) -> bool:
+        """Returns whether this router itself has the record of a stream."""
+        return self._table.get(_digest(attempt_id)) is not None
+
     def record(self, attempt_id: str, version: str) -> None:
         """Records the version that began a stream, here and at peers."""
         key = _digest(attempt_id)
--- a/crowwinch/fleet/tests/support.py
+++ b/crowwinch/fleet/tests/support.py
@@ -28,6 +28,7 @@
 )
 from crowwinch.forwarding import GatewaySettings, SocketAddress
 from crowwinch.forwarding.tests.support import make_sharing_state
+from crowwinch.generated.fleet_messages import StreamMessage
 
 _STEP_S = 0.05
 ZONES = 5
@@ -175,9 +176,15 @@
 
 def _make_endpoint(network):
     class _FakeEndpoint:
-        def __init__(self, host, port, receive, count_rejection):
+        def __init__(
+            self, host, port, receive, count_rejection, receive_stream
+        ):
             self._host = host
-            network.endpoints[host] = receive
+            network.endpoints[host] = lambda message: (
+                receive_stream(message)
+                if isinstance(message, StreamMessage)
+                else receive(message)
+            )
 
         async def start(self):
             pass
@@ -194,6 +201,9 @@
         def send(self, update, hosts):
             network.send(self._host, update, hosts)
 
+        def send_stream(self, message, hosts):
+            network.send(self._host, message, hosts)
+
     return _FakeEndpoint
 
 
--- a/crowwinch/fleet/tests/test_large_fleets.py
+++ b/crowwinch/fleet/tests/test_large_fleets.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from crowwinch.directory import VersionAge
 from crowwinch.fleet.tests.support import FleetModel
 from crowwinch.sharing import PromptPart, TargetView, Work
 
@@ -87,6 +88,40 @@
 
         self._run_scenario(scenario)
 
+    def test_version_of_a_stream_is_held_by_two_peers(self):
+        """Guards against records that are lost with the router of a stream."""
+
+        async def scenario(fleet):
+            first, *others = fleet.routers
+            first.service.streams.record("attempt", "v1")
+            await fleet.run(0.1)
+            held = [
+                router.service.streams.holds("attempt") for router in others
+            ]
+            self.assertEqual(sum(held), 2)
+
+        self._run_scenario(scenario)
+
+    def test_software_versions_reach_all_routers(self):
+        """Guards against a router that takes the present for the past."""
+
+        async def scenario(fleet):
+            first, *others = fleet.routers
+            first.state.merge_versions([VersionAge("other", "v1", 0.0)], 30.0)
+            await fleet.run(1.0)
+            known = [
+                any(age.service == "other" for age in reports)
+                for reports in (
+                    router.state.version_reports() for router in others
+                )
+            ]
+            self.assertTrue(all(known))
+            self.assertGreater(
+                min(router.state.history_s for router in others), 29.0
+            )
+
+        self._run_scenario(scenario)
+
     def test_active_requests_reach_all_routers(self):
         async def scenario(fleet):
             first, *others = fleet.routers
