Sharing: count what a peer sent to a limited target before it restarted (LIMIT)

Cause: the first update of a restarted router replaced its last report, so what it had sent in the four seconds before no longer counted. Found by reading.

Change: the last report of a peer's earlier life stays in the count until its window is over.

Evidence: test_requests_of_a_peer_before_its_restart_count fails without it (the target counts as free at once after ten requests where eight are allowed).

--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -379,6 +379,7 @@
         sharing.crashes.merge_reports(decode_suspects(update.crashes))
         sharing.rate_limits.merge_peer(
             peer,
+            update.life,
             decode_rate_limits(update.rate_limits),
             decode_demand(update.demand),
         )
--- a/crowwinch/sharing/_rate_limits.py
+++ b/crowwinch/sharing/_rate_limits.py
@@ -113,11 +113,13 @@
     """What a peer sends.
 
     Attributes:
+        life: Start of the peer.
         at: Time at which its report arrived.
         sent: Requests that it sent in the window before, by target.
         demand: Requests per second that it gets, by service.
     """
 
+    life: int
     at: float
     sent: Mapping[_Key, int]
     demand: Mapping[str, float]
@@ -168,6 +170,8 @@
         self._members: frozenset[str] = frozenset()
         self._owners: dict[tuple[str, int], list[str]] = {}
         self._peers: dict[str, _PeerUse] = {}
+        # Last reports of peers that have restarted since.
+        self._earlier: list[_PeerUse] = []
         # Decayed number of requests by service, and the time of the count.
         self._demand: dict[str, tuple[float, float]] = {}
         # Part of each limit, until `refresh`.
@@ -230,10 +234,20 @@
     def merge_peer(
         self,
         peer: str,
+        life: int,
         reports: Sequence[RateLimitReport],
         demand: Mapping[str, float],
     ) -> None:
-        """Replaces what a peer sends and merges the limits that it knows."""
+        """Replaces what a peer sends and merges the limits that it knows.
+
+        What a peer sent before it restarted still counts in the window.
+
+        Args:
+            peer: Name of the peer.
+            life: Start of the peer.
+            reports: Limits that it has observed or uses.
+            demand: Requests per second that it gets, by service.
+        """
         now = self._clock.monotonic()
         for report in reports:
             self._name(
@@ -243,14 +257,20 @@
                 now - report.named_age_s,
             )
             if report.cleared_age_s is not None:
-                self._limits[report.target, report.life].cleared_at = max(
-                    self._limits[report.target, report.life].cleared_at,
-                    now - report.cleared_age_s,
+                limit = self._limits[report.target, report.life]
+                limit.cleared_at = max(
+                    limit.cleared_at, now - report.cleared_age_s
                 )
-        if not reports and not demand:
-            self._peers.pop(peer, None)
+        previous = self._peers.get(peer)
+        if previous is not None and previous.life != life:
+            self._earlier = [
+                use for use in self._earlier if now - use.at < _WINDOW_S
+            ]
+            self._earlier.append(previous)
+        if previous is None and not reports and not demand:
             return
         self._peers[peer] = _PeerUse(
+            life,
             now,
             {
                 (report.target, report.life): report.sent
@@ -438,7 +458,7 @@
         """
         key = (target.identifier, target.life)
         count = float(limit.count_sent(now))
-        for use in self._peers.values():
+        for use in (*self._peers.values(), *self._earlier):
             left = 1 - (now - use.at) / _WINDOW_S
             if left > 0.0:
                 count += use.sent.get(key, 0) * left
--- a/crowwinch/sharing/tests/test_rate_limits.py
+++ b/crowwinch/sharing/tests/test_rate_limits.py
@@ -5,7 +5,11 @@
 import unittest
 
 from crowwinch.coordination import ManualClock
-from crowwinch.sharing import TargetRateLimits, TargetView
+from crowwinch.sharing import (
+    RateLimitReport,
+    TargetRateLimits,
+    TargetView,
+)
 
 _TARGET = TargetView("t", 1, "llm", False, 32, is_engine=True)
 _STEP_S = 0.05
@@ -29,6 +33,7 @@
         self.limit = limit
         self.names = [f"r{number}" for number in range(len(weights))]
         self.weights, self.per_s, self.loss = weights, per_s, loss
+        self.lives = collections.Counter()
         self.routers = [self._start(name) for name in self.names]
         self.next_peer = collections.Counter()
         self.in_flight = []
@@ -41,6 +46,7 @@
         return router
 
     def restart(self, number):
+        self.lives[number] += 1
         self.routers[number] = self._start(self.names[number])
 
     def run(self, seconds, on_step=lambda now: None):
@@ -58,7 +64,12 @@
                 self.routers[number].merge_peer(*message)
         for number, router in enumerate(self.routers):
             router.refresh()
-            message = (self.names[number], router.reports(), router.demand())
+            message = (
+                self.names[number],
+                self.lives[number],
+                router.reports(),
+                router.demand(),
+            )
             for _ in range(min(_FAN_OUT, len(self.routers) - 1)):
                 self.next_peer[number] += 1
                 peer = (number + self.next_peer[number]) % len(self.routers)
@@ -207,14 +218,29 @@
         self.router.give_back("t", 1)
         self.assertFalse(self._is_limited())
 
+    def test_requests_of_a_peer_before_its_restart_count(self):
+        """Guards against a count that a restart sets to zero."""
+        self.router.set_fleet("a", ["a", "b"])
+        self._observe(2.0, 9.9)
+        report = RateLimitReport("t", 1, 2.0, 0.0, None, 10)
+        self.clock.move_to(20.0)
+        self.router.merge_peer("b", 1, [report], {"llm": 1.0})
+        self.assertTrue(self._is_limited())
+        self.router.merge_peer("b", 2, [], {})
+        self.router.refresh()
+        self.assertTrue(self._is_limited())
+        # Evenly, 8 of the 10 requests are left in the window, then fewer.
+        self.clock.move_to(21.0)
+        self.assertFalse(self._is_limited())
+
     def test_peers_learn_of_a_limit_and_of_its_end(self):
         peer = TargetRateLimits(self.clock, lambda: 0.0)
         for name, limits in (("a", self.router), ("b", peer)):
             limits.set_fleet(name, ["a", "b"])
         self._observe(1.0, 9.9)
-        peer.merge_peer("a", self.router.reports(), self.router.demand())
+        peer.merge_peer("a", 1, self.router.reports(), self.router.demand())
         self.assertGreater(peer.wait_s(_TARGET), 0.0)
         self.clock.move_to(12.0)
         peer.observe("t", 1, None, 11.0)
-        self.router.merge_peer("b", peer.reports(), peer.demand())
+        self.router.merge_peer("b", 1, peer.reports(), peer.demand())
         self.assertFalse(self._is_limited())
