--- a/crowwinch/sharing/tests/test_rate_limits.py
+++ b/crowwinch/sharing/tests/test_rate_limits.py
@@ -220,8 +220,11 @@
 
     def test_requests_of_a_peer_before_its_restart_count(self):
         """Guards against a count that a restart sets to zero."""
+        # A whole request to start with, so that only the count limits.
+        self.router = TargetRateLimits(self.clock, lambda: 1.0)
         self.router.set_fleet("a", ["a", "b"])
         self._observe(2.0, 9.9)
+        self.assertFalse(self._is_limited())
         report = RateLimitReport("t", 1, 2.0, 0.0, None, 10)
         self.clock.move_to(20.0)
         self.router.merge_peer("b", 1, [report], {"llm": 1.0})
@@ -229,8 +232,8 @@
         self.router.merge_peer("b", 2, [], {})
         self.router.refresh()
         self.assertTrue(self._is_limited())
-        # Evenly, 8 of the 10 requests are left in the window, then fewer.
-        self.clock.move_to(21.0)
+        # They leave the window evenly; 8 are allowed.
+        self.clock.move_to(20.9)
         self.assertFalse(self._is_limited())
 
     def test_peers_learn_of_a_limit_and_of_its_end(self):
