--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """A worker answers streams with bytes that have no end.
 
-With VARIANT=foreign it is one answer, which names another attempt.
+With VARIANT=foreign it is one answer, which names another attempt; with
+VARIANT=extra it is answers without end, which name another attempt.
 """
 
 import asyncio
@@ -17,13 +18,14 @@
     Run,
     Worker,
     answer_stream,
+    message,
     run_case,
     status_line,
 )
 
 _REQUESTERS = 40
-_IS_FOREIGN = os.environ.get("VARIANT") == "foreign"
-_ENDLESS = 1 if _IS_FOREIGN else 3
+_VARIANT = os.environ.get("VARIANT", "")
+_ENDLESS = 1 if _VARIANT else 3
 # A third of the 1,000 Mbit/s of a machine's link.
 _BYTES_PER_S = 40_000_000
 _WORK_S = 0.6
@@ -42,16 +44,22 @@
         "Content-Type": "text/event-stream",
         "Transfer-Encoding": "chunked",
     }
-    if _IS_FOREIGN:
+    if _VARIANT:
         headers["X-Crowwinch-Attempt-Id"] = "another"
     lines = [status_line(200), *(f"{n}: {v}" for n, v in headers.items())]
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+    piece = b"%x\r\n%s\r\n" % (_CHUNK, b"x" * _CHUNK)
+    if _VARIANT == "extra":
+        del headers["Transfer-Encoding"]
+        answer = message(status_line(200), headers, b"x")
+        piece = answer * (_CHUNK // len(answer))
+    else:
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
     loop = asyncio.get_running_loop()
     started, sent = loop.time(), 0
     while True:
-        writer.write(b"%x\r\n%s\r\n" % (_CHUNK, b"x" * _CHUNK))
+        writer.write(piece)
         await writer.drain()
-        sent += _CHUNK
+        sent += len(piece)
         await asyncio.sleep(max(started + sent / _BYTES_PER_S - loop.time(), 0))
 
 
