--- a/crowwinch/forwarding/__init__.py
+++ b/crowwinch/forwarding/__init__.py
@@ -8,6 +8,7 @@
     TargetResponse,
 )
 from crowwinch.forwarding._forwarder import Forwarder
+from crowwinch.forwarding._memory import MemoryPool
 from crowwinch.forwarding._messages import (
     AttemptHead,
     RequestHead,
@@ -48,6 +49,7 @@
     "Forwarder",
     "GatewaySettings",
     "LocalStreamVersions",
+    "MemoryPool",
     "PromptPart",
     "RequestHead",
     "RequestLimits",
--- a/crowwinch/forwarding/_delivery.py
+++ b/crowwinch/forwarding/_delivery.py
@@ -10,6 +10,10 @@
 )
 from crowwinch.forwarding._request_context import RequestContext
 
+# An event that is longer than this is not relayed. The events of engines are a
+# few hundred bytes long.
+_MAX_EVENT_BYTES = 1_048_576
+
 
 async def deliver(
     context: RequestContext,
@@ -72,6 +76,7 @@
     has_events = False
     async for data in exchange.chunks():
         events = splitter.feed(data)
+        _check_event_size(exchange, splitter.incomplete_bytes)
         if not events:
             continue
         if resumes_after is not None and splitter.repeats(resumes_after):
@@ -105,3 +110,23 @@
     if not call.is_started:
         await call.start(response.status, response.reason, response.headers)
     await call.finish()
+
+
+def _check_event_size(exchange: Exchange, size_bytes: int) -> None:
+    """Ends an attempt whose next event takes too much memory.
+
+    Raises:
+        AttemptError: If the event is too large, or too many others are.
+    """
+    if size_bytes > _MAX_EVENT_BYTES:
+        raise AttemptError(
+            f"an event is longer than {_MAX_EVENT_BYTES} bytes",
+            may_have_run=True,
+            is_oversized=True,
+        )
+    if not exchange.memory.resize(size_bytes):
+        raise AttemptError(
+            f"no memory for an event of {size_bytes} bytes",
+            may_have_run=True,
+            is_oversized=True,
+        )
--- a/crowwinch/forwarding/_events.py
+++ b/crowwinch/forwarding/_events.py
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         """Starts with an empty buffer."""
-        self._buffer = b""
+        self._buffer = bytearray()
         self._first_id: str | None = None
         self._last_id: str | None = None
 
@@ -35,18 +35,23 @@
         """Whether bytes of an incomplete event are buffered."""
         return bool(self._buffer)
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Number of buffered bytes, all of an incomplete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> bytes:
         """Adds bytes and returns those of all events that are now complete."""
-        data = self._buffer + data
+        buffer = self._buffer
+        # Only a separator that ends in the new bytes can be missing so far.
+        start = max(len(buffer) - len(_CRLF_SEPARATOR) + 1, 0)
+        buffer += data
         end = max(
-            data.rfind(_LF_SEPARATOR) + len(_LF_SEPARATOR)
-            if _LF_SEPARATOR in data
-            else 0,
-            data.rfind(_CRLF_SEPARATOR) + len(_CRLF_SEPARATOR)
-            if _CRLF_SEPARATOR in data
-            else 0,
+            _find_end(buffer, separator, start)
+            for separator in (_LF_SEPARATOR, _CRLF_SEPARATOR)
         )
-        complete, self._buffer = data[:end], data[end:]
+        complete = bytes(buffer[:end])
+        del buffer[:end]
         self._update_ids(complete)
         return complete
 
@@ -67,3 +72,9 @@
         self._last_id = ids[-1].strip().decode("ascii", "replace")
         if self._first_id is None:
             self._first_id = ids[0].strip().decode("ascii", "replace")
+
+
+def _find_end(buffer: bytearray, separator: bytes, start: int) -> int:
+    """Returns the end of the last separator, 0 if there is none."""
+    position = buffer.rfind(separator, start)
+    return 0 if position < 0 else position + len(separator)
--- a/crowwinch/forwarding/_exchange.py
+++ b/crowwinch/forwarding/_exchange.py
@@ -7,8 +7,12 @@
 from multidict import CIMultiDict
 
 from crowwinch.errors import CrowwinchError
+from crowwinch.forwarding._memory import Allocation, MemoryPool
 from crowwinch.forwarding._messages import ResponseHead, WireCodec
-from crowwinch.forwarding._target_client import TargetClient
+from crowwinch.forwarding._target_client import (
+    OversizedResponseError,
+    TargetClient,
+)
 
 # Larger responses are relayed without buffering. Once their first bytes are
 # sent to the caller, the request cannot be retried.
@@ -26,6 +30,7 @@
             request.
         is_connection_lost: Whether the connection broke before the response
             was complete.
+        is_oversized: Whether the target sent more bytes than are kept.
     """
 
     def __init__(
@@ -35,6 +40,7 @@
         is_unreachable: bool = False,
         is_refusal: bool = False,
         is_connection_lost: bool = False,
+        is_oversized: bool = False,
     ) -> None:
         """Initializes the error with its message and outcome."""
         super().__init__(message)
@@ -42,6 +48,7 @@
         self.is_unreachable = is_unreachable
         self.is_refusal = is_refusal
         self.is_connection_lost = is_connection_lost
+        self.is_oversized = is_oversized
 
 
 @dataclass(slots=True)
@@ -79,6 +86,7 @@
         codec: WireCodec,
         address: str,
         attempt_id: str,
+        memory: MemoryPool,
         on_head: Callable[[ResponseHead], None] = lambda head: None,
     ) -> None:
         """Initializes the exchange without sending.
@@ -88,6 +96,7 @@
             codec: Translates headers.
             address: `IP:PORT` of the target.
             attempt_id: Identifier that the response must repeat.
+            memory: Pool for bytes that are kept before they are relayed.
             on_head: Called with the head of each response of the target, also
                 of one that is not relayed.
         """
@@ -95,10 +104,16 @@
         self._codec = codec
         self._address = address
         self._attempt_id = attempt_id
+        self._memory = memory.allocate()
         self._on_head = on_head
         self._response: aiohttp.ClientResponse | None = None
         self._buffered = b""
 
+    @property
+    def memory(self) -> Allocation:
+        """Memory for bytes that are kept before they are relayed."""
+        return self._memory
+
     async def open(
         self,
         method: str,
@@ -124,6 +139,10 @@
                 may_have_run=False,
                 is_unreachable=True,
             ) from error
+        except OversizedResponseError as error:
+            raise AttemptError(
+                str(error), may_have_run=True, is_oversized=True
+            ) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise AttemptError(
                 f"connection lost: {error!r}",
@@ -154,6 +173,8 @@
         assert response is not None
         if self._buffered:
             yield self._buffered
+            self._buffered = b""
+            self._memory.release()
         try:
             while data := await response.content.readany():
                 yield data
@@ -166,6 +187,7 @@
 
     def close(self) -> None:
         """Closes the connection if the response is incomplete."""
+        self._memory.release()
         if self._response is not None:
             self._response.close()
 
@@ -198,12 +220,13 @@
     async def _read_body(
         self, response: aiohttp.ClientResponse
     ) -> bytes | None:
+        """Returns the body, None if it is too large to be buffered."""
         parts: list[bytes] = []
         size = 0
         async for data in self.chunks():
             parts.append(data)
             size += len(data)
-            if size > _MAX_BUFFERED_BYTES:
+            if size > _MAX_BUFFERED_BYTES or not self._memory.resize(size):
                 self._buffered = b"".join(parts)
                 return None
         return b"".join(parts)
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -10,6 +10,7 @@
 from crowwinch.forwarding._delivery import deliver
 from crowwinch.forwarding._event_recorder import EventRecorder
 from crowwinch.forwarding._exchange import AttemptError, Exchange
+from crowwinch.forwarding._memory import MemoryPool
 from crowwinch.forwarding._messages import (
     AttemptHead,
     WireCodec,
@@ -63,6 +64,7 @@
         metrics: Metrics,
         random: Callable[[], float],
         streams: StreamVersions,
+        response_memory: MemoryPool,
         describe_state: Callable[[], Mapping[str, object]] = dict,
         was_late: Callable[[], bool] = lambda: False,
     ) -> None:
@@ -78,6 +80,8 @@
             metrics: Counters and histograms.
             random: Returns a random number in [0, 1).
             streams: Finds the software versions of streams.
+            response_memory: Pool for bytes of targets that are kept before they
+                are relayed.
             describe_state: Returns the age and version of this router's state
                 for the request log.
             was_late: Returns whether the process recently lacked processor
@@ -92,11 +96,12 @@
         self._codec = codec
         self._random = random
         self._streams = streams
+        self._response_memory = response_memory
         self._retry_policy = RetryPolicy(clock, sharing, client.can_connect)
         self._log = RequestLog(clock, metrics, sharing.shares, describe_state)
         self._is_polling = False
         self._shutdown = Shutdown(clock)
-        self._observer = TargetObserver(targets, sharing, self._log)
+        self._observer = TargetObserver(clock, targets, sharing, self._log)
 
     @property
     def clock(self) -> Clock:
@@ -359,6 +364,7 @@
             self._codec,
             str(target.address),
             call.head.attempt_id,
+            self._response_memory,
             functools.partial(self._observer.observe_head, target, started),
         )
         events = EventRecorder(
@@ -400,6 +406,8 @@
             )
             self._retry_policy.record_answer(context)
         except AttemptError as error:
+            if error.is_oversized:
+                self._observer.record_oversized(target, error)
             if not error.may_have_run:
                 context.possible_runs -= 1
                 self._sharing.shares.revert_usage(work.workspace, work.cost)
--- a/crowwinch/forwarding/_request_log.py
+++ b/crowwinch/forwarding/_request_log.py
@@ -66,6 +66,10 @@
         """Counts an answer that names a rate limit that cannot be read."""
         self._metrics.count("unreadable_target_limits")
 
+    def count_oversized_response(self) -> None:
+        """Counts a response with more bytes than are kept."""
+        self._metrics.count("oversized_target_responses")
+
     def record_first_event(self, seconds: float) -> None:
         """Records the time to the first event, in seconds."""
         self._metrics.observe("first_event", seconds)
--- a/crowwinch/forwarding/_target_client.py
+++ b/crowwinch/forwarding/_target_client.py
@@ -28,11 +28,23 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 _MAX_HEADER_BYTES = 65_536
+# Received bytes are parsed in pieces of this size. Each head takes about a
+# hundred times its size in memory once it is parsed.
+_MAX_PARSED_BYTES = 16_384
+# A connection is closed when more responses than this wait to be read, or come
+# before the expected one: late responses to earlier requests, and interim ones.
+_MAX_EXTRA_RESPONSES = 16
+# Size of all bodies that are skipped before the expected response.
+_MAX_SKIPPED_BYTES = 1_048_576
 
 # Path and query of the request that the current task sends.
 _raw_path: contextvars.ContextVar[str] = contextvars.ContextVar("raw_path")
 
 
+class OversizedResponseError(aiohttp.ClientError):
+    """A target sent more than a router reads before the expected response."""
+
+
 class _TargetProtocol(ResponseHandler):
     """Returns only responses that match the last request of the connection.
 
@@ -49,24 +61,47 @@
         self._idle_close: asyncio.TimerHandle | None = None
         self._response_payload: Any = None
         self._has_responded = False
+        # Interim responses to the last request.
+        self._interim_responses = 0
 
     def expect(self, attempt_id: str) -> None:
         """Sets the request to match and cancels the idle time-out."""
         self._expected_attempt_id = attempt_id
+        self._interim_responses = 0
         if self._idle_close is not None:
             self._idle_close.cancel()
             self._idle_close = None
 
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes, and ends a connection with too many responses.
+
+        The library keeps all responses until they are read.
+        """
+        super().data_received(data[:_MAX_PARSED_BYTES])
+        for start in range(_MAX_PARSED_BYTES, len(data), _MAX_PARSED_BYTES):
+            if self.transport is None or self.exception() is not None:
+                return
+            super().data_received(data[start : start + _MAX_PARSED_BYTES])
+            if len(self._buffer) > _MAX_EXTRA_RESPONSES:
+                break
+        if len(self._buffer) > _MAX_EXTRA_RESPONSES:
+            self._buffer.clear()
+            self._fail(f"more than {_MAX_EXTRA_RESPONSES} unread responses")
+
     async def read(self) -> Any:
         """Returns the head and the payload of the matching response.
 
         Raises:
             ClientOSError: If a response does not say which request it belongs
                 to, and may belong to an earlier one of this connection.
+            OversizedResponseError: If too much comes before the response.
         """
-        while True:
+        skipped_bytes = 0
+        for _ in range(_MAX_EXTRA_RESPONSES - self._interim_responses):
             message, payload = await super().read()
-            if message.code >= 200:
+            if message.code < 200:
+                self._interim_responses += 1
+            else:
                 attempt_id = message.headers.get(self.attempt_header)
                 if attempt_id is None and self._has_responded:
                     self.close()
@@ -78,13 +113,43 @@
                     attempt_id is not None
                     and attempt_id != self._expected_attempt_id
                 ):
-                    await payload.read()
+                    skipped_bytes += await self._skip(payload, skipped_bytes)
                     continue
                 self._has_responded = True
                 self._update_idle_timeout(message.headers)
                 self._response_payload = payload
                 payload.on_eof(self._schedule_idle_close)
             return message, payload
+        raise self._fail(f"more than {_MAX_EXTRA_RESPONSES} extra responses")
+
+    async def _skip(self, payload: Any, skipped_bytes: int) -> int:
+        """Reads a body that belongs to no request; returns its size.
+
+        Args:
+            payload: The body.
+            skipped_bytes: Size of the bodies that were skipped before it.
+
+        Raises:
+            OversizedResponseError: If all of them together are too large.
+        """
+        size = 0
+        while data := await payload.readany():
+            size += len(data)
+            if skipped_bytes + size > _MAX_SKIPPED_BYTES:
+                raise self._fail(
+                    f"over {_MAX_SKIPPED_BYTES} bytes in responses to other "
+                    "requests"
+                )
+        return size
+
+    def _fail(self, cause: str) -> OversizedResponseError:
+        """Ends the connection; returns the error of the current request."""
+        error = OversizedResponseError(cause)
+        transport = self.transport
+        if transport is not None:
+            transport.abort()
+        self.set_exception(error)
+        return error
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails a response that is interrupted by a reset.
--- a/crowwinch/forwarding/_target_observer.py
+++ b/crowwinch/forwarding/_target_observer.py
@@ -2,6 +2,8 @@
 
 import logging
 
+from crowwinch.coordination import Clock
+from crowwinch.errors import CrowwinchError
 from crowwinch.forwarding._messages import ResponseHead
 from crowwinch.forwarding._request_log import RequestLog
 from crowwinch.forwarding._sharing_state import SharingState
@@ -11,26 +13,37 @@
 
 # Targets whose unreadable limit is not logged again.
 _MAX_UNREADABLE_LIMITS = 1_000
+# Minimum interval between two log lines on responses that are too large.
+_OVERSIZED_LOG_INTERVAL_S = 1.0
 
 
 class TargetObserver:
     """Applies departures, pauses and rate limits that targets announce."""
 
     def __init__(
-        self, targets: TargetSet, sharing: SharingState, log: RequestLog
+        self,
+        clock: Clock,
+        targets: TargetSet,
+        sharing: SharingState,
+        log: RequestLog,
     ) -> None:
         """Creates an observer.
 
         Args:
+            clock: Monotonic time.
             targets: Targets that accept requests; those that leave are removed.
             sharing: Gets the pauses and the rate limits.
             log: Counts responses that cannot be read.
         """
+        self._clock = clock
         self._targets = targets
         self._sharing = sharing
         self._log = log
         # Targets whose unreadable limit was logged.
         self._unreadable_limits: set[str] = set()
+        # Since the last log line on them.
+        self._oversized_responses = 0
+        self._oversized_logged_at = float("-inf")
 
     def observe_head(
         self, target: Target, started: float, head: ResponseHead
@@ -60,6 +73,29 @@
                 extra={"target": target.identifier, "seconds": head.hold_s},
             )
 
+    def record_oversized(self, target: Target, error: CrowwinchError) -> None:
+        """Records that a target sent more bytes than are kept.
+
+        Args:
+            target: The target.
+            error: What was too large.
+        """
+        self._log.count_oversized_response()
+        self._oversized_responses += 1
+        now = self._clock.monotonic()
+        if now - self._oversized_logged_at < _OVERSIZED_LOG_INTERVAL_S:
+            return
+        _LOGGER.warning(
+            "response of a target is too large; connection closed",
+            extra={
+                "target": target.identifier,
+                "cause": str(error),
+                "responses": self._oversized_responses,
+            },
+        )
+        self._oversized_responses = 0
+        self._oversized_logged_at = now
+
     def _note_rate_limit(
         self, target: Target, started: float, head: ResponseHead
     ) -> None:
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -15,6 +15,7 @@
     Engine,
     Forwarder,
     LocalStreamVersions,
+    MemoryPool,
     RequestLimits,
     Route,
     RouteKind,
@@ -43,6 +44,7 @@
 )
 
 KEY = "key-1"
+RESPONSE_MEMORY_BYTES = 8_000_000
 _EOF_POLL_INTERVAL_S = 0.002
 _ATTEMPT_HEADER = "x-crowwinch-attempt-id"
 
@@ -259,6 +261,7 @@
             limits or RequestLimits(),
         )
         self.streams = LocalStreamVersions(self.clock)
+        self.response_memory = MemoryPool(RESPONSE_MEMORY_BYTES, 8_192)
         codec = HeaderCodec()
         self.client = TargetClient(codec.attempt_header)
         self.server = CallerServer(
@@ -275,6 +278,7 @@
                 self.metrics,
                 random.Random(1).random,
                 self.streams,
+                self.response_memory,
                 was_late=lambda: was_late,
             ),
             lambda: self.routing.limits if self.routing else RequestLimits(),
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -26,6 +26,7 @@
     CallerServer,
     Forwarder,
     GatewaySettings,
+    MemoryPool,
     RequestLimits,
     RoutingTable,
     SharingState,
@@ -74,6 +75,11 @@
 # The settings file may change without a signal, so it is polled.
 _SETTINGS_POLL_S = 1.0
 _SHUTDOWN_TIMEOUT_S = 0.1
+# Maximum share of the process memory for bytes of targets that are kept before
+# they are relayed.
+_RESPONSE_MEMORY_SHARE = 0.15
+# Events and bodies up to this size are always kept.
+_FREE_RESPONSE_BYTES = 8_192
 
 
 class GatewayApplication(aiomisc.Service):
@@ -129,6 +135,13 @@
         self._metrics.gauge(
             "evicted_stream_records", lambda: self._fleet.streams.evictions
         )
+        response_memory = MemoryPool(
+            int(settings.memory_bytes * _RESPONSE_MEMORY_SHARE),
+            _FREE_RESPONSE_BYTES,
+        )
+        self._metrics.gauge(
+            "response_memory_bytes", lambda: response_memory.used_bytes
+        )
         codec = HeaderCodec()
         self._client = TargetClient(codec.attempt_header)
         self._callers = CallerServer(
@@ -151,6 +164,7 @@
                     self._store,
                     settings.store_history_s,
                 ),
+                response_memory,
                 self._describe_state,
                 lambda: self._lag.was_late,
             ),
