--- a/crowwinch/forwarding/_call.py
+++ b/crowwinch/forwarding/_call.py
@@ -6,10 +6,14 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from crowwinch.errors import RefusalError
+from crowwinch.errors import RefusalError, RefusalReason
+from crowwinch.forwarding._memory import Allocation
 from crowwinch.forwarding._messages import RequestHead
 from crowwinch.forwarding._refusals import body_of, headers_of, status_of
 
+# Delay before a retry when the bodies of requests take too much memory.
+_MEMORY_RETRY_S = 0.5
+
 
 class Call:
     """A request whose body was read, and its response."""
@@ -150,31 +154,53 @@
 
 
 async def read_body(
-    request: web.BaseRequest, limit: int, timeout_s: float
-) -> bytes | None:
+    request: web.BaseRequest, limit: int, timeout_s: float, memory: Allocation
+) -> bytes:
     """Reads the complete body of a request.
 
     Args:
         request: The HTTP request.
         limit: Maximum size in bytes.
         timeout_s: Maximum time in seconds.
-
-    Returns:
-        The body, or None if it exceeds the limit.
+        memory: Allocation for the body. One with a length takes its whole
+            memory at once, one in chunks as they arrive.
 
     Raises:
-        TimeoutError: If the body is incomplete after `timeout_s`.
+        RefusalError: If the body exceeds the limit, is incomplete after
+            `timeout_s`, or does not fit into memory.
     """
-    if request.content_length is not None and request.content_length > limit:
-        return None
+    size = request.content_length or 0
+    _check_size(size, limit, memory)
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        request.writer.output_size = 0
     if not request.can_read_body:
         return b""
-    parts: list[bytes] = []
-    size = 0
-    async with asyncio.timeout(timeout_s):
-        while data := await request.content.readany():
-            size += len(data)
-            if size > limit:
-                return None
-            parts.append(data)
-    return b"".join(parts)
+    body = bytearray()
+    try:
+        async with asyncio.timeout(timeout_s):
+            while data := await request.content.readany():
+                size = max(size, len(body) + len(data))
+                _check_size(size, limit, memory)
+                body += data
+    except TimeoutError as error:
+        raise RefusalError(
+            RefusalReason.MALFORMED_BODY, "the body is incomplete"
+        ) from error
+    return bytes(body)
+
+
+def _check_size(size: int, limit: int, memory: Allocation) -> None:
+    """Takes memory for a body.
+
+    Raises:
+        RefusalError: If the body is too large, or there is no memory left.
+    """
+    if size > limit:
+        raise RefusalError(RefusalReason.BODY_TOO_LARGE, f"over {limit} bytes")
+    if not memory.resize(size):
+        raise RefusalError(
+            RefusalReason.QUEUE_FULL,
+            "too many bodies in memory",
+            retry_after_s=_MEMORY_RETRY_S,
+        )
--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -15,6 +15,7 @@
 from crowwinch.forwarding._early_refusals import EarlyRefusals
 from crowwinch.forwarding._forwarder import Forwarder
 from crowwinch.forwarding._listener import ConnectionListener
+from crowwinch.forwarding._memory import Allocation, MemoryPool
 from crowwinch.forwarding._messages import WireCodec
 from crowwinch.forwarding._model import RequestLimits, SocketAddress
 from crowwinch.forwarding._overload import OverloadDetector
@@ -33,7 +34,8 @@
 _MAX_HEADERS = 128
 # Maximum share of the process memory that request bodies may occupy.
 _BODY_MEMORY_SHARE = 0.2
-_MEMORY_RETRY_S = 0.5
+# Bodies up to this size are always kept.
+_FREE_BODY_BYTES = 8_192
 # Callers that reconnect leave idle connections behind. Above this share of the
 # file descriptors, connections are closed after their next response. Without
 # this limit, many reconnecting callers exhausted the descriptors, and requests
@@ -164,8 +166,12 @@
         self._max_keep_alive_connections = int(
             max_descriptors * _KEEP_ALIVE_DESCRIPTOR_SHARE
         )
-        self._body_capacity = int(memory_bytes * _BODY_MEMORY_SHARE)
-        self._body_bytes = 0
+        self._body_memory = MemoryPool(
+            int(memory_bytes * _BODY_MEMORY_SHARE), _FREE_BODY_BYTES
+        )
+        metrics.gauge(
+            "request_memory_bytes", lambda: self._body_memory.used_bytes
+        )
         self._active = 0
         self._is_draining = False
         self._refuses_requests = False
@@ -265,50 +271,26 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = self._clock.monotonic()
         self._active += 1
-        size = request.content_length or 0
-        self._body_bytes += size
+        memory = self._body_memory.allocate()
         try:
-            return await self._serve(request, arrived)
+            return await self._serve(request, arrived, memory)
         finally:
-            self._body_bytes -= size
+            memory.release()
             self._active -= 1
 
     async def _serve(
-        self, request: web.BaseRequest, arrived: float
+        self, request: web.BaseRequest, arrived: float, memory: Allocation
     ) -> web.StreamResponse:
         head = self._codec.decode_request(request.headers)
         call = Call(request, head, b"", arrived, self._closes_connection)
         if self._refuses_requests:
             return await self._refuse(call, shutdown_refusal())
-        if self._body_bytes > self._body_capacity:
-            return await self._refuse(
-                call,
-                RefusalError(
-                    RefusalReason.QUEUE_FULL,
-                    "too many bodies in memory",
-                    retry_after_s=_MEMORY_RETRY_S,
-                ),
-            )
-        if request.headers.get("Expect", "").lower() == "100-continue":
-            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            request.writer.output_size = 0
-        limit = self._limits().max_body_bytes
         try:
-            body = await read_body(request, limit, _BODY_TIMEOUT_S)
-        except TimeoutError:
-            return await self._refuse(
-                call,
-                RefusalError(
-                    RefusalReason.MALFORMED_BODY, "the body is incomplete"
-                ),
-            )
-        if body is None:
-            return await self._refuse(
-                call,
-                RefusalError(
-                    RefusalReason.BODY_TOO_LARGE, f"over {limit} bytes"
-                ),
+            body = await read_body(
+                request, self._limits().max_body_bytes, _BODY_TIMEOUT_S, memory
             )
+        except RefusalError as refusal:
+            return await self._refuse(call, refusal)
         call = Call(request, head, body, arrived, self._closes_connection)
         # The shutdown may have gone on while the body arrived.
         if self._refuses_requests:
