Directory: count what routers out of step may still use (ORDER)

Callers saw: streams that began at a router which was cut off went on at another software version. The last target of version v1 left meanwhile; the router that was cut off still used it, and no peer held a record of the streams.

Cause: one version counted as the only one that can have begun a stream if it was alone for the age of the stream and 3 s more. The 3 s stood for how long others may use a target after its entry has gone; a router that is cut off uses it for as long as the cut lasts.

Change: routers tell in their updates up to when their directory includes all changes of the store. Versions that were there at that time, 3 s before it or later count as used until the peer has a newer directory, or starts anew. Use and presence are told to peers apart, so that routers that start later know both. The history is complete only from a listing on before which changes may have been missed, and a peer's history fills a gap only if the peer was in step since. Updates that a router reads after it stood still count from the time at which its buffer was last empty.

--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -31,6 +31,9 @@
 # Limit on the removals kept for lagging routers. A router that is further
 # behind gets a complete listing.
 _MAX_REMOVALS = 1000
+# A listing shows all versions that were there since the last contact, if that
+# is no longer ago than this: the entry of a target stays for three heartbeats.
+_MAX_UNSEEN_S = 3.0
 
 
 class DirectoryState:
@@ -64,6 +67,7 @@
         self._departures = Departures(clock)
         self._versions = VersionHistory(clock)
         self._last_contact = float("inf")
+        self._synced_at = float("-inf")
         self._failing_since: float | None = None
         self._recovered_at = float("-inf")
         self._subscribers: list[Callable[[], None]] = []
@@ -118,15 +122,26 @@
         return self._versions.reports(self._targets.values())
 
     def merge_versions(
-        self, ages: Iterable[VersionAge], covered_s: float
+        self, ages: Iterable[VersionAge], covered_s: float, synced_at: float
     ) -> None:
         """Adds the software versions that a peer has seen.
 
         Args:
             ages: When each version was last there.
             covered_s: Seconds for which the peer has seen all versions.
+            synced_at: Monotonic time up to which the peer's directory includes
+                all changes.
         """
-        self._versions.merge(ages, covered_s)
+        self._versions.merge(ages, covered_s, synced_at)
+
+    def record_old_directory(self, synced_at: float) -> None:
+        """Records that a peer may have used an old directory until now.
+
+        Args:
+            synced_at: Monotonic time up to which that directory included all
+                changes.
+        """
+        self._versions.record_old_directory(synced_at)
 
     def extend_history(self, changes: Changes, covered_s: float) -> None:
         """Adds the software versions in changes before the first listing.
@@ -178,6 +193,24 @@
             return 0.0
         return round(self._clock.monotonic() - self._failing_since, 2)
 
+    @property
+    def synced_at(self) -> float:
+        """Monotonic time up to which all changes of the store are included."""
+        return self._synced_at
+
+    def record_sync(self, at: float) -> None:
+        """Records that all changes of the store up to a time are included.
+
+        Args:
+            at: Monotonic time at which a call started whose answer was applied,
+                by this router or by a peer.
+        """
+        self._synced_at = max(self._synced_at, at)
+
+    def includes(self, era: int, revision: int) -> bool:
+        """Returns whether all changes up to a revision are included."""
+        return (era, revision) <= (self._era, self._revision)
+
     def listing(self) -> Listing:
         """Returns all items for a lagging peer, without lapsed targets."""
         return Listing(
@@ -242,6 +275,8 @@
                 },
             )
             return
+        if self._misses_changes(listing):
+            self._versions.restart()
         self._start_lapse_grace()
         present = {item.key for item in listing.items}
         missing = [
@@ -255,6 +290,12 @@
         # last revision, so removals before it are incomplete.
         self._removals_complete_after = self._revision
 
+    def _misses_changes(self, listing: Listing) -> bool:
+        """Returns whether targets may have come and gone before a listing."""
+        is_new = listing.revision > self._revision
+        unseen_s = self._clock.monotonic() - self._synced_at
+        return is_new and unseen_s > _MAX_UNSEEN_S
+
     def apply_changes(self, changes: Changes) -> None:
         """Applies changes of the store that follow the known revision.
 
--- a/crowwinch/directory/_version_history.py
+++ b/crowwinch/directory/_version_history.py
@@ -25,11 +25,14 @@
         service: Name of the service.
         version: Version of the software of its targets.
         age_s: Seconds since the last one was there.
+        used_age_s: Seconds since a router with an older directory may have used
+            one, None if no such router is known.
     """
 
     service: str
     version: str
     age_s: float
+    used_age_s: float | None = None
 
 
 class VersionHistory:
@@ -47,6 +50,9 @@
         self._clock = clock
         # Time at which each pair of service and version was last there.
         self._last_seen: dict[tuple[str, str], float] = {}
+        # Time until which a router that was out of step may have used targets
+        # of each pair.
+        self._last_used: dict[tuple[str, str], float] = {}
         self._complete_since = math.inf
 
     @property
@@ -60,6 +66,28 @@
             self._complete_since, self._clock.monotonic()
         )
 
+    def restart(self) -> None:
+        """Records that changes of targets until now were not seen."""
+        self._complete_since = self._clock.monotonic()
+
+    def record_old_directory(self, synced_at: float) -> None:
+        """Records that a router may have used an old directory until now.
+
+        Args:
+            synced_at: Monotonic time up to which the directory included all
+                changes.
+        """
+        now = self._clock.monotonic()
+        since = synced_at - _LAG_S
+        if now - synced_at <= _LAG_S:
+            return
+        if since < self._complete_since:
+            # It may hold versions that are not known here.
+            self.restart()
+        for pair, seen in self._last_seen.items():
+            if seen >= since:
+                self._last_used[pair] = now
+
     def record(self, target: TargetEntry) -> None:
         """Records that a target is there now, or was there until now."""
         pair = (target.service, target.software_version)
@@ -83,26 +111,43 @@
     def reports(self, current: Iterable[TargetEntry]) -> list[VersionAge]:
         """Returns the versions of all services, for peers."""
         now = self._clock.monotonic()
-        ages = {pair: now - seen for pair, seen in self._last_seen.items()}
+        seen_at = dict(self._last_seen)
         for target in current:
-            ages[target.service, target.software_version] = 0.0
-        ordered = sorted(ages.items(), key=lambda entry: entry[1])
+            seen_at[target.service, target.software_version] = now
+        last = {
+            pair: max(seen, self._used_at(pair))
+            for pair, seen in seen_at.items()
+        }
+        ordered = sorted(last.items(), key=lambda entry: -entry[1])
         return [
-            VersionAge(service, version, age_s)
-            for (service, version), age_s in ordered
-            if age_s <= _REPORTED_S
+            VersionAge(*pair, now - seen_at[pair], self._used_age_s(pair, now))
+            for pair, at in ordered
+            if now - at <= _REPORTED_S
         ][:_MAX_REPORTS]
 
-    def merge(self, ages: Iterable[VersionAge], covered_s: float) -> None:
-        """Adds what a peer knows that has followed the store for longer."""
+    def merge(
+        self, ages: Iterable[VersionAge], covered_s: float, synced_at: float
+    ) -> None:
+        """Adds what a peer knows that has followed the store for longer.
+
+        Args:
+            ages: When each version was last there.
+            covered_s: Seconds for which the peer has seen all versions.
+            synced_at: Monotonic time up to which its directory includes all
+                changes.
+        """
         now = self._clock.monotonic()
         for age in ages:
             pair = (age.service, age.version)
             seen = max(self._last_seen.pop(pair, -math.inf), now - age.age_s)
             self._last_seen[pair] = seen
+            if age.used_age_s is not None:
+                used = max(self._used_at(pair), now - age.used_age_s)
+                self._last_used[pair] = used
         self._forget_oldest()
-        since = now - min(covered_s, _REPORTED_S)
-        self._complete_since = min(self._complete_since, since)
+        if synced_at >= self._complete_since:
+            since = now - min(covered_s, _REPORTED_S)
+            self._complete_since = min(self._complete_since, since)
 
     def only_version(
         self, service: str, current: Iterable[TargetEntry], age_s: float
@@ -123,7 +168,8 @@
         versions = {
             version
             for (name, version), seen in self._last_seen.items()
-            if name == service and seen >= since
+            if name == service
+            and max(seen, self._used_at((name, version))) >= since
         }
         versions |= {
             target.software_version
@@ -132,9 +178,18 @@
         }
         return versions.pop() if len(versions) == 1 else None
 
+    def _used_at(self, pair: tuple[str, str]) -> float:
+        return self._last_used.get(pair, -math.inf)
+
+    def _used_age_s(self, pair: tuple[str, str], now: float) -> float | None:
+        used_at = self._last_used.get(pair)
+        return None if used_at is None else now - used_at
+
     def _forget_oldest(self) -> None:
         while len(self._last_seen) > _MAX_VERSIONS:
-            del self._last_seen[next(iter(self._last_seen))]
+            oldest = next(iter(self._last_seen))
+            del self._last_seen[oldest]
+            self._last_used.pop(oldest, None)
 
 
 def shows_all_targets(items: Sequence[Item]) -> bool:
--- a/crowwinch/directory/_watcher.py
+++ b/crowwinch/directory/_watcher.py
@@ -27,6 +27,8 @@
 _MIN_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 0.4
 _EXPIRY_PERIOD_S = 0.2
+# Answers of the store arrive within this time.
+_MAX_TRANSIT_S = 0.5
 
 
 class DirectoryWatcher:
@@ -102,22 +104,37 @@
         if not self._readers.is_reading:
             await self._sleep(_IDLE_POLL_PERIOD_S)
             return
+        started = self._timers.clock.monotonic()
         if not self._is_listed:
             listing = await self._store.list_items()
             self._readers.record_answer()
             state.record_contact()
             state.apply_listing(listing)
+            state.record_sync(started)
             self._is_listed = True
             return
-        changes = await self._store.watch(
-            state.revision, self._watch_timeout_s()
-        )
+        wait_s = self._watch_timeout_s()
+        changes = await self._store.watch(state.revision, wait_s)
         self._readers.record_answer()
         state.record_contact()
         state.apply_changes(changes)
+        state.record_sync(self._answered_at(started, wait_s))
         if changes.items and not self._readers.is_small_fleet:
             await self._sleep(_BATCH_DELAY_S)
 
+    def _answered_at(self, started: float, wait_s: float) -> float:
+        """Returns the earliest time at which the store answered a watch.
+
+        Args:
+            started: Monotonic time at which the watch started.
+            wait_s: Time in seconds for which it waited for changes.
+        """
+        ended = self._timers.clock.monotonic()
+        if ended - started > wait_s + _MAX_TRANSIT_S:
+            # The answer may have waited for this router to read it.
+            return started
+        return max(started, ended - _MAX_TRANSIT_S)
+
     def _watch_timeout_s(self) -> float:
         readers = self._readers
         if readers.is_small_fleet:
--- a/crowwinch/fleet/_endpoint.py
+++ b/crowwinch/fleet/_endpoint.py
@@ -98,17 +98,24 @@
         else:
             loop.add_reader(self._socket, self.poll)
 
-    def poll(self) -> None:
-        """Reads and dispatches the datagrams in the socket buffer."""
+    def poll(self) -> bool:
+        """Reads and dispatches the datagrams in the socket buffer.
+
+        Returns:
+            Whether the buffer is empty.
+        """
         for _ in range(_MAX_DATAGRAMS_PER_POLL):
             if self._socket is None:
-                return
+                return False
             try:
                 datagram = self._socket.recv(_RECEIVE_BUFFER_BYTES)
+            except BlockingIOError:
+                return True
             except OSError:
-                # The buffer is empty, or an earlier send failed (ICMP error).
-                return
+                # An earlier send failed (ICMP error).
+                return False
             self.handle_datagram(datagram)
+        return False
 
     def send(self, update: FleetUpdate, hosts: list[str]) -> None:
         """Sends an update to the peer port of each host.
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -17,16 +17,19 @@
 from crowwinch.fleet._directory_exchange import DirectoryExchange
 from crowwinch.fleet._directory_pull import DirectoryPull
 from crowwinch.fleet._endpoint import FleetEndpoint
+from crowwinch.fleet._peer_directories import PeerDirectories
 from crowwinch.fleet._peer_table import PeerTable
 from crowwinch.fleet._stream_records import StreamRecords
 from crowwinch.fleet._update_codec import (
     decode_demand,
     decode_rate_limits,
     decode_suspects,
+    decode_sync,
     decode_versions,
     encode_demand,
     encode_rate_limits,
     encode_suspects,
+    encode_sync,
     encode_versions,
 )
 from crowwinch.forwarding import (
@@ -60,6 +63,8 @@
 # time or after this many rounds of updates, whichever is longer.
 _MIN_READER_TIMEOUT_S = 0.5
 _READER_TIMEOUT_ROUNDS = 4
+# A peer that was not heard for this long may be out of step with the store.
+_SILENCE_S = 1.0
 
 
 class FleetService:
@@ -116,6 +121,9 @@
                 message, _hosts(controls)
             ),
         )
+        self._directories = PeerDirectories(timers.clock)
+        # Datagrams that are read now arrived after this time.
+        self._drained_at = timers.clock.monotonic()
         self._exchange = DirectoryExchange(state, settings.control)
         self._pull = DirectoryPull(timers.clock, state, readers, self._exchange)
         # Time of the last update from each peer in this availability zone.
@@ -182,7 +190,10 @@
         # of 240 updates per second took a third of the processor time of the
         # exchange.
         self._endpoint.set_polled(self._table.periods_per_round > 1)
-        self._endpoint.poll()
+        if self._endpoint.poll():
+            self._drained_at = self._timers.clock.monotonic()
+        for synced_at in self._directories.silent_since(_SILENCE_S):
+            self._state.record_old_directory(synced_at)
         sharing = self._sharing
         sharing.loads.refresh()
         sharing.shares.refresh()
@@ -337,6 +348,9 @@
             demand=encode_demand(sharing.rate_limits.demand()),
             versions=encode_versions(self._state.version_reports()),
             history_ms=round(self._state.history_s * _MS_PER_S),
+            synced_ms=encode_sync(
+                self._state.synced_at, self._timers.clock.monotonic()
+            ),
         )
 
     def _live_peer_zones(self) -> dict[str, str]:
@@ -383,10 +397,7 @@
             decode_rate_limits(update.rate_limits),
             decode_demand(update.demand),
         )
-        self._state.merge_versions(
-            decode_versions(update.versions),
-            update.history_ms / _MS_PER_S,
-        )
+        self._merge_directory_state(update)
         if update.era == self._state.era:
             self._state.merge_departures(
                 (report.key, report.revision) for report in update.departures
@@ -406,6 +417,24 @@
                 is_preferred=self._is_preferred_source(update),
             )
 
+    def _merge_directory_state(self, update: FleetUpdate) -> None:
+        """Applies how current a peer's directory is, and what it has seen."""
+        state = self._state
+        # A router that stood still reads updates long after they were sent.
+        synced_at = decode_sync(update.synced_ms, self._drained_at)
+        previous = self._directories.replace(update.control, synced_at)
+        if previous is not None:
+            state.record_old_directory(previous)
+        if synced_at is None:
+            return
+        if state.includes(update.era, update.revision):
+            state.record_sync(synced_at)
+        state.merge_versions(
+            decode_versions(update.versions),
+            update.history_ms / _MS_PER_S,
+            synced_at,
+        )
+
 
 def _hosts(controls: Iterable[str]) -> list[str]:
     """Returns the hosts of control addresses."""
--- a/crowwinch/fleet/_update_codec.py
+++ b/crowwinch/fleet/_update_codec.py
@@ -1,5 +1,6 @@
 """Translates between the parts of updates and the types of decisions."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 from crowwinch.directory import VersionAge
@@ -81,6 +82,22 @@
     ]
 
 
+def encode_sync(synced_at: float, now: float) -> int:
+    """Returns the age in ms of a directory, -1 without one."""
+    return _encode_age(None if math.isinf(synced_at) else now - synced_at)
+
+
+def decode_sync(synced_ms: int, received_at: float) -> float | None:
+    """Returns the time up to which a peer's directory includes all changes.
+
+    Args:
+        synced_ms: Age of the directory when it was sent.
+        received_at: Earliest monotonic time at which it can have been sent.
+    """
+    age_s = _decode_age(synced_ms)
+    return None if age_s is None else received_at - age_s
+
+
 def _encode_age(age_s: float | None) -> int:
     return _NONE_MS if age_s is None else max(round(age_s * _MS_PER_S), 0)
 
@@ -104,7 +121,12 @@
 def encode_versions(ages: Iterable[VersionAge]) -> list[VersionReport]:
     """Returns the messages about software versions."""
     return [
-        VersionReport(age.service, age.version, round(age.age_s * _MS_PER_S))
+        VersionReport(
+            age.service,
+            age.version,
+            round(age.age_s * _MS_PER_S),
+            _encode_age(age.used_age_s),
+        )
         for age in ages
     ]
 
@@ -112,6 +134,11 @@
 def decode_versions(reports: Iterable[VersionReport]) -> list[VersionAge]:
     """Returns the software versions that a peer has seen."""
     return [
-        VersionAge(report.service, report.version, report.age_ms / _MS_PER_S)
+        VersionAge(
+            report.service,
+            report.version,
+            report.age_ms / _MS_PER_S,
+            _decode_age(report.used_age_ms),
+        )
         for report in reports
     ]
--- a/crowwinch/fleet/tests/support.py
+++ b/crowwinch/fleet/tests/support.py
@@ -26,12 +26,19 @@
     DirectoryFetchError,
     build_page,
 )
-from crowwinch.forwarding import GatewaySettings, SocketAddress
+from crowwinch.forwarding import (
+    GatewaySettings,
+    RequestLimits,
+    RoutingTable,
+    Service,
+    SocketAddress,
+)
 from crowwinch.forwarding.tests.support import make_sharing_state
 from crowwinch.generated.fleet_messages import StreamMessage
 
 _STEP_S = 0.05
 ZONES = 5
+SERVICES = ("llm", "other")
 _PORT = 9
 # A call times out this long after the end of its requested wait.
 _CALL_TIMEOUT_S = 1.0
@@ -41,18 +48,29 @@
 _EVENT_LOOP_ITERATIONS = 8
 
 
+_CONFIGURATION = Item("config", 1, b"1")
+
+
 class _Decoder:
-    """Decodes the text of an item as the state of a target."""
+    """Decodes the text of an item as the state and version of a target.
+
+    Targets without a version are of another service.
+    """
 
     def decode(self, key, value):
+        if key == _CONFIGURATION.key:
+            services = {name: Service(name, 0, None) for name in SERVICES}
+            return RoutingTable(int(value), (), services, None, RequestLimits())
+        state, _, version = value.decode().partition(":")
         return TargetEntry(
             key,
-            "llm",
+            "llm" if version else "other",
             SocketAddress("10.1.0.1", 80),
             "zone-0",
             4,
-            TargetState(value.decode()),
+            TargetState(state),
             0,
+            version,
         )
 
 
@@ -62,6 +80,7 @@
     def __init__(self, clock):
         self.clock = clock
         self.revision = 1
+        self._state_revision = 1
         self.calls = 0
         self.is_down = False
         self.refused = set()
@@ -69,23 +88,45 @@
         self.written = {}
         self.state = TargetState.READY
         self.era = 1
+        # Targets besides the one whose state changes, and their changes.
+        self.others = {}
+        self._other_changes = []
         self._pending = []
 
     def write(self, state=TargetState.READY):
         self.revision += 1
+        self._state_revision = self.revision
         self.state = state
         self.written[self.revision] = self.clock.monotonic()
 
+    def put(self, key, text):
+        """Writes the entry of another target; without a text it is removed."""
+        self.revision += 1
+        change = Item(key, self.revision, text and text.encode())
+        self._other_changes.append(change)
+        self.others.pop(key, None)
+        if text:
+            self.others[key] = change
+
+    def changes_after(self, revision):
+        """Returns all changes after a revision."""
+        changes = [
+            each for each in self._other_changes if each.revision > revision
+        ]
+        if self._state_revision > revision:
+            changes.append(self.item)
+        return tuple(changes)
+
     def restore(self, revision, state):
         """Returns to an older copy; its revisions are given out again."""
         self.era += 1
-        self.revision = revision
+        self.revision = self._state_revision = revision
         self.state = state
         self.written.clear()
 
     @property
     def item(self):
-        return Item("key", self.revision, self.state.value.encode())
+        return Item("key", self._state_revision, self.state.value.encode())
 
     def client(self, name):
         return _FakeStoreClient(self, name)
@@ -131,15 +172,15 @@
     async def list_items(self):
         store = self._store
         await store.call(self._name, 0.0, lambda: True)
-        return Listing(store.revision, (store.item,), store.era)
+        items = (_CONFIGURATION, store.item, *store.others.values())
+        return Listing(store.revision, items, store.era)
 
     async def watch(self, revision, wait_s):
         store = self._store
         if not 0 <= store.revision - revision <= _HISTORY_REVISIONS:
             raise HistoryLostError("no such revision")
         await store.call(self._name, wait_s, lambda: store.revision > revision)
-        items = (store.item,) if store.revision > revision else ()
-        return Changes(store.revision, items, store.era)
+        return Changes(store.revision, store.changes_after(revision), store.era)
 
 
 class _FakeNetwork:
@@ -196,7 +237,7 @@
             pass
 
         def poll(self):
-            pass
+            return True
 
         def send(self, update, hosts):
             network.send(self._host, update, hosts)
@@ -219,7 +260,10 @@
         async def stop(self):
             pass
 
-        async def fetch(self, control, after, era, timeout_s):
+        async def fetch(
+            self, control, after, era, timeout_s, *, is_synced=False
+        ):
+            del is_synced
             host = control.rpartition(":")[0]
             return network.page(self._host, host, after, era)
 
--- a/crowwinch/fleet/tests/test_large_fleets.py
+++ b/crowwinch/fleet/tests/test_large_fleets.py
@@ -107,7 +107,11 @@
 
         async def scenario(fleet):
             first, *others = fleet.routers
-            first.state.merge_versions([VersionAge("other", "v1", 0.0)], 30.0)
+            first.state.merge_versions(
+                [VersionAge("other", "v1", 0.0)],
+                30.0,
+                fleet.clock.monotonic(),
+            )
             await fleet.run(1.0)
             known = [
                 any(age.service == "other" for age in reports)
--- a/crowwinch/fleet/tests/test_stream_origins.py
+++ b/crowwinch/fleet/tests/test_stream_origins.py
@@ -169,10 +169,20 @@
                 self.state.merge_versions(
                     [VersionAge("llm", version, 5.0) for version in versions],
                     60.0,
+                    self.clock.monotonic(),
                 )
                 self.assertEqual(await self.origins.find(_STREAM), expected)
                 self.assertEqual(self.store.calls, 0)
 
+    async def test_peer_that_is_out_of_step_fills_no_gap(self):
+        """Guards against a history with a gap that counts as complete."""
+        self._start([_entry("i-1", "v1", 1)], 1)
+        self.store.is_down = True
+        self.state.merge_versions(
+            [VersionAge("llm", "v1", 20.0)], 60.0, self.clock.monotonic() - 5.0
+        )
+        self.assertIsNone(await self.origins.find(_STREAM))
+
     async def test_version_that_left_while_the_router_runs(self):
         changes = [_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)]
         self._start(changes)
