Directory: date the store's history by its entries (ORDER)

Callers saw: after all routers were killed, streams went on at another software version. The store had discarded its history just before, and the other version had left.

Cause: a router without records read the changes that the store still kept and took them as complete for the time that the store keeps changes (20 s), however few there were. The store may discard them sooner, without a sign.

Change: the history reaches back only as far as it shows itself. A target writes its entry with its heartbeats and counts them from its start, so the first entry in the kept changes tells when it was written; 3 s are taken off for late heartbeats and clocks that differ. Without such an entry, the history proves nothing, and the take-up is refused, not run.

Entries in test_stream_origins have start times now, as on the platform; _entry("...") was an undated entry that the old rule accepted. The settings of PlatformFleet name the interval of heartbeats, as those of the platform do.

Two tests fail with the old rule: test_history_that_the_store_has _discarded and test_history_reaches_back_to_its_first_write.

--- a/crowwinch/directory/_model.py
+++ b/crowwinch/directory/_model.py
@@ -38,6 +38,7 @@
             of a target that keeps its identifier.
         software_version: Version of its software, empty if unknown. What two
             versions write cannot be joined in one stream.
+        heartbeats: Number of heartbeats of the target until it wrote this.
     """
 
     identifier: str
@@ -48,6 +49,7 @@
     state: TargetState
     started_ms: int
     software_version: str = ""
+    heartbeats: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -17,6 +17,7 @@
 from crowwinch.directory._version_history import (
     VersionAge,
     VersionHistory,
+    age_of_first_write,
     shows_all_targets,
 )
 from crowwinch.forwarding import RoutingTable
@@ -143,12 +144,16 @@
         """
         self._versions.record_old_directory(synced_at)
 
-    def extend_history(self, changes: Changes, covered_s: float) -> None:
+    def extend_history(
+        self, changes: Changes, heartbeat_s: float, limit_s: float
+    ) -> None:
         """Adds the software versions in changes before the first listing.
 
         Args:
-            changes: Latest changes of the store.
-            covered_s: Seconds for which they are complete.
+            changes: Latest changes of the store, all that it still keeps.
+            heartbeat_s: Interval in seconds at which targets write their
+                entries.
+            limit_s: Maximum time in seconds for which the store keeps changes.
         """
         if changes.era != self._era or not shows_all_targets(changes.items):
             return
@@ -157,10 +162,9 @@
             for item in changes.items
             if item.value is not None
         )
-        self._versions.extend(
-            (entry for entry in decoded if isinstance(entry, TargetEntry)),
-            covered_s,
-        )
+        targets = [entry for entry in decoded if isinstance(entry, TargetEntry)]
+        covered_s = age_of_first_write(targets, heartbeat_s, self._clock.time())
+        self._versions.extend(targets, min(covered_s, limit_s))
 
     @property
     def revision(self) -> int:
--- a/crowwinch/directory/_version_history.py
+++ b/crowwinch/directory/_version_history.py
@@ -9,6 +9,9 @@
 
 # Other routers may use a target for this long after its entry has gone here.
 _LAG_S = 3.0
+# Heartbeats come late at times, and clocks differ.
+_MAX_CLOCK_ERROR_S = 3.0
+_MS_PER_S = 1000.0
 # Versions that were there in this time are reported to peers.
 _REPORTED_S = 60.0
 # Versions reported at a time, so that an update stays small.
@@ -205,3 +208,30 @@
         elif item.key not in written:
             return False
     return True
+
+
+def age_of_first_write(
+    targets: Sequence[TargetEntry], heartbeat_s: float, now_unix_s: float
+) -> float:
+    """Returns how long ago the first of some entries was certainly written.
+
+    The store may discard changes at any time, so that those it keeps reach back
+    only as far as they themselves show. A target writes its entry with each
+    heartbeat, and counts them from its start.
+
+    Args:
+        targets: Entries in the order in which they were written.
+        heartbeat_s: Interval in seconds of the heartbeats, 0 if unknown.
+        now_unix_s: Unix time in seconds.
+
+    Returns:
+        The time in seconds, 0 if it cannot be told.
+    """
+    if not heartbeat_s:
+        return 0.0
+    for target in targets:
+        if target.started_ms:
+            started_s = target.started_ms / _MS_PER_S
+            written_s = started_s + target.heartbeats * heartbeat_s
+            return max(now_unix_s - written_s - _MAX_CLOCK_ERROR_S, 0.0)
+    return 0.0
--- a/crowwinch/fleet/_stream_origins.py
+++ b/crowwinch/fleet/_stream_origins.py
@@ -33,6 +33,7 @@
         state: DirectoryState,
         store: Store,
         store_history_s: float,
+        heartbeat_s: float,
     ) -> None:
         """Creates an instance; the store is read when it is first needed.
 
@@ -43,12 +44,14 @@
             store: Keeps a history of its changes.
             store_history_s: Time in seconds for which the store keeps its
                 changes.
+            heartbeat_s: Interval in seconds at which targets write to it.
         """
         self._clock = clock
         self._records = records
         self._state = state
         self._store = store
         self._store_history_s = store_history_s
+        self._heartbeat_s = heartbeat_s
         self._history_lock = asyncio.Lock()
         self._history_read_at = float("-inf")
 
@@ -87,7 +90,9 @@
                     extra={"cause": str(error)},
                 )
                 return
-            self._state.extend_history(changes, self._store_history_s)
+            self._state.extend_history(
+                changes, self._heartbeat_s, self._store_history_s
+            )
             _LOGGER.info(
                 "history of the store read",
                 extra={
--- a/crowwinch/fleet/tests/test_stream_origins.py
+++ b/crowwinch/fleet/tests/test_stream_origins.py
@@ -18,16 +18,23 @@
 from crowwinch.platform import DocumentCodec
 
 _HISTORY_S = 20.0
+_HEARTBEAT_S = 1.2
+_NOW_S = 1_000_000.0
 _STREAM = TakenUpStream("attempt", "llm", 8.0)
 
 
-def _entry(name, version, revision, state="ready", service="llm"):
+def _entry(
+    name, version, revision, state="ready", service="llm", age_s=60.0, beats=0
+):
+    """Returns an entry that was written some seconds ago."""
+    started_s = _NOW_S - age_s - beats * _HEARTBEAT_S
     document = {
         "Service": service,
         "Address": "10.0.0.1:80",
         "State": state,
         "Version": version,
-        "Sequence": revision,
+        "Sequence": beats,
+        "born": int(started_s * 1000),
     }
     return Item(f"servers/{name}", revision, json.dumps(document).encode())
 
@@ -63,7 +70,7 @@
             changes: All changes of the store.
             oldest: Revision after which the store still keeps them.
         """
-        self.clock = ManualClock(100.0)
+        self.clock = ManualClock(100.0, unix_start=_NOW_S)
         self.store = _Store(changes, oldest)
         self.state = DirectoryState(self.clock, DocumentCodec())
         items = {item.key: item for item in changes}
@@ -77,7 +84,12 @@
             self.clock, "10.0.0.1:1", dict, lambda message, peers: None
         )
         self.origins = StreamOrigins(
-            self.clock, records, self.state, self.store, _HISTORY_S
+            self.clock,
+            records,
+            self.state,
+            self.store,
+            _HISTORY_S,
+            _HEARTBEAT_S,
         )
 
     @staticmethod
@@ -129,6 +141,28 @@
         self._start(changes, 2)
         self.assertIsNone(await self.origins.find(_STREAM))
 
+    async def test_history_that_the_store_has_discarded(self):
+        """Guards against changes that are too few to reach back (ORDER)."""
+        removal = Item("servers/i-1", 3, None)
+        changes = [_entry("i-1", "v1", 1), _entry("i-2", "v2", 2), removal]
+        for later in (
+            [],
+            [_entry("i-2", "v2", 4, "draining", age_s=2.0, beats=9)],
+            [_entry("i-3", "v2", 4, age_s=1.0)],
+        ):
+            with self.subTest(later=len(later)):
+                self._start([*changes, *later], 3)
+                self.assertIsNone(await self.origins.find(_STREAM))
+
+    async def test_history_reaches_back_to_its_first_write(self):
+        changes = [_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)]
+        changes.append(Item("servers/i-1", 3, None))
+        for age_s, expected in ((20.0, "v2"), (13.0, None)):
+            with self.subTest(age_s=age_s):
+                later = _entry("i-2", "v2", 4, age_s=age_s, beats=7)
+                self._start([*changes, later], 3)
+                self.assertEqual(await self.origins.find(_STREAM), expected)
+
     async def test_two_versions_serve(self):
         self._start([_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)], 2)
         self.assertIsNone(await self.origins.find(_STREAM))
--- a/crowwinch/forwarding/_model.py
+++ b/crowwinch/forwarding/_model.py
@@ -45,6 +45,8 @@
             counted.
         store_history_s: Time in seconds for which the store keeps its changes,
             0 if unknown.
+        heartbeat_s: Interval in seconds at which targets write their entries, 0
+            if unknown.
     """
 
     name: str
@@ -66,6 +68,7 @@
     retry_window_s: float
     share_window_s: float
     store_history_s: float = 0.0
+    heartbeat_s: float = 0.0
 
 
 class RouteKind(enum.Enum):
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -163,6 +163,7 @@
                     self._state,
                     self._store,
                     settings.store_history_s,
+                    settings.heartbeat_s,
                 ),
                 response_memory,
                 self._describe_state,
--- a/crowwinch/platform/_documents.py
+++ b/crowwinch/platform/_documents.py
@@ -105,6 +105,8 @@
     # Start time in Unix milliseconds. It distinguishes restarts because a
     # target may keep its identifier.
     born: _NonNegativeInt = 0
+    # Number of heartbeats of the target since its start.
+    Sequence: _NonNegativeInt = 0
     # Version of the target's software, not of its weights.
     Version: _SoftwareVersion = ""
 
@@ -254,5 +256,6 @@
         slots=document.Slots,
         state=state,
         started_ms=document.born,
+        heartbeats=document.Sequence,
         software_version=document.Version,
     )
--- a/crowwinch/platform/_settings.py
+++ b/crowwinch/platform/_settings.py
@@ -57,6 +57,8 @@
     Limits: _Limits
     Bounds: _Bounds
     Platform: _Platform
+    # Interval at which targets write their entries.
+    HeartbeatMs: _NonNegative = 0.0
 
 
 def load_boot_settings(path: str) -> GatewaySettings:
@@ -120,6 +122,7 @@
         retry_window_s=bounds.BudgetWindowS,
         share_window_s=bounds.QuotaWindowS,
         store_history_s=boot.Platform.HistoryS,
+        heartbeat_s=boot.HeartbeatMs / _MS_PER_S,
     )
 
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -187,6 +187,7 @@
         settings.write_text(
             f'NodeName = "edge-{index}"\nIp = "{address}"\nZone = "az-1"\n'
             f"PortRange = [{peer}, {metrics}]\nSeeds = [{seeds}]\n"
+            "HeartbeatMs = 1200\n"
             f'[Listen]\nFrontend = "{address}:{caller}"\n'
             f'Readiness = "{address}:{readiness}"\n'
             f'Control = "{address}:{control}"\n'
