--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -118,9 +118,16 @@
         """Seconds for which all software versions that served are known."""
         return self._versions.covered_s
 
-    def version_reports(self) -> list[VersionAge]:
-        """Returns the software versions of all services, for peers."""
-        return self._versions.reports(self._targets.values())
+    def version_reports(self) -> tuple[list[VersionAge], float]:
+        """Returns the software versions of the configured services, for peers.
+
+        Returns:
+            The versions, and the seconds for which they are complete.
+        """
+        return self._versions.reports(
+            self._targets.values(),
+            () if self._routing is None else self._routing.services,
+        )
 
     def merge_versions(
         self, ages: Iterable[VersionAge], covered_s: float, synced_at: float
--- a/crowwinch/directory/_version_history.py
+++ b/crowwinch/directory/_version_history.py
@@ -1,7 +1,7 @@
 """Software versions that the targets of each service had lately."""
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from crowwinch.coordination import Clock
@@ -111,22 +111,41 @@
             self._complete_since, self._clock.monotonic() - covered_s
         )
 
-    def reports(self, current: Iterable[TargetEntry]) -> list[VersionAge]:
-        """Returns the versions of all services, for peers."""
+    def reports(
+        self, current: Iterable[TargetEntry], services: Collection[str]
+    ) -> tuple[list[VersionAge], float]:
+        """Returns what peers need to know.
+
+        Args:
+            current: Targets that are there now.
+            services: Services whose versions are reported. The store may hold
+                entries of others.
+
+        Returns:
+            The versions, and the seconds for which they are complete.
+        """
         now = self._clock.monotonic()
         seen_at = dict(self._last_seen)
         for target in current:
             seen_at[target.service, target.software_version] = now
-        last = {
-            pair: max(seen, self._used_at(pair))
+        ages = {
+            pair: now - max(seen, self._used_at(pair))
             for pair, seen in seen_at.items()
+            if pair[0] in services
         }
-        ordered = sorted(last.items(), key=lambda entry: -entry[1])
-        return [
+        recent = sorted(
+            (age_s, pair)
+            for pair, age_s in ages.items()
+            if age_s <= _REPORTED_S
+        )
+        reports = [
             VersionAge(*pair, now - seen_at[pair], self._used_age_s(pair, now))
-            for pair, at in ordered
-            if now - at <= _REPORTED_S
-        ][:_MAX_REPORTS]
+            for _, pair in recent[:_MAX_REPORTS]
+        ]
+        covered_s = min(
+            [self.covered_s, *(age_s for age_s, _ in recent[_MAX_REPORTS:])]
+        )
+        return reports, covered_s
 
     def merge(
         self, ages: Iterable[VersionAge], covered_s: float, synced_at: float
@@ -191,8 +210,10 @@
     def _forget_oldest(self) -> None:
         while len(self._last_seen) > _MAX_VERSIONS:
             oldest = next(iter(self._last_seen))
-            del self._last_seen[oldest]
+            used = max(self._last_seen.pop(oldest), self._used_at(oldest))
             self._last_used.pop(oldest, None)
+            # From then on, nothing is missing.
+            self._complete_since = max(self._complete_since, used)
 
 
 def shows_all_targets(items: Sequence[Item]) -> bool:
--- a/crowwinch/fleet/_endpoint.py
+++ b/crowwinch/fleet/_endpoint.py
@@ -3,11 +3,13 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable, Sequence
+import time
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
 from crowwinch.errors import DECODE_ERRORS, PeerRejection
+from crowwinch.fleet._update_size import shorten_update
 from crowwinch.generated.fleet_messages import FleetUpdate, StreamMessage
 
 _LOGGER = logging.getLogger(__name__)
@@ -22,6 +24,8 @@
 # Datagrams read per call before control returns to the event loop; four times
 # the number that a router receives in one update period.
 _MAX_DATAGRAMS_PER_POLL = 64
+# Minimum interval between two log lines on updates that were shortened.
+_SHORTENED_LOG_INTERVAL_S = 10.0
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODERS = {
     _UPDATE_FORMAT: msgspec.msgpack.Decoder(FleetUpdate),
@@ -61,6 +65,7 @@
         self._count_rejection = count_rejection
         self._socket: socket.socket | None = None
         self._is_polled = False
+        self._shortened_logged_at = float("-inf")
 
     async def start(self) -> None:
         """Opens the socket and starts to receive.
@@ -120,15 +125,14 @@
     def send(self, update: FleetUpdate, hosts: list[str]) -> None:
         """Sends an update to the peer port of each host.
 
-        Updates over the size limit are logged and dropped.
+        An update over the size limit is shortened.
         """
         datagram = _UPDATE_FORMAT + _ENCODER.encode(update)
         if len(datagram) > _MAX_UPDATE_BYTES:
-            _LOGGER.error(
-                "update exceeds the datagram size limit; not sent",
-                extra={"bytes": len(datagram)},
-            )
-            return
+            size = len(datagram)
+            shortened, left_out = shorten_update(update, _MAX_UPDATE_BYTES - 1)
+            datagram = _UPDATE_FORMAT + _ENCODER.encode(shortened)
+            self._log_shortened(size, left_out)
         self._send_datagram(datagram, hosts)
 
     def send_stream(self, message: StreamMessage, hosts: Sequence[str]) -> None:
@@ -151,6 +155,16 @@
         else:
             self._receive(message)
 
+    def _log_shortened(self, size: int, left_out: Mapping[str, int]) -> None:
+        now = time.monotonic()
+        if now - self._shortened_logged_at < _SHORTENED_LOG_INTERVAL_S:
+            return
+        self._shortened_logged_at = now
+        _LOGGER.warning(
+            "update exceeds the datagram size limit; shortened",
+            extra={"bytes": size, "left_out": dict(left_out)},
+        )
+
     def _send_datagram(self, datagram: bytes, hosts: Sequence[str]) -> None:
         if self._socket is None:
             return
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -319,6 +319,7 @@
     def _build_update(self) -> FleetUpdate:
         sharing = self._sharing
         sequence = next(self._sequence)
+        versions, covered_s = self._state.version_reports()
         return FleetUpdate(
             router=self._settings.name,
             availability_zone=self._settings.availability_zone,
@@ -346,8 +347,8 @@
             era=self._state.era,
             rate_limits=encode_rate_limits(sharing.rate_limits.reports()),
             demand=encode_demand(sharing.rate_limits.demand()),
-            versions=encode_versions(self._state.version_reports()),
-            history_ms=round(self._state.history_s * _MS_PER_S),
+            versions=encode_versions(versions),
+            history_ms=round(covered_s * _MS_PER_S),
             synced_ms=encode_sync(
                 self._state.synced_at, self._timers.clock.monotonic()
             ),
@@ -429,9 +430,11 @@
             return
         if state.includes(update.era, update.revision):
             state.record_sync(synced_at)
+        # A peer with an older configuration leaves out newer services.
+        has_services = update.version >= state.version
         state.merge_versions(
             decode_versions(update.versions),
-            update.history_ms / _MS_PER_S,
+            update.history_ms / _MS_PER_S if has_services else 0.0,
             synced_at,
         )
 
--- a/crowwinch/fleet/tests/test_large_fleets.py
+++ b/crowwinch/fleet/tests/test_large_fleets.py
@@ -115,7 +115,7 @@
             await fleet.run(1.0)
             known = [
                 any(age.service == "other" for age in reports)
-                for reports in (
+                for reports, _ in (
                     router.state.version_reports() for router in others
                 )
             ]
