Fleet: confirm the directory before a version counts as alone (ORDER)

Callers saw: during a release, streams that began at targets of a new version through other routers broke, were taken up at a router that had just been cut off, and went on at a target of the old version.

Cause: a router without a record took the only version in its directory as the one that began the stream. It asked whether the last call to the store had succeeded, which is true until a waiting watch times out, 0.7 to 3 s after a cut. What such a router does not know proves nothing.

Change: such a take-up waits until the directory includes all changes up to its arrival, which is later than the break of the stream. All take-ups that wait share one read of the store, at most one in 0.1 s; after 0.1 s, or a refusal by the store, two peers that it answers read it for this router and send what is new. Without an answer within 0.6 s the take-up is refused, not run.

--- a/crowwinch/directory/_readers.py
+++ b/crowwinch/directory/_readers.py
@@ -114,6 +114,10 @@
             peer.status is ReaderStatus.FRESH for peer in self._peers.values()
         )
 
+    def fresh_peers(self) -> list[str]:
+        """Returns the peers that have a recent answer from the store."""
+        return list(self._peers_with_status(ReaderStatus.FRESH))
+
     def record_answer(self) -> None:
         """Records an answer of the store to this router."""
         self._last_answer = self._clock.monotonic()
--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -107,8 +107,6 @@
         Returns:
             The version, None if there were several or it cannot be told.
         """
-        if not self.is_connected:
-            return None
         return self._versions.only_version(
             service, self._targets.values(), age_s
         )
--- a/crowwinch/fleet/_directory_exchange.py
+++ b/crowwinch/fleet/_directory_exchange.py
@@ -1,5 +1,7 @@
 """HTTP server and client for directories of routers."""
 
+from collections.abc import Awaitable, Callable
+
 import aiohttp
 import msgspec
 from aiohttp import web
@@ -16,6 +18,8 @@
 _PATH = "/v1/directory"
 _AFTER_PARAMETER = "after"
 _ERA_PARAMETER = "era"
+# Asks the peer to read the store before it answers.
+_SYNC_PARAMETER = "sync"
 _SHUTDOWN_TIMEOUT_S = 0.1
 # Pages from this size on are compressed. A table of 1,500 routes takes half a
 # second on a link of 10 Mbit/s, for each peer that fetches it.
@@ -42,6 +46,16 @@
         self._address = address
         self._session: aiohttp.ClientSession | None = None
         self._runner: web.ServerRunner | None = None
+        self._sync: Callable[[], Awaitable[bool]] | None = None
+
+    def set_sync(self, sync: Callable[[], Awaitable[bool]]) -> None:
+        """Sets how the directory is brought up to date for a peer.
+
+        Args:
+            sync: Returns whether the directory includes all changes that the
+                store had when it was called.
+        """
+        self._sync = sync
 
     async def start(self) -> None:
         """Opens the client session and starts the server.
@@ -70,7 +84,13 @@
             await self._runner.cleanup()
 
     async def fetch(
-        self, control: str, after: int, era: int, timeout_s: float
+        self,
+        control: str,
+        after: int,
+        era: int,
+        timeout_s: float,
+        *,
+        is_synced: bool = False,
     ) -> DirectoryPage:
         """Fetches the changes of a peer's directory after a revision.
 
@@ -81,6 +101,8 @@
             after: Last known revision; 0 requests the whole directory.
             era: Era of the store to which the revision belongs.
             timeout_s: Maximum time in seconds until the page is complete.
+            is_synced: Whether the peer reads the store before it answers; the
+                page says whether that succeeded.
 
         Raises:
             DirectoryFetchError: If the peer does not answer within the timeout
@@ -93,6 +115,7 @@
                 params={
                     _AFTER_PARAMETER: str(after),
                     _ERA_PARAMETER: str(era),
+                    _SYNC_PARAMETER: str(int(is_synced)),
                 },
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
@@ -108,11 +131,15 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.method != "GET" or request.path != _PATH:
             return web.Response(status=404)
+        is_synced = False
+        if request.query.get(_SYNC_PARAMETER) == "1" and self._sync is not None:
+            is_synced = await self._sync()
         page = build_page(
             self._state,
             _parse_count(request.query.get(_AFTER_PARAMETER, "")),
             _parse_count(request.query.get(_ERA_PARAMETER, "")),
         )
+        page = msgspec.structs.replace(page, is_synced=is_synced)
         body = _ENCODER.encode(page)
         response = web.Response(body=body, content_type="application/msgpack")
         if len(body) >= _MIN_COMPRESSED_BYTES:
--- a/crowwinch/fleet/_directory_pull.py
+++ b/crowwinch/fleet/_directory_pull.py
@@ -15,6 +15,7 @@
     DirectoryExchange,
     DirectoryFetchError,
 )
+from crowwinch.generated.fleet_messages import DirectoryPage
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -31,6 +32,8 @@
 # little processor time, would otherwise never arrive.
 _MIN_FETCH_TIMEOUT_S = 0.6
 _MAX_FETCH_TIMEOUT_S = 2.4
+# A peer that reads the store for this router answers within this time.
+_SYNC_TIMEOUT_S = 0.45
 
 
 class DirectoryPull:
@@ -121,6 +124,27 @@
         known = state.revision if is_older else 0
         self._task = asyncio.ensure_future(self._pull(control, known))
 
+    async def sync(self, control: str) -> None:
+        """Lets a peer read the store, and applies what it knows then."""
+        started = self._clock.monotonic()
+        state = self._state
+        try:
+            page = await self._exchange.fetch(
+                control,
+                state.revision,
+                state.era,
+                _SYNC_TIMEOUT_S,
+                is_synced=True,
+            )
+        except DirectoryFetchError as error:
+            _LOGGER.info(
+                "directory not confirmed by a peer", extra={"cause": str(error)}
+            )
+            return
+        self._apply(page)
+        if page.is_synced and state.includes(page.era, page.revision):
+            state.record_sync(started)
+
     def refresh(self) -> None:
         """Ends the lag once the change that started it has been applied."""
         era, revision, version = self._awaited
@@ -164,6 +188,10 @@
                 "known": known,
             },
         )
+        self._apply(page)
+        self.refresh()
+
+    def _apply(self, page: DirectoryPage) -> None:
         items = tuple(
             Item(item.key, item.revision, item.value.encode())
             for item in page.items
@@ -178,4 +206,3 @@
             self._state.apply_peer_changes(
                 Changes(page.revision, (*items, *removals), page.era)
             )
-        self.refresh()
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -1,9 +1,10 @@
 """Periodic exchange of state updates with the other routers of the fleet."""
 
+import asyncio
 import collections
 import itertools
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import msgspec
 
@@ -65,6 +66,8 @@
 _READER_TIMEOUT_ROUNDS = 4
 # A peer that was not heard for this long may be out of step with the store.
 _SILENCE_S = 1.0
+# Peers that are asked to read the store for this router.
+_SYNC_PEERS = 2
 
 
 class FleetService:
@@ -153,6 +156,20 @@
         """Seconds for which a peer's directory has been newer, 0 if none is."""
         return self._pull.behind_s
 
+    def serve_sync(self, sync: Callable[[], Awaitable[bool]]) -> None:
+        """Sets how the directory is brought up to date for peers.
+
+        Args:
+            sync: Returns whether the directory includes all changes that the
+                store had when it was called.
+        """
+        self._exchange.set_sync(sync)
+
+    async def sync_with_peers(self) -> None:
+        """Lets peers that the store answers read it for this router."""
+        peers = self._readers.fresh_peers()[:_SYNC_PEERS]
+        await asyncio.gather(*(self._pull.sync(peer) for peer in peers))
+
     def set_seeds(self, seeds: Iterable[SocketAddress]) -> None:
         """Replaces the seeds; known peers are kept.
 
--- a/crowwinch/fleet/_stream_origins.py
+++ b/crowwinch/fleet/_stream_origins.py
@@ -11,6 +11,7 @@
     Store,
     StoreError,
 )
+from crowwinch.fleet._directory_sync import DirectorySync
 from crowwinch.fleet._stream_records import StreamRecords
 from crowwinch.forwarding import TakenUpStream
 
@@ -32,6 +33,7 @@
         records: StreamRecords,
         state: DirectoryState,
         store: Store,
+        sync: DirectorySync,
         store_history_s: float,
         heartbeat_s: float,
     ) -> None:
@@ -42,6 +44,7 @@
             records: Records of streams at the routers.
             state: Directory of this router.
             store: Keeps a history of its changes.
+            sync: Brings the directory up to date.
             store_history_s: Time in seconds for which the store keeps its
                 changes.
             heartbeat_s: Interval in seconds at which targets write to it.
@@ -50,6 +53,7 @@
         self._records = records
         self._state = state
         self._store = store
+        self._sync = sync
         self._store_history_s = store_history_s
         self._heartbeat_s = heartbeat_s
         self._history_lock = asyncio.Lock()
@@ -69,11 +73,29 @@
         return version
 
     async def _find_only_version(self, stream: TakenUpStream) -> str | None:
-        version = self._state.only_version(stream.service, stream.max_age_s)
-        if version is None and self._state.history_s < self._store_history_s:
+        """Returns the version that alone was there for the age of a stream.
+
+        The stream broke before now. Until the store or a peer in step with it
+        has answered, another version may have joined and begun it.
+        """
+        state = self._state
+        asked_at = self._clock.monotonic()
+        version = state.only_version(stream.service, stream.max_age_s)
+        if version is None and state.history_s < self._store_history_s:
             await self._read_history()
-            version = self._state.only_version(stream.service, stream.max_age_s)
-        return version
+            version = state.only_version(stream.service, stream.max_age_s)
+        if version is None:
+            return None
+        if not await self._sync.sync(asked_at):
+            _LOGGER.info(
+                "directory not confirmed; version of a stream unknown",
+                extra={
+                    "stream": stream.attempt_id,
+                    "synced_s": round(asked_at - state.synced_at, 3),
+                },
+            )
+            return None
+        return state.only_version(stream.service, stream.max_age_s)
 
     async def _read_history(self) -> None:
         """Reads the changes of the store that it still keeps."""
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -21,7 +21,7 @@
     StoreReaderSelector,
 )
 from crowwinch.errors import PeerRejection, RefusalReason, RetryReason
-from crowwinch.fleet import FleetService, StreamOrigins
+from crowwinch.fleet import DirectorySync, FleetService, StreamOrigins
 from crowwinch.forwarding import (
     CallerServer,
     Forwarder,
@@ -132,6 +132,10 @@
                 "peer_rejections", reason
             ),
         )
+        sync = DirectorySync(
+            self._clock, self._state, self._store, self._fleet.sync_with_peers
+        )
+        self._fleet.serve_sync(sync.sync_with_store)
         self._metrics.gauge(
             "evicted_stream_records", lambda: self._fleet.streams.evictions
         )
@@ -162,6 +166,7 @@
                     self._fleet.streams,
                     self._state,
                     self._store,
+                    sync,
                     settings.store_history_s,
                     settings.heartbeat_s,
                 ),
