--- a/crowwinch/forwarding/__init__.py
+++ b/crowwinch/forwarding/__init__.py
@@ -35,6 +35,7 @@
     TakenUpStream,
 )
 from crowwinch.forwarding._target_client import TargetClient
+from crowwinch.forwarding._target_lives import TargetLives
 from crowwinch.forwarding._target_set import Target, TargetSet
 from crowwinch.sharing import PromptPart
 
@@ -65,6 +66,7 @@
     "TakenUpStream",
     "Target",
     "TargetClient",
+    "TargetLives",
     "TargetResponse",
     "TargetSet",
     "WireCodec",
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -23,6 +23,7 @@
 from crowwinch.forwarding._shutdown import Shutdown
 from crowwinch.forwarding._stream_versions import StreamVersions, TakenUpStream
 from crowwinch.forwarding._target_client import TargetClient
+from crowwinch.forwarding._target_lives import TargetLives
 from crowwinch.forwarding._target_observer import TargetObserver
 from crowwinch.forwarding._target_set import Target, TargetSet
 from crowwinch.observability import Metrics
@@ -64,6 +65,7 @@
         metrics: Metrics,
         random: Callable[[], float],
         streams: StreamVersions,
+        lives: TargetLives,
         response_memory: MemoryPool,
         describe_state: Callable[[], Mapping[str, object]] = dict,
         was_late: Callable[[], bool] = lambda: False,
@@ -80,6 +82,7 @@
             metrics: Counters and histograms.
             random: Returns a random number in [0, 1).
             streams: Finds the software versions of streams.
+            lives: Confirms the start times of targets.
             response_memory: Pool for bytes of targets that are kept before they
                 are relayed.
             describe_state: Returns the age and version of this router's state
@@ -96,6 +99,7 @@
         self._codec = codec
         self._random = random
         self._streams = streams
+        self._lives = lives
         self._response_memory = response_memory
         self._retry_policy = RetryPolicy(clock, sharing, client.can_connect)
         self._log = RequestLog(clock, metrics, sharing.shares, describe_state)
@@ -332,7 +336,7 @@
         decision, reservation = placement.decision, placement.reservation
         assert reservation is not None, "no load reserved for the attempt"
         call, work = context.call, context.work
-        target = self._targets.get(decision.target)
+        target = await self._find_target(context, placement)
         if target is None:
             self._sharing.release(work, placement)
             raise AttemptError("the target is gone", may_have_run=False)
@@ -406,6 +410,8 @@
             )
             self._retry_policy.record_answer(context)
         except AttemptError as error:
+            if error.is_connection_lost or error.is_unreachable:
+                self._lives.doubt(target)
             if error.is_oversized:
                 self._observer.record_oversized(target, error)
             if not error.may_have_run:
@@ -417,6 +423,26 @@
             reservation.finish()
             self.schedule_poll()
 
+    async def _find_target(
+        self, context: RequestContext, placement: Placement
+    ) -> Target | None:
+        """Returns the target of a decision, None if it is gone.
+
+        A stream is bound to the software version of its target, which has to be
+        known.
+        """
+        target = self._targets.get(placement.decision.target)
+        if target is None:
+            return None
+        self._lives.check_connections(target)
+        if context.route.kind is not RouteKind.RESUMABLE_STREAM:
+            return target
+        try:
+            return await self._lives.confirm(target)
+        except asyncio.CancelledError:
+            self._sharing.release(context.work, placement)
+            raise
+
     def _note_stream_start(
         self, context: RequestContext, target: Target
     ) -> None:
--- a/crowwinch/forwarding/_messages.py
+++ b/crowwinch/forwarding/_messages.py
@@ -91,6 +91,17 @@
     def attempt_header(self) -> str:
         """Name of the header that identifies an attempt in both directions."""
 
+    @property
+    def report_path(self) -> str:
+        """Path at which a target reports on itself."""
+
+    def decode_start_time(self, report: bytes) -> int | None:
+        """Returns when a target started, in Unix ms, None if it does not say.
+
+        Args:
+            report: Body of the response at `report_path`.
+        """
+
     def decode_request(self, headers: CIMultiDictProxy[str]) -> RequestHead:
         """Decodes the headers of a request from a caller."""
 
--- a/crowwinch/forwarding/_target_client.py
+++ b/crowwinch/forwarding/_target_client.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextvars
+import http
 import socket
+from collections import Counter
 from collections.abc import Mapping
 from typing import Any
 
@@ -36,6 +38,8 @@
 _MAX_EXTRA_RESPONSES = 16
 # Size of all bodies that are skipped before the expected response.
 _MAX_SKIPPED_BYTES = 1_048_576
+_REPORT_TIMEOUT_S = 0.5
+_MAX_REPORT_BYTES = 262_144
 
 # Path and query of the request that the current task sends.
 _raw_path: contextvars.ContextVar[str] = contextvars.ContextVar("raw_path")
@@ -53,6 +57,8 @@
     """
 
     attempt_header = ""
+    # Open connections by address of the target.
+    open_connections: Counter[str] = Counter()
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
@@ -63,6 +69,14 @@
         self._has_responded = False
         # Interim responses to the last request.
         self._interim_responses = 0
+        self._address = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Counts the connection."""
+        super().connection_made(transport)
+        host, port = transport.get_extra_info("peername")[:2]
+        self._address = f"{host}:{port}"
+        self.open_connections[self._address] += 1
 
     def expect(self, attempt_id: str) -> None:
         """Sets the request to match and cancels the idle time-out."""
@@ -162,6 +176,9 @@
             payload.set_exception(ClientOSError(*exc.args))
         if self._idle_close is not None:
             self._idle_close.cancel()
+        self.open_connections[self._address] -= 1
+        if not self.open_connections[self._address]:
+            del self.open_connections[self._address]
         super().connection_lost(exc)
 
     def _update_idle_timeout(self, headers: Mapping[str, str]) -> None:
@@ -209,6 +226,18 @@
         return await super().send(conn)
 
 
+async def _read_up_to(
+    response: aiohttp.ClientResponse, limit: int
+) -> bytes | None:
+    """Returns the body of a response, None if it exceeds a limit in bytes."""
+    body = bytearray()
+    while data := await response.content.readany():
+        body += data
+        if len(body) > limit:
+            return None
+    return bytes(body)
+
+
 def _open_socket(address: Any) -> socket.socket:
     family, kind, protocol, _, _ = address
     sock = socket.socket(family, kind, protocol)
@@ -233,6 +262,7 @@
                 requests.
         """
         self._attempt_header = attempt_header
+        self._open_connections: Counter[str] = Counter()
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -240,7 +270,10 @@
         protocol = type(
             "_Protocol",
             (_TargetProtocol,),
-            {"attempt_header": self._attempt_header},
+            {
+                "attempt_header": self._attempt_header,
+                "open_connections": self._open_connections,
+            },
         )
         connector = aiohttp.TCPConnector(
             limit=0, keepalive_timeout=60.0, socket_factory=_open_socket
@@ -270,6 +303,42 @@
         if self._session is not None:
             await self._session.close()
 
+    def connections(self, address: str) -> int:
+        """Returns the number of open connections to a target.
+
+        Args:
+            address: `IP:PORT` of the target.
+        """
+        return self._open_connections[address]
+
+    async def read_report(self, address: str, path: str) -> bytes | None:
+        """Returns what a target reports of itself, None if it does not.
+
+        It has a connection of its own, as its response names no request.
+
+        Args:
+            address: `IP:PORT` of the target.
+            path: Path of the report.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=_REPORT_TIMEOUT_S, sock_connect=_CONNECT_TIMEOUT_S
+        )
+        connector = aiohttp.TCPConnector(force_close=True)
+        try:
+            async with (
+                aiohttp.ClientSession(
+                    connector=connector, timeout=timeout
+                ) as session,
+                session.get(
+                    f"http://{address}{path}", allow_redirects=False
+                ) as response,
+            ):
+                if response.status != http.HTTPStatus.OK:
+                    return None
+                return await _read_up_to(response, _MAX_REPORT_BYTES)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return None
+
     async def can_connect(self, address: str) -> bool:
         """Returns whether a target accepts connections.
 
--- a/crowwinch/forwarding/_target_set.py
+++ b/crowwinch/forwarding/_target_set.py
@@ -1,12 +1,14 @@
 """Set of the targets in the directory that accept requests."""
 
+import dataclasses
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from crowwinch.forwarding._model import RoutingTable, SocketAddress
 from crowwinch.sharing import TargetView
 
-# Targets that said that they leave; the oldest are forgotten first.
+# Targets that said that they leave, and targets that restarted; the oldest are
+# forgotten first.
 _MAX_LEAVING = 1_000
 # Used if neither the target nor its service specifies the number of slots.
 _DEFAULT_SLOTS = 8
@@ -54,6 +56,8 @@
         # Start time of each target that said that it leaves. The directory may
         # still call it ready.
         self._leaving: dict[str, int] = {}
+        # Targets that restarted, with the start time that the directory knows.
+        self._restarted: dict[str, tuple[int, Target]] = {}
         self._targets: dict[str, Target] = {}
         self._views: dict[str, TargetView] = {}
         self._by_service: dict[str, list[TargetView]] = {}
@@ -82,7 +86,7 @@
         """
         self._routing = routing
         current = {
-            target.identifier: target
+            target.identifier: self._newest(target)
             for target in targets
             if self._leaving.get(target.identifier) != target.life
         }
@@ -114,6 +118,43 @@
         self.update(list(self._targets.values()), self._routing)
         return True
 
+    def mark_restarted(self, target: Target, life: int) -> Target:
+        """Records that a target has restarted since its entry was written.
+
+        Args:
+            target: The target as the directory knows it.
+            life: Its new start time in ms.
+
+        Returns:
+            The target since its restart. Its version is not known, so that it
+            has one that no other target has.
+        """
+        identifier = target.identifier
+        restarted = dataclasses.replace(
+            target, life=life, software_version=f"{identifier}/{life}"
+        )
+        listed_life, earlier = self._restarted.pop(
+            identifier, (target.life, target)
+        )
+        if earlier.life != target.life:
+            listed_life = target.life
+        self._restarted[identifier] = (listed_life, restarted)
+        if len(self._restarted) > _MAX_LEAVING:
+            del self._restarted[next(iter(self._restarted))]
+        self.update(
+            [
+                restarted if each.identifier == identifier else each
+                for each in self._targets.values()
+            ],
+            self._routing,
+        )
+        return restarted
+
+    def _newest(self, target: Target) -> Target:
+        """Returns a target since its last restart."""
+        known = self._restarted.get(target.identifier)
+        return target if known is None or known[0] != target.life else known[1]
+
     def _build_view(
         self, target: Target, routing: RoutingTable | None
     ) -> TargetView:
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -25,6 +25,7 @@
     SocketAddress,
     Target,
     TargetClient,
+    TargetLives,
     TargetSet,
     Workspace,
 )
@@ -228,7 +229,9 @@
         max_descriptors: int = 4_000,
         was_late: bool = False,
         versions: Sequence[str] = (),
+        life: int = 0,
     ) -> None:
+        self._life = life
         self._versions = versions or [""] * len(targets)
         self._scripted_targets = targets
         self.clock = SystemClock()
@@ -261,6 +264,8 @@
             limits or RequestLimits(),
         )
         self.streams = LocalStreamVersions(self.clock)
+        # By default the directory is in step with all restarts.
+        self.synced_at = lambda: float("inf")
         self.response_memory = MemoryPool(RESPONSE_MEMORY_BYTES, 8_192)
         codec = HeaderCodec()
         self.client = TargetClient(codec.attempt_header)
@@ -278,6 +283,13 @@
                 self.metrics,
                 random.Random(1).random,
                 self.streams,
+                TargetLives(
+                    self.clock,
+                    self.client,
+                    codec,
+                    self.target_set,
+                    lambda: self.synced_at(),
+                ),
                 self.response_memory,
                 was_late=lambda: was_late,
             ),
@@ -296,7 +308,15 @@
         await self.server.start()
         self.target_set.update(
             [
-                Target(f"i-{number}", 0, "s", target.address, "az", 8, version)
+                Target(
+                    f"i-{number}",
+                    self._life,
+                    "s",
+                    target.address,
+                    "az",
+                    8,
+                    version,
+                )
                 for number, (target, version) in enumerate(
                     zip(self._scripted_targets, self._versions, strict=True)
                 )
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -33,6 +33,7 @@
     SocketAddress,
     Target,
     TargetClient,
+    TargetLives,
     TargetSet,
 )
 from crowwinch.gateway._settings_file import SettingsFile
@@ -170,6 +171,13 @@
                     settings.store_history_s,
                     settings.heartbeat_s,
                 ),
+                TargetLives(
+                    self._clock,
+                    self._client,
+                    codec,
+                    self._targets,
+                    lambda: self._state.synced_at,
+                ),
                 response_memory,
                 self._describe_state,
                 lambda: self._lag.was_late,
--- a/crowwinch/platform/_headers.py
+++ b/crowwinch/platform/_headers.py
@@ -4,8 +4,10 @@
 import re
 from collections.abc import Iterable, Mapping
 
+import msgspec
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from crowwinch.errors import DECODE_ERRORS
 from crowwinch.forwarding import (
     AttemptHead,
     PromptPart,
@@ -81,6 +83,12 @@
 )
 _REMOVED_HEADERS = _HOP_BY_HOP_HEADERS | _ROUTER_HEADERS
 _MAX_PROMPT_PARTS = 256
+_REPORT_PATH = "/report"
+
+
+class _Report(msgspec.Struct):
+    # Start time in Unix milliseconds.
+    born: int
 
 
 class HeaderCodec:
@@ -91,6 +99,22 @@
         """Name of the header that identifies an attempt in both directions."""
         return ATTEMPT_ID
 
+    @property
+    def report_path(self) -> str:
+        """Path at which a target reports on itself."""
+        return _REPORT_PATH
+
+    def decode_start_time(self, report: bytes) -> int | None:
+        """Returns when a target started, in Unix ms, None if it does not say.
+
+        Args:
+            report: Body of the response at `report_path`.
+        """
+        try:
+            return msgspec.json.decode(report, type=_Report).born
+        except DECODE_ERRORS:
+            return None
+
     def decode_request(self, headers: Mapping[str, str]) -> RequestHead:
         """Decodes the headers that describe a caller's request.
 
--- a/standins/operators_platform.py
+++ b/standins/operators_platform.py
@@ -181,12 +181,18 @@
         self._run_log = pathlib.Path(run_log) if run_log else None
         self._runs: dict[str, int] = {}
         self._work_s = 0.02
+        # What it says of itself: its start in Unix ms, and the version of its
+        # software, which is in each event if it is set.
+        self._started_ms = 0
+        self._version = ""
 
     def application(self) -> web.Application:
         """Returns the routes of callers and of tests."""
         application = web.Application()
         application.router.add_get("/test/runs", self._show_runs)
         application.router.add_post("/test/work", self._set_work)
+        application.router.add_post("/test/start", self._set_start)
+        application.router.add_get("/report", self._report)
         application.router.add_route("*", "/{path:.*}", self._run)
         return application
 
@@ -198,6 +204,17 @@
         self._work_s = float(await request.text())
         return web.Response()
 
+    async def _set_start(self, request: web.Request) -> web.Response:
+        """Takes {"started_ms": number}, and {"version": text} if it changes."""
+        values = await request.json()
+        self._started_ms = values["started_ms"]
+        self._version = values.get("version", self._version)
+        return web.Response()
+
+    async def _report(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response({"born": self._started_ms})
+
     async def _run(self, request: web.Request) -> web.StreamResponse:
         expected = request.headers.get("X-Crowwinch-Expect-Instance")
         if expected != self._name:
@@ -225,7 +242,10 @@
             await response.prepare(request)
             for number in range(after + 1, _WORDS + 1):
                 await asyncio.sleep(self._work_s)
-                event = f"id: {number}\ndata: w{number}\n\n"
+                event = f"id: {number}\ndata: w{number}\n"
+                if self._version:
+                    event += f": {self._version}\n"
+                event += "\n"
                 await response.write(event.encode())
             await response.write_eof()
         return response
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -17,6 +17,8 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _READY_TIMEOUT_S = 20.0
+# Start of targets that do not say another one, in Unix seconds.
+_STARTED_S = 0.001
 HOST = "host.example"
 KEY = "key-1"
 WORDS = b"".join(f"id: {n}\ndata: w{n}\n\n".encode() for n in range(1, 9))
@@ -132,10 +134,13 @@
         name: str,
         service: str,
         state: str = "ready",
-        born: float = 0.001,
+        born: float = _STARTED_S,
         version: str = "v1",
     ) -> None:
         """Writes the entry of a target that started at a Unix time."""
+        with contextlib.suppress(OSError):
+            # A target that has ended says nothing.
+            self.set_start(name, born)
         address = self.targets[name].url.removeprefix("http://")
         entry = {
             "Service": service,
@@ -149,6 +154,23 @@
         }
         self.put(f"servers/{name}", json.dumps(entry).encode())
 
+    def set_start(self, name: str, born: float, **version: str) -> None:
+        """Sets what a target says of itself.
+
+        Args:
+            name: Identifier of the target.
+            born: Unix time of its start.
+            version: Version of its software, which its events hold from then
+                on.
+        """
+        target = self.targets[name]
+        values = {"started_ms": int(born * 1000), **version}
+        call(
+            "POST",
+            f"{target.operator_url or target.url}/test/start",
+            json.dumps(values).encode(),
+        )
+
     def set_work(self, name: str, seconds: float) -> None:
         """Sets the time that a target takes for an answer or an event."""
         url = f"{self.targets[name].url}/test/work"
