Forwarding: take no empty continuation of a stream as its end (ORDER)

Callers saw: a stream that looked complete after five of its events. Its first target broke off, and the one that went on closed its connection after the head of an answer with neither length nor chunks.

Cause: an answer without a marked end and without an event counted as lost in a first attempt only, not where events had been passed on before.

Change: it counts as lost in each attempt, so that another target goes on, or the answer breaks off. A stream whose last event had arrived before the break breaks off, too, if its continuation is framed by its connection and empty, as nothing tells it from a cut one.

Evidence: test_stream_ends plays each framing, way of ending and point of the break. Before, three of its cases fail: a resumed answer with two and three attempts, and a taken-up one; the others passed before.

--- a/crowwinch/forwarding/_delivery.py
+++ b/crowwinch/forwarding/_delivery.py
@@ -101,7 +101,7 @@
             may_have_run=True,
             is_connection_lost=True,
         )
-    if not (has_events or response.has_marked_end or context.last_event_id):
+    if not (has_events or response.has_marked_end):
         raise AttemptError(
             "the connection ended before the first event",
             may_have_run=True,
