Soak: software versions, take-ups, restarts in place and cut-off routers

Engines have one of two versions, also after a planned end; they restart at their address with another one, and routers are cut off from the store and, by a relay of datagrams, from all others. Callers take up resumable streams at other routers. A new check holds at all times: no stream has events of two versions, lacks one or has one twice.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -71,6 +71,11 @@
         # One port of each kind on all routers, as on the platform.
         self._ports = free_ports(5)
 
+    @property
+    def peer_port(self) -> int:
+        """Port at which routers send updates to each other."""
+        return self._ports[3]
+
     def start(self) -> None:
         """Starts targets and routers and waits until they serve."""
         self.put("op/config", configuration(3))
@@ -189,6 +194,10 @@
         """Returns the IP address of a router."""
         return f"127.0.1.{index + 1}"
 
+    def control_address(self, index: int) -> str:
+        """Returns the IP address at which peers find a router."""
+        return self.address(index)
+
     def caller_address(self, index: int) -> tuple[str, int]:
         """Returns where a router listens for callers."""
         return self.address(index), self._ports[0]
@@ -203,7 +212,7 @@
         caller, readiness, control, peer, metrics = self._ports
         address = self.address(index)
         seeds = ", ".join(
-            f'"{self.address(each)}:{control}"' for each in range(2)
+            f'"{self.control_address(each)}:{control}"' for each in range(2)
         )
         settings = self.path / f"router-{index}.toml"
         settings.write_text(
@@ -212,7 +221,7 @@
             "HeartbeatMs = 1200\n"
             f'[Listen]\nFrontend = "{address}:{caller}"\n'
             f'Readiness = "{address}:{readiness}"\n'
-            f'Control = "{address}:{control}"\n'
+            f'Control = "{self.control_address(index)}:{control}"\n'
             "[Limits]\nMemoryMb = 300\nMaxFds = 4100\n"
             "[Bounds]\nDrainMs = 2000\nGraceS = 8\nReuseAfterS = 2\n"
             "RetryBudgetRatio = 0.2\nBudgetWindowS = 10\n"
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from tests.soak._fleet import DESKS, ENGINES, SoakFleet
+from tests.soak._fleet import DESKS, ENGINES, VERSIONS, SoakFleet
 
 # Time until a stopped router must have ended, as on the operators' platform.
 GRACE_S = 8.0
@@ -62,6 +62,8 @@
             self._disturb_target_link,
             self._freeze_store,
             self._compact_store,
+            self._restart_in_place,
+            self._cut_router_off,
         )
 
     async def run(self, seconds: float, *, only_planned: bool) -> None:
@@ -219,10 +221,41 @@
         await asyncio.to_thread(fleet.delete, f"servers/{name}")
         # Streams that began before its leaving have ended by now.
         self._end_target(name)
-        await asyncio.to_thread(fleet.start_target, name, _SERVICES[name])
-        self._log(name, "started")
+        version = self._rng.choice(VERSIONS)
+        await asyncio.to_thread(
+            fleet.start_target, name, _SERVICES[name], version
+        )
+        self._log(name, f"started, {version}")
+        self._busy.discard(name)
+
+    async def _restart_in_place(self) -> None:
+        """Ends an engine; another version starts at its address."""
+        name = self._take(*ENGINES)
+        if name is None:
+            return
+        version = self._rng.choice(VERSIONS)
+        self._log(name, f"restart in place, {version}")
+        began = time.time()
+        disturbance = self._fleet.note(name, began, float("inf"), "restart")
+        self._end_target(name)
+        await asyncio.to_thread(
+            self._fleet.restart_in_place, name, _SERVICES[name], version
+        )
+        self._fleet.end(disturbance)
         self._busy.discard(name)
 
+    async def _cut_router_off(self) -> None:
+        """Cuts a router off from the store and from all others."""
+        taken = self._take_router()
+        if taken is None:
+            return
+        index, part = taken
+        await self._hold(
+            part, lambda: self._fleet.cut_off(index, is_cut=True), "cut off"
+        )
+        self._fleet.cut_off(index, is_cut=False)
+        self._busy.discard(part)
+
     async def _freeze_target(self) -> None:
         name = self._take(*_SERVICES)
         if name is None:
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -4,11 +4,13 @@
 import time
 from dataclasses import dataclass
 
+from standins.datagram_relay import DatagramRelay
 from standins.processes import Process, call, start_standin
 from tests.platform_fleet import PlatformFleet, configuration
 
 DESKS = ("i-desk-1", "i-desk-2")
 ENGINES = ("i-llm-1", "i-llm-2", "i-llm-3")
+VERSIONS = ("v1", "v2")
 # A part of the fleet counts as calm again this long after a disturbance, as on
 # the operators' smaller sites.
 CONTACT_S = 3.0
@@ -46,6 +48,14 @@
         self._cuts: dict[str, list[str]] = {}
         self._delays: dict[str, float] = {}
         self._closed: set[str] = set()
+        self._cut_off: set[str] = set()
+        self._datagrams = DatagramRelay(
+            {
+                self.control_address(index): self.address(index)
+                for index in range(routers)
+            },
+            self.peer_port,
+        )
         self._store_links = [
             self._open_link(f"store-{index}", self.store.url)
             for index in range(routers)
@@ -59,6 +69,7 @@
     def stop(self) -> None:
         """Ends all processes that were started."""
         super().stop()
+        self._datagrams.stop()
         self._relay.kill()
         assert self._relay.handle.stdout is not None
         self._relay.handle.stdout.close()
@@ -67,21 +78,46 @@
         """Returns a router's own way to the store."""
         return self._store_links[index]
 
-    def start_target(self, name: str, service: str) -> None:
+    def control_address(self, index: int) -> str:
+        """Returns the address at which the relay stands for a router."""
+        return f"127.0.2.{index + 1}"
+
+    def start_target(
+        self, name: str, service: str, version: str = VERSIONS[0]
+    ) -> None:
         """Starts a target behind the relay and registers it."""
-        options = ("--engine",) if service == "llm" else ()
+        target = self._start_process(name, service)
+        target.url = "http://" + self._open_link(name, target.url)
+        self._introduce(name, service, version)
+
+    def restart_in_place(self, name: str, service: str, version: str) -> None:
+        """Starts a target again at the address that it had."""
+        url = self.targets[name].url
+        port = self.targets[name].operator_url.rpartition(":")[2]
+        target = self._start_process(name, service, "--port", port)
+        target.url = url
+        self._introduce(name, service, version)
+
+    def _start_process(self, name: str, service: str, *options: str) -> Process:
         target = start_standin(
             "operators_platform",
             "--target",
             name,
             "--run-log",
             str(self.run_log),
+            *(("--engine",) if service == "llm" else ()),
             *options,
         )
         target.operator_url = target.url
-        target.url = "http://" + self._open_link(name, target.url)
         self.targets[name] = target
-        self.register(name, service, born=time.time())
+        return target
+
+    def _introduce(self, name: str, service: str, version: str) -> None:
+        """Lets a target know its version, and registers it."""
+        born = time.time()
+        if service == "llm":
+            self.set_start(name, born, version=version)
+        self.register(name, service, born=born, version=version)
 
     def note(
         self, part: str, start: float, end: float, what: str
@@ -122,6 +158,13 @@
         (self._closed.add if is_closed else self._closed.discard)(link)
         self._put("closed", sorted(self._closed))
 
+    def cut_off(self, index: int, *, is_cut: bool) -> None:
+        """Cuts a router off from the store and from its peers."""
+        change = self._cut_off.add if is_cut else self._cut_off.discard
+        change(self.address(index))
+        self._datagrams.set_cut(frozenset(self._cut_off))
+        self.cut(f"store-{index}", ["forward", "back"] if is_cut else [])
+
     def publish(self, version: int) -> float:
         """Writes a configuration whose second key is that of its version.
 
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -3,9 +3,10 @@
 import collections
 from collections.abc import Callable, Iterator, Sequence
 
+from tests.platform_fleet import WORDS
 from tests.soak._faults import GRACE_S, Faults
 from tests.soak._fleet import CONTACT_S, SoakFleet
-from tests.soak._load import DEADLINE_S, KINDS, Record
+from tests.soak._load import DEADLINE_S, KINDS, Record, Stream
 
 _NOT_RUN = (408, 421, 429, 503)
 _DRAIN_S = 2.0
@@ -27,6 +28,7 @@
         faults: Faults,
         records: Sequence[Record],
         crowds: Sequence[Record] = (),
+        streams: Sequence[Stream] = (),
     ) -> None:
         """Takes what was seen from outside.
 
@@ -35,7 +37,9 @@
             faults: What was planned.
             records: All requests.
             crowds: Those of crowds on new connections, also in `records`.
+            streams: Events of streams, also of those that were taken up.
         """
+        self._streams = streams
         self._crowds = crowds
         self._fleet = fleet
         self._faults = faults
@@ -57,6 +61,7 @@
             self._answers_are_not_lost,
             self._answers_come_in_time,
             self._crowds_are_answered,
+            self._streams_are_of_one_version,
             self._leaving_targets_get_nothing,
             self._routers_end_as_told,
         )
@@ -132,6 +137,13 @@
             if record.status == 0 and is_held and is_calm:
                 yield str(record)
 
+    def _streams_are_of_one_version(self) -> Iterator[str]:
+        """Holds for all routers, also while they are cut off."""
+        for stream in self._streams:
+            is_joined = len(stream.versions) > 1
+            if is_joined or not WORDS.startswith(stream.events):
+                yield str(stream)
+
     def _leaving_targets_get_nothing(self) -> Iterator[str]:
         for leaving in self._faults.leavings:
             first = leaving.since + _DRAIN_S + _CLOCK_SLACK_S
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -92,7 +92,9 @@
         self._is_over = True
         load.stop()
         await asyncio.gather(*running)
-        promises = Promises(fleet, faults, load.records, crowds.records)
+        promises = Promises(
+            fleet, faults, load.records, crowds.records, load.streams
+        )
         broken = promises.broken()
         broken += self._stale
         if unserved:
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -6,9 +6,10 @@
 import types
 import unittest
 
+from tests.platform_fleet import WORDS
 from tests.soak._faults import Leaving
 from tests.soak._fleet import Disturbance, SoakFleet
-from tests.soak._load import Record
+from tests.soak._load import Record, Stream
 from tests.soak._promises import Promises
 from tests.soak._run import Soak
 
@@ -90,10 +91,12 @@
     def _disturb(self, part, start, end, what="kill"):
         self.fleet.disturbances.append(Disturbance(part, start, end, what))
 
-    def _broken(self, crowds=()):
+    def _broken(self, crowds=(), streams=()):
         lines = [f"{at} {name} {attempt}\n" for at, name, attempt in self.runs]
         self.fleet.run_log.write_text("".join(lines))
-        promises = Promises(self.fleet, self.faults, self.records, crowds)
+        promises = Promises(
+            self.fleet, self.faults, self.records, crowds, streams
+        )
         broken = promises.broken()
         return {line.partition(":")[0] for line in broken}
 
@@ -117,6 +120,23 @@
         self._ask(is_sound=False)
         self.assertEqual(self._broken(), {"answers_are_whole"})
 
+    def test_a_stream_of_two_versions(self):
+        whole = Stream(["soak-1", "soak-2"])
+        for part in (WORDS[:32], WORDS[32:]):
+            whole.add(part)
+        joined = Stream(["soak-3", "soak-4"])
+        joined.add(b"id: 1\ndata: w1\n: v1\n\n")
+        again = Stream(["soak-5", "soak-6"])
+        again.add(b"id: 1\ndata: w1\n\nid: 1\ndata: w1\n\n")
+        self.assertEqual(self._broken(streams=[whole, joined]), set())
+        joined.add(b"id: 2\ndata: w2\n: v2\n\n")
+        for stream in (joined, again):
+            with self.subTest(stream.attempts):
+                self.assertEqual(
+                    self._broken(streams=[stream]),
+                    {"streams_are_of_one_version"},
+                )
+
     def test_a_run_that_nobody_asked_for(self):
         self.runs.append((100.0, "i-desk-1", "made-up"))
         self.assertEqual(self._broken(), {"runs_are_asked_for"})
