--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -1,5 +1,6 @@
 """Configuration and targets that a router currently uses."""
 
+import dataclasses
 import logging
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
@@ -32,6 +33,9 @@
 # Limit on the removals kept for lagging routers. A router that is further
 # behind gets a complete listing.
 _MAX_REMOVALS = 1000
+# Values that cannot be read are kept up to this size. Other writers may put
+# more into the store than fits into memory.
+_MAX_UNREADABLE_BYTES = 1_024
 # A listing shows all versions that were there since the last contact, if that
 # is no longer ago than this: the entry of a target stays for three heartbeats.
 _MAX_UNSEEN_S = 3.0
@@ -440,6 +444,10 @@
             return
         if decoded is None:
             self._targets.pop(key, None)
+            if len(value) > _MAX_UNREADABLE_BYTES:
+                self._items[key] = dataclasses.replace(
+                    self._items[key], value=b""
+                )
             return
         before = self._targets.get(key)
         if before is not None:
--- a/crowwinch/directory/tests/test_state.py
+++ b/crowwinch/directory/tests/test_state.py
@@ -23,7 +23,7 @@
         text = value.decode()
         if text.startswith("c:"):
             return RoutingTable(int(text[2:]), (), {}, None, RequestLimits())
-        if text == "malformed":
+        if not text or text.startswith("malformed"):
             return None
         return TargetEntry(
             key,
@@ -159,6 +159,20 @@
         )
         self.assertEqual(set(self.state.targets), {"b", "d"})
 
+    def test_values_that_cannot_be_read_are_not_kept(self):
+        """Guards against other writers that fill the memory of a router."""
+        large = "malformed" * 100_000
+        self.state.apply_changes(
+            Changes(12, (_item("a", 11, large), _item("x", 12, large)))
+        )
+        listing = self.state.listing()
+        kept = {item.key: item for item in listing.items}
+        self.assertEqual({"a", "b", "c", "x"}, set(kept))
+        self.assertLess(sum(len(item.value) for item in kept.values()), 100)
+        peer = DirectoryState(self.clock, _Decoder())
+        peer.apply_listing(listing)
+        self.assertEqual(peer.targets, self.state.targets)
+
     def test_unordered_changes_result_in_newest(self):
         changes = (_item("a", 13, "leaving"), _deleted("a", 12))
         self.state.apply_changes(Changes(13, changes))
