Soak: a request that a disturbed target holds is not left by its router

The log shows each of them at i-desk-1 0.01 to 0.09 s after it came; the link from that target was cut for 0.95 s (its answers were swallowed and the connections closed as it healed, 1.4 s later), and the callers left after 1.5 s.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -108,6 +108,13 @@
         self._disturb("router-0", 99.0, 101.0)
         self.assertEqual(self._broken(self.records), set())
 
+    def test_a_caller_of_a_crowd_that_a_target_holds(self):
+        self._ask("look", status=0, runs=1, took=1.5, error="timeout")
+        self._disturb("i-desk-2", 100.0, 101.0)
+        self.assertIn("crowds_are_answered", self._broken(self.records))
+        self._disturb("i-desk-1", 100.0, 101.0)
+        self.assertNotIn("crowds_are_answered", self._broken(self.records))
+
     def test_nothing_is_broken_by_good_answers(self):
         self._ask()
         self._ask("plan", runs=2)
