Fleet: read past failed sends, and count the wait of a take-up in its age

A socket error of an earlier send ended the reading of datagrams for the period; a router with peers that do not run would then never count its buffer as read, take the directories of all others for old, and refuse take-ups. And a stream was taken to be as old as its caller said when it arrived, although looking for its record and for the latest changes takes up to 1 s.

--- a/crowwinch/fleet/_endpoint.py
+++ b/crowwinch/fleet/_endpoint.py
@@ -118,7 +118,7 @@
                 return True
             except OSError:
                 # An earlier send failed (ICMP error).
-                return False
+                continue
             self.handle_datagram(datagram)
         return False
 
--- a/crowwinch/fleet/_stream_origins.py
+++ b/crowwinch/fleet/_stream_origins.py
@@ -65,21 +65,23 @@
 
     async def find(self, stream: TakenUpStream) -> str | None:
         """Returns the version that began a stream, None without proof."""
+        asked_at = self._clock.monotonic()
         version = None
         if stream.attempt_id is not None:
             version = await self._records.find(stream.attempt_id)
         if version is None:
-            version = await self._find_only_version(stream)
+            version = await self._find_only_version(stream, asked_at)
         return version
 
-    async def _find_only_version(self, stream: TakenUpStream) -> str | None:
+    async def _find_only_version(
+        self, stream: TakenUpStream, asked_at: float
+    ) -> str | None:
         """Returns the version that alone was there for the age of a stream.
 
         The stream broke before now. Until the store or a peer in step with it
         has answered, another version may have joined and begun it.
         """
         state = self._state
-        asked_at = self._clock.monotonic()
         version = state.only_version(stream.service, stream.max_age_s)
         if version is None and state.history_s < self._store_history_s:
             await self._read_history()
@@ -95,7 +97,8 @@
                 },
             )
             return None
-        return state.only_version(stream.service, stream.max_age_s)
+        waited_s = self._clock.monotonic() - asked_at
+        return state.only_version(stream.service, stream.max_age_s + waited_s)
 
     async def _read_history(self) -> None:
         """Reads the changes of the store that it still keeps."""
