Sharing: ask all limits of a target through one interface

Cause: placement knew one limit on the requests to a target, the rate that the target names. Limits of targets that have just started would each have been asked in the placer, in admission and where a request is counted. Change: a limit is a class with one interface (when may the next request go, at which rate, count, revert); TargetLimits asks all of them. The rate limits are the first one.

--- a/crowwinch/forwarding/_sharing_state.py
+++ b/crowwinch/forwarding/_sharing_state.py
@@ -12,6 +12,7 @@
     Reservation,
     SlidingWindowRetryBudget,
     TargetHealth,
+    TargetLimits,
     TargetLoads,
     TargetRateLimits,
     Verdict,
@@ -41,6 +42,7 @@
     budget: SlidingWindowRetryBudget
     crashes: CrashSuspects
     health: TargetHealth
+    limits: TargetLimits
     loads: TargetLoads
     prefixes: PrefixCacheTracker
     rate_limits: TargetRateLimits
@@ -57,7 +59,7 @@
         if decision.verdict is not Verdict.SEND:
             return Placement(decision, None)
         reservation = self.loads.reserve_decided(decision)
-        self.rate_limits.take(decision.target, decision.target_life)
+        self.limits.take(decision.target, decision.target_life)
         self.shares.record_usage(work.workspace, work.cost)
         if work.parts:
             self.prefixes.record_prefill(
@@ -73,5 +75,5 @@
         if placement.reservation is not None:
             placement.reservation.finish()
             decision = placement.decision
-            self.rate_limits.give_back(decision.target, decision.target_life)
+            self.limits.give_back(decision.target, decision.target_life)
             self.shares.revert_usage(work.workspace, work.cost)
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -39,6 +39,7 @@
     PrefixCacheTracker,
     SlidingWindowRetryBudget,
     TargetHealth,
+    TargetLimits,
     TargetLoads,
     TargetRateLimits,
     WorkspaceShares,
@@ -196,10 +197,11 @@
     prefixes, speeds = PrefixCacheTracker(clock), EngineSpeeds()
     shares = WorkspaceShares(clock, 4.0)
     rate_limits = TargetRateLimits(clock)
+    limits = TargetLimits([rate_limits])
     return SharingState(
         admission=Admission(
             clock,
-            Placer(loads, prefixes, speeds, health, rate_limits),
+            Placer(loads, prefixes, speeds, health, limits),
             shares,
             targets,
             random.Random(1).random,
@@ -209,6 +211,7 @@
         health=health,
         loads=loads,
         prefixes=prefixes,
+        limits=limits,
         rate_limits=rate_limits,
         shares=shares,
         speeds=speeds,
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -52,6 +52,7 @@
     PrefixCacheTracker,
     SlidingWindowRetryBudget,
     TargetHealth,
+    TargetLimits,
     TargetLoads,
     TargetRateLimits,
     WorkspaceShares,
@@ -221,13 +222,14 @@
         speeds = EngineSpeeds()
         health = TargetHealth(self._clock)
         rate_limits = TargetRateLimits(self._clock, self._rng.random)
+        limits = TargetLimits([rate_limits])
         shares = WorkspaceShares(
             self._clock, time_constant(settings.share_window_s)
         )
         return SharingState(
             admission=Admission(
                 self._clock,
-                Placer(loads, prefixes, speeds, health, rate_limits),
+                Placer(loads, prefixes, speeds, health, limits),
                 shares,
                 self._targets.views_of_service,
                 self._rng.random,
@@ -241,6 +243,7 @@
                 lambda: loads.peer_count + 1,
             ),
             health=health,
+            limits=limits,
             loads=loads,
             prefixes=prefixes,
             rate_limits=rate_limits,
--- a/crowwinch/sharing/__init__.py
+++ b/crowwinch/sharing/__init__.py
@@ -30,9 +30,21 @@
     time_constant,
 )
 from crowwinch.sharing._speeds import EngineSpeeds
+from crowwinch.sharing._target_limits import (
+    UNLIMITED,
+    Allowance,
+    LimitReason,
+    TargetLimit,
+    TargetLimits,
+)
 from crowwinch.sharing._ticket import Ticket
 
 __all__ = [
+    "Allowance",
+    "LimitReason",
+    "TargetLimit",
+    "TargetLimits",
+    "UNLIMITED",
     "Admission",
     "CallerDeadlines",
     "Candidate",
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -14,8 +14,8 @@
 from crowwinch.sharing._loads import TargetLoads
 from crowwinch.sharing._model import TargetView, Work
 from crowwinch.sharing._prefixes import PrefixCacheTracker
-from crowwinch.sharing._rate_limits import TargetRateLimits
 from crowwinch.sharing._speeds import EngineSpeeds, prefill_seconds
+from crowwinch.sharing._target_limits import TargetLimits
 
 # Expected wait for a slot in a full batch, about half a typical request.
 _FULL_BATCH_WAIT_S = 0.5
@@ -51,8 +51,8 @@
         has_connection: Whether this router may open another connection.
         is_blocked: Whether it is in back-off after a failed connection.
         hold_left_s: Seconds until it wants requests again, 0 if it does now.
-        limit_wait_s: Seconds until its rate limit allows a request of this
-            router, 0 if it does now.
+        limit_wait_s: Seconds until its limits allow a request of this router,
+            0 if they do now, inf if no time is known.
         waiting_s: Modelled prefill time of the prompts queued at the target.
         use: Active requests at the target as a fraction of its slots.
         delay_s: Delay of the first event beyond prefill: the recent delay, the
@@ -91,8 +91,8 @@
         is_home: Whether the target is the home of the prefix, to which all
             routers prefer to send it.
         loss: Expected loss of value by choosing this target.
-        limit_wait_s: Seconds until its rate limit allows a request of this
-            router, 0 if it does now.
+        limit_wait_s: Seconds until its limits allow a request of this router,
+            0 if they do now, inf if no time is known.
     """
 
     target: TargetView
@@ -120,14 +120,14 @@
         prefixes: PrefixCacheTracker,
         speeds: EngineSpeeds,
         health: TargetHealth,
-        rate_limits: TargetRateLimits,
+        limits: TargetLimits,
     ) -> None:
         """Creates a placer from the inputs of its forecasts."""
         self._loads = loads
         self._prefixes = prefixes
         self._speeds = speeds
         self._health = health
-        self._rate_limits = rate_limits
+        self._limits = limits
 
     def alone_s(self, work: Work) -> float:
         """Returns the time to the first event at an idle target in seconds.
@@ -155,7 +155,7 @@
             has_connection=self.has_connection(target),
             is_blocked=health.is_blocked(identifier),
             hold_left_s=health.hold_left_s(identifier, target.life),
-            limit_wait_s=self._rate_limits.wait_s(target),
+            limit_wait_s=self._limits.allowance(target).wait_s,
             waiting_s=loads.reading_s(identifier),
             use=use,
             delay_s=delay,
@@ -183,11 +183,11 @@
         return sorted(forecasts, key=lambda candidate: candidate.loss)
 
     def limit_rate_per_s(self, target: TargetView) -> float:
-        """Returns the rate that a target's limit leaves to this router.
+        """Returns the rate that a target's limits leave to this router.
 
         It is in requests per second, and inf for a target without a limit.
         """
-        return self._rate_limits.rate_per_s(target)
+        return self._limits.rate_per_s(target)
 
     def has_connection(self, target: TargetView) -> bool:
         """Returns whether this router may open another connection."""
--- a/crowwinch/sharing/_rate_limits.py
+++ b/crowwinch/sharing/_rate_limits.py
@@ -12,6 +12,11 @@
 
 from crowwinch.coordination import Clock, rank
 from crowwinch.sharing._model import TargetView
+from crowwinch.sharing._target_limits import (
+    UNLIMITED,
+    Allowance,
+    LimitReason,
+)
 
 # Requests sent in this time are counted, by all routers together.
 _WINDOW_S = 4.0
@@ -280,25 +285,12 @@
             dict(demand),
         )
 
-    def wait_s(self, target: TargetView) -> float:
-        """Returns the seconds until this router may send to a target again."""
-        if not self._limits:
-            return 0.0
-        limit = self._limits.get((target.identifier, target.life))
-        if limit is None or not limit.is_in_force:
-            return 0.0
-        now = self._clock.monotonic()
-        rate = self._own_rate(target, limit)
-        if rate <= 0.0:
-            return math.inf
-        self._fill(limit, rate, now)
-        if limit.tokens < 1.0:
-            return (1.0 - limit.tokens) / rate
-        if self._count_sent(target, limit, now) >= max(
-            limit.per_s * _WINDOW_S, 1.0
-        ):
-            return _RECHECK_S
-        return 0.0
+    def allowance(self, target: TargetView) -> Allowance:
+        """Returns when this router may send to a target again."""
+        wait_s = self._wait_s(target)
+        if wait_s <= 0.0:
+            return UNLIMITED
+        return Allowance(wait_s, LimitReason.RATE_LIMIT)
 
     def rate_per_s(self, target: TargetView) -> float:
         """Returns the requests per second that this router may send.
@@ -357,6 +349,26 @@
             for service in self._demand
         }
 
+    def _wait_s(self, target: TargetView) -> float:
+        """Returns the seconds until this router may send to a target again."""
+        if not self._limits:
+            return 0.0
+        limit = self._limits.get((target.identifier, target.life))
+        if limit is None or not limit.is_in_force:
+            return 0.0
+        now = self._clock.monotonic()
+        rate = self._own_rate(target, limit)
+        if rate <= 0.0:
+            return math.inf
+        self._fill(limit, rate, now)
+        if limit.tokens < 1.0:
+            return (1.0 - limit.tokens) / rate
+        if self._count_sent(target, limit, now) >= max(
+            limit.per_s * _WINDOW_S, 1.0
+        ):
+            return _RECHECK_S
+        return 0.0
+
     def _name(self, target: str, life: int, per_s: float, at: float) -> bool:
         """Records an answer that names a limit; returns whether it is news."""
         per_s = max(per_s, _MIN_RATE_PER_S)
--- a/crowwinch/sharing/tests/test_placer.py
+++ b/crowwinch/sharing/tests/test_placer.py
@@ -9,6 +9,7 @@
     PrefixCacheTracker,
     PromptPart,
     TargetHealth,
+    TargetLimits,
     TargetLoads,
     TargetRateLimits,
     TargetUse,
@@ -58,7 +59,7 @@
             self.prefixes,
             EngineSpeeds(),
             self.health,
-            TargetRateLimits(self.clock),
+            TargetLimits([TargetRateLimits(self.clock)]),
         )
         self.engines = [engine(f"e{number}") for number in range(6)]
 
--- a/crowwinch/sharing/tests/test_rate_limits.py
+++ b/crowwinch/sharing/tests/test_rate_limits.py
@@ -88,7 +88,7 @@
         ):
             router = self.routers[number]
             router.record_demand("llm")
-            if not router.wait_s(_TARGET):
+            if not router.allowance(_TARGET).wait_s:
                 router.take("t", 1)
                 self.sent.append(now)
                 self.answers.append((now + _ANSWER_S, number, now))
@@ -177,7 +177,7 @@
         self.router = TargetRateLimits(self.clock, lambda: 0.0)
 
     def _is_limited(self, view=_TARGET):
-        return self.router.wait_s(view) > 0.0
+        return self.router.allowance(view).wait_s > 0.0
 
     def _observe(self, per_s, sent_at, target="t", life=1):
         return self.router.observe(target, life, per_s, sent_at)
@@ -195,7 +195,7 @@
         self.clock.move_to(10.2)
         self.assertFalse(self._observe(50.0, 9.0))
         self.router.take("t", 1)
-        self.assertGreater(self.router.wait_s(_TARGET), 0.5)
+        self.assertGreater(self.router.allowance(_TARGET).wait_s, 0.5)
 
     def test_restarted_target_has_no_limit(self):
         self._observe(1.0, 9.9)
@@ -242,7 +242,7 @@
             limits.set_fleet(name, ["a", "b"])
         self._observe(1.0, 9.9)
         peer.merge_peer("a", 1, self.router.reports(), self.router.demand())
-        self.assertGreater(peer.wait_s(_TARGET), 0.0)
+        self.assertGreater(peer.allowance(_TARGET).wait_s, 0.0)
         self.clock.move_to(12.0)
         peer.observe("t", 1, None, 11.0)
         self.router.merge_peer("b", 1, peer.reports(), peer.demand())
--- a/measurements/_sharing_world.py
+++ b/measurements/_sharing_world.py
@@ -19,6 +19,7 @@
     Placer,
     PrefixCacheTracker,
     TargetHealth,
+    TargetLimits,
     TargetLoads,
     TargetRateLimits,
     TargetView,
@@ -183,7 +184,7 @@
             prefixes,
             EngineSpeeds(),
             TargetHealth(self.clock),
-            TargetRateLimits(self.clock),
+            TargetLimits([TargetRateLimits(self.clock)]),
         )
         admission = Admission(
             self.clock,
