Platform: decode cold targets, home regions and zones

Cause: the operators' documents hold how long a target stays cold, what a cold target tolerates and which regions a route or workspace is bound to; the settings hold the region of each zone and the bound on cold targets. None of it was read. Change: the adapter decodes them into the types of the directory, of forwarding and of sharing. Evidence: tests of documents, headers and settings, malformed values included.

--- a/crowwinch/directory/_model.py
+++ b/crowwinch/directory/_model.py
@@ -39,6 +39,8 @@
         software_version: Version of its software, empty if unknown. What two
             versions write cannot be joined in one stream.
         heartbeats: Number of heartbeats of the target until it wrote this.
+        cold_s: Time in seconds for which the target stays cold after it wrote
+            this, 0 if it is warm.
     """
 
     identifier: str
@@ -50,6 +52,7 @@
     started_ms: int
     software_version: str = ""
     heartbeats: int = 0
+    cold_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowwinch/forwarding/_messages.py
+++ b/crowwinch/forwarding/_messages.py
@@ -72,6 +72,8 @@
             routers together, None without a limit.
         has_unreadable_limit: Whether the response names a limit that cannot be
             read, so that it does not tell whether there is one.
+        cold_s: Seconds for which the target stays cold, None if it does not
+            say.
     """
 
     attempt_id: str
@@ -82,6 +84,7 @@
     hold_s: float | None = None
     rate_limit: float | None = None
     has_unreadable_limit: bool = False
+    cold_s: float | None = None
 
 
 class WireCodec(Protocol):
--- a/crowwinch/forwarding/_model.py
+++ b/crowwinch/forwarding/_model.py
@@ -47,6 +47,10 @@
             0 if unknown.
         heartbeat_s: Interval in seconds at which targets write their entries, 0
             if unknown.
+        zones: Region of each availability zone of the deployment.
+        cold_overage: Factor by which the requests to a cold target may exceed
+            the rate that it tolerates, in any second.
+        cold_slack: Requests to a cold target beyond that, in any second.
     """
 
     name: str
@@ -69,6 +73,9 @@
     share_window_s: float
     store_history_s: float = 0.0
     heartbeat_s: float = 0.0
+    zones: Mapping[str, str] = field(default_factory=dict)
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
 
 
 class RouteKind(enum.Enum):
@@ -106,6 +113,8 @@
         services: Traffic weight of each service that runs the requests.
         max_attempts: Maximum number of targets that may run one request.
         is_anonymous: Whether requests need no key.
+        home_regions: Regions whose targets may run the requests, None without a
+            restriction.
     """
 
     name: str
@@ -118,6 +127,7 @@
     services: Mapping[str, float]
     max_attempts: int
     is_anonymous: bool
+    home_regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,18 +153,31 @@
         max_connections: Maximum number of connections that a target accepts
             from all routers together, 0 if unknown.
         engine: Capacity of each target, None for a plain service.
+        cold_start_s: Time in seconds for which a target is cold after it starts
+            during traffic, 0 if targets start warm.
+        cold_per_s: Requests per second, from all routers together, that a cold
+            target tolerates, 0 without a limit.
     """
 
     name: str
     max_connections: int
     engine: Engine | None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Workspace:
-    """A customer that shares capacity with other customers."""
+    """A customer that shares capacity with other customers.
+
+    Attributes:
+        name: Name of the workspace.
+        home_regions: Regions whose targets may run its requests, None without a
+            restriction.
+    """
 
     name: str
+    home_regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowwinch/forwarding/_target_set.py
+++ b/crowwinch/forwarding/_target_set.py
@@ -26,6 +26,7 @@
         availability_zone: Availability zone that it runs in.
         slots: Maximum number of concurrent requests, 0 if unknown.
         software_version: Version of its software, empty if unknown.
+        region: Region of its availability zone, empty if unknown.
     """
 
     identifier: str
@@ -35,6 +36,7 @@
     availability_zone: str
     slots: int
     software_version: str = ""
+    region: str = ""
 
 
 class TargetSet:
@@ -171,4 +173,7 @@
             max_connections=service.max_connections if service else 0,
             is_engine=engine is not None,
             software_version=target.software_version,
+            region=target.region,
+            cold_start_s=service.cold_start_s if service else 0.0,
+            cold_per_s=service.cold_per_s if service else 0.0,
         )
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -379,6 +379,9 @@
                     availability_zone=entry.availability_zone,
                     slots=entry.slots,
                     software_version=entry.software_version,
+                    region=self._settings.zones.get(
+                        entry.availability_zone, ""
+                    ),
                 )
                 for entry in self._state.available_targets()
             ),
--- a/crowwinch/platform/_documents.py
+++ b/crowwinch/platform/_documents.py
@@ -61,6 +61,8 @@
     MaxAttempts: _NonNegativeInt = 1
     Anonymous: bool = False
     StreamResume: bool = False
+    # Regions whose targets may run the requests; empty without a restriction.
+    AllowedRegions: list[str] = []
 
 
 class _Engine(msgspec.Struct):
@@ -72,6 +74,10 @@
     Name: str
     MaxConnections: _NonNegativeInt = 0
     Engine: _Engine | None = None
+    # Time for which a target is cold after it started during traffic.
+    ColdStartS: _NonNegativeFloat = 0.0
+    # Requests per second that a cold target tolerates from all routers.
+    ColdPerS: _NonNegativeFloat = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -85,6 +91,8 @@
 class _Tenant(msgspec.Struct):
     Name: str
     ApiKeys: list[str] = []
+    # As in routes.
+    AllowedRegions: list[str] = []
     Priority: _Integer | None = None
 
 
@@ -109,6 +117,9 @@
     Sequence: _NonNegativeInt = 0
     # Version of the target's software, not of its weights.
     Version: _SoftwareVersion = ""
+    # Time that the target stays cold after it wrote this. Written anew with
+    # each heartbeat until it is 0.
+    ColdRemainingMs: _NonNegativeFloat = 0.0
 
 
 class DocumentCodec:
@@ -161,7 +172,7 @@
             None
             if document.Tenants is None
             else {
-                key: Workspace(tenant.Name)
+                key: Workspace(tenant.Name, _to_homes(tenant.AllowedRegions))
                 for tenant in document.Tenants
                 for key in tenant.ApiKeys
             }
@@ -198,9 +209,15 @@
         services=split or {route.Service: 1.0},
         max_attempts=max(route.MaxAttempts, 1),
         is_anonymous=route.Anonymous,
+        home_regions=_to_homes(route.AllowedRegions),
     )
 
 
+def _to_homes(regions: list[str]) -> frozenset[str] | None:
+    """Returns the home regions, None without a restriction."""
+    return frozenset(regions) or None
+
+
 def _to_service(service: _Service) -> Service:
     engine = service.Engine
     return Service(
@@ -211,6 +228,8 @@
             if engine is None
             else Engine(slots=engine.Slots, memory_tokens=engine.KvCapacity)
         ),
+        cold_start_s=service.ColdStartS,
+        cold_per_s=service.ColdPerS,
     )
 
 
@@ -258,4 +277,5 @@
         started_ms=document.born,
         heartbeats=document.Sequence,
         software_version=document.Version,
+        cold_s=document.ColdRemainingMs / _MS_PER_S,
     )
--- a/crowwinch/platform/_headers.py
+++ b/crowwinch/platform/_headers.py
@@ -40,6 +40,8 @@
 # Requests per second from all routers together, a decimal number.
 _SERVER_LIMIT = "Server-Limit"
 _DECIMAL_NUMBER = re.compile(r"[0-9]{1,7}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+# How long the target stays cold, certain only in health responses.
+_COLD_MS = "X-Crowwinch-Cold-Ms"
 # In seconds, possibly a fraction.
 _RETRY_AFTER = "Retry-After"
 _MAX_RETRY_AFTER_S = 3_600.0
@@ -180,6 +182,7 @@
             ),
             rate_limit=rate_limit,
             has_unreadable_limit=limit_text is not None and rate_limit is None,
+            cold_s=_decode_cold_s(headers.get(_COLD_MS, "")),
         )
 
     def relayed_headers(
@@ -225,6 +228,12 @@
     return min(seconds, _MAX_RETRY_AFTER_S)
 
 
+def _decode_cold_s(text: str) -> float | None:
+    """Decodes a time in milliseconds; malformed values yield None."""
+    milliseconds = _decode_count(text.strip())
+    return None if milliseconds is None else milliseconds / 1000
+
+
 def _decode_rate(text: str | None) -> float | None:
     """Decodes a rate per second; absent and malformed values yield None."""
     if text is None or _DECIMAL_NUMBER.fullmatch(text.strip()) is None:
--- a/crowwinch/platform/_settings.py
+++ b/crowwinch/platform/_settings.py
@@ -36,6 +36,10 @@
     RetryBudgetRatio: _NonNegative
     BudgetWindowS: _Positive
     QuotaWindowS: _Positive = 4.0
+    # Bound on the requests to a cold target in any second: the rate that it
+    # tolerates times the overage, plus the slack.
+    ColdOverage: _Positive = 1.5
+    ColdSlack: _NonNegative = 5.0
 
 
 class _Platform(msgspec.Struct):
@@ -59,6 +63,8 @@
     Platform: _Platform
     # Interval at which targets write their entries.
     HeartbeatMs: _NonNegative = 0.0
+    # Region of each availability zone.
+    Zones: dict[str, str] = {}
 
 
 def load_boot_settings(path: str) -> GatewaySettings:
@@ -123,6 +129,9 @@
         share_window_s=bounds.QuotaWindowS,
         store_history_s=boot.Platform.HistoryS,
         heartbeat_s=boot.HeartbeatMs / _MS_PER_S,
+        zones=boot.Zones,
+        cold_overage=bounds.ColdOverage,
+        cold_slack=bounds.ColdSlack,
     )
 
 
--- a/crowwinch/platform/tests/test_documents.py
+++ b/crowwinch/platform/tests/test_documents.py
@@ -54,6 +54,31 @@
         self.assertFalse(table.is_key_allowed(route, "k3"))
         self.assertEqual(table.limits.service_tokens_per_s, 225000)
 
+    def test_cold_targets_and_homes_are_decoded(self):
+        """Guards against limits of a deployment that are not applied."""
+        table = decode_configuration(
+            _configuration(
+                Routes=[_ROUTE | {"AllowedRegions": ["north", "south"]}],
+                Services=[{"Name": "llm", "ColdStartS": 3.0, "ColdPerS": 12.0}],
+                Tenants=[
+                    {
+                        "Name": "t",
+                        "ApiKeys": ["k1"],
+                        "AllowedRegions": ["north"],
+                    },
+                    {"Name": "u", "ApiKeys": ["k2"], "AllowedRegions": []},
+                ],
+            )
+        )
+        route, service = table.routes[0], table.services["llm"]
+        self.assertEqual(route.home_regions, {"north", "south"})
+        self.assertEqual((service.cold_start_s, service.cold_per_s), (3, 12))
+        self.assertEqual(table.workspaces["k1"].home_regions, {"north"})
+        self.assertIsNone(table.workspaces["k2"].home_regions)
+        plain = decode_configuration(_configuration())
+        self.assertIsNone(plain.routes[0].home_regions)
+        self.assertEqual(plain.services["llm"].cold_start_s, 0.0)
+
     def test_route_types_map_to_route_kinds(self):
         cases = {
             ("safe", False): RouteKind.SAFE,
@@ -142,6 +167,12 @@
         self.assertEqual(str(entry.address), "10.128.0.9:8080")
         self.assertIs(entry.state, TargetState.READY)
         self.assertEqual(entry.started_ms, 1772611549616)
+        self.assertEqual(entry.cold_s, 0.0)
+
+    def test_cold_target(self):
+        """Guards against targets that are taken for warm after a start."""
+        value = json.dumps(self._ENTRY | {"ColdRemainingMs": 2996}).encode()
+        self.assertEqual(decode_target("servers/i-1", value).cold_s, 2.996)
 
     def test_draining_state_maps_to_leaving(self):
         value = json.dumps(self._ENTRY | {"State": "draining"}).encode()
@@ -166,6 +197,8 @@
             {"born": 2**64},
             {"Address": "10.0.0.1:" + "9" * 5_000},
             {"Slots": 1e300},
+            {"ColdRemainingMs": "soon"},
+            {"ColdRemainingMs": -1},
         )
         values = [json.dumps(self._ENTRY | change) for change in changes]
         values += ["", "null", "[]", '{"State": "ready"}']
--- a/crowwinch/platform/tests/test_headers.py
+++ b/crowwinch/platform/tests/test_headers.py
@@ -203,6 +203,24 @@
                 self.assertEqual(head.rate_limit, rate_limit)
                 self.assertEqual(head.has_unreadable_limit, is_unreadable)
 
+    def test_remaining_time_of_a_cold_target(self):
+        """Guards against a malformed time that ends the protection."""
+        cases = (
+            ({}, None),
+            ({"X-Crowwinch-Cold-Ms": "2500"}, 2.5),
+            ({"X-Crowwinch-Cold-Ms": " 0 "}, 0.0),
+            *(
+                ({"X-Crowwinch-Cold-Ms": text}, None)
+                for text in ("", "soon", "-1", "1.5", "9" * 13)
+            ),
+        )
+        for headers, cold_s in cases:
+            with self.subTest(headers=headers):
+                head = _CODEC.decode_response(
+                    200, CIMultiDictProxy(CIMultiDict(headers))
+                )
+                self.assertEqual(head.cold_s, cold_s)
+
     def test_hop_by_hop_headers_of_answers_are_removed(self):
         headers = CIMultiDictProxy(
             CIMultiDict(
--- a/crowwinch/platform/tests/test_settings.py
+++ b/crowwinch/platform/tests/test_settings.py
@@ -41,10 +41,25 @@
         self.assertEqual(str(settings.store), "10.200.1.7:8781")
         self.assertEqual(settings.drain_s, 2.0)
         self.assertEqual(settings.share_window_s, 4.0)
+        self.assertEqual(
+            (settings.cold_overage, settings.cold_slack, settings.zones),
+            (1.5, 5.0, {}),
+        )
         self.assertEqual(
             (settings.peer_port, settings.metrics_port), (7400, 7415)
         )
 
+    def test_zones_and_cold_targets_are_decoded(self):
+        """Guards against a bound of a deployment that is not applied."""
+        values = _values()
+        values["Zones"] = {"hall-a": "midlands", "hall-b": "north"}
+        values["Bounds"] |= {"ColdOverage": 2, "ColdSlack": 3}
+        settings = decode_boot_settings(values)
+        self.assertEqual(settings.zones["hall-b"], "north")
+        self.assertEqual(
+            (settings.cold_overage, settings.cold_slack), (2.0, 3.0)
+        )
+
     def test_invalid_fields_are_reported(self):
         cases = {
             "missing name": (("NodeName",), None, "NodeName"),
--- a/crowwinch/sharing/_model.py
+++ b/crowwinch/sharing/_model.py
@@ -90,6 +90,11 @@
             unknown.
         is_engine: Whether it is a model engine.
         software_version: Version of its software, empty if unknown.
+        region: Region that it runs in, empty if unknown.
+        cold_start_s: Time in seconds for which targets of its service are cold
+            after they start during traffic, 0 if they start warm.
+        cold_per_s: Requests per second from all routers that it tolerates while
+            it is cold, 0 without a limit.
     """
 
     identifier: str
@@ -101,6 +106,9 @@
     max_connections: int = 0
     is_engine: bool = False
     software_version: str = ""
+    region: str = ""
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Verdict(enum.Enum):
