Directory: leave out the targets of evacuated zones

Cause: an operator can order that nothing more is sent to the targets of an availability zone. The directory kept the item, but nothing read it. An unknown zone or a value that cannot be read changes nothing. A value that is no text is kept as an empty one: pages between routers send it as a removal, which would end the evacuation.

--- a/crowwinch/directory/__init__.py
+++ b/crowwinch/directory/__init__.py
@@ -10,6 +10,7 @@
     StoreError,
     TargetEntry,
     TargetState,
+    ZoneEvacuation,
 )
 from crowwinch.directory._readers import ReaderStatus, StoreReaderSelector
 from crowwinch.directory._state import DirectoryState
@@ -31,4 +32,5 @@
     "TargetEntry",
     "TargetState",
     "VersionAge",
+    "ZoneEvacuation",
 ]
--- a/crowwinch/directory/_model.py
+++ b/crowwinch/directory/_model.py
@@ -55,6 +55,20 @@
     cold_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuation:
+    """The operator's order to send nothing more to an availability zone.
+
+    Attributes:
+        zone: Name of the availability zone.
+        is_readable: Whether the value of the item can be read. One that cannot
+            changes nothing, so that it neither starts nor ends an evacuation.
+    """
+
+    zone: str
+    is_readable: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class Item:
     """A key-value item of the store.
@@ -106,12 +120,12 @@
 
     def decode(
         self, key: str, value: bytes
-    ) -> RoutingTable | TargetEntry | None:
+    ) -> RoutingTable | TargetEntry | ZoneEvacuation | None:
         """Decodes the value of an item.
 
         Returns:
-            The configuration or target, or None if the item is of another kind
-            or malformed.
+            The configuration, target or evacuation, or None if the item is of
+            another kind or malformed.
         """
 
 
--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -6,6 +6,7 @@
 
 from crowwinch.coordination import Clock
 from crowwinch.directory._departures import Departures
+from crowwinch.directory._evacuations import EvacuatedZones
 from crowwinch.directory._model import (
     Changes,
     DocumentDecoder,
@@ -14,6 +15,7 @@
     Listing,
     TargetEntry,
     TargetState,
+    ZoneEvacuation,
 )
 from crowwinch.directory._version_history import (
     VersionAge,
@@ -48,19 +50,28 @@
     router can revert a change.
     """
 
-    def __init__(self, clock: Clock, decoder: DocumentDecoder) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        decoder: DocumentDecoder,
+        is_known_zone: Callable[[str], bool] = lambda zone: True,
+    ) -> None:
         """Initializes an empty state.
 
         Args:
             clock: Source of monotonic time.
             decoder: Decodes the values of store items.
+            is_known_zone: Returns whether the deployment has an availability
+                zone. Others cannot be evacuated.
         """
         self._clock = clock
         self._decoder = decoder
         self._items: dict[str, Item] = {}
         self._targets: dict[str, TargetEntry] = {}
-        # Keys of targets whose registration expired during an outage, with the
-        # monotonic time at which they are deleted.
+        self._evacuations = EvacuatedZones(is_known_zone)
+        # Keys of targets whose registration expired during an outage, and of
+        # evacuations that a restored store lacks, with the monotonic time at
+        # which they are deleted.
         self._lapsed: dict[str, float] = {}
         self._routing: RoutingTable | None = None
         self._revision = 0
@@ -87,8 +98,33 @@
         """Targets by item key."""
         return self._targets
 
+    @property
+    def evacuated_zones(self) -> Mapping[str, int]:
+        """Revisions at which evacuations became known, by zone."""
+        return self._evacuations.revisions
+
     def available_targets(self) -> list[TargetEntry]:
-        """Returns the targets that accept requests.
+        """Returns the targets that accept requests and may get them."""
+        evacuated = self._evacuations.revisions
+        return [
+            entry
+            for entry in self._accepting_targets()
+            if entry.availability_zone not in evacuated
+        ]
+
+    def evacuated_targets(self) -> list[TargetEntry]:
+        """Returns the targets that accept requests in evacuated zones."""
+        evacuated = self._evacuations.revisions
+        if not evacuated:
+            return []
+        return [
+            entry
+            for entry in self._accepting_targets()
+            if entry.availability_zone in evacuated
+        ]
+
+    def _accepting_targets(self) -> list[TargetEntry]:
+        """Returns the targets that accept requests, in all zones.
 
         Targets whose departure was announced by a peer are left out before the
         change itself is applied.
@@ -354,7 +390,7 @@
             self._notify()
 
     def expire_lapsed(self) -> None:
-        """Deletes lapsed targets that did not register again in time."""
+        """Deletes lapsed items that were not written again in time."""
         now = self._clock.monotonic()
         expired = [key for key, end in self._lapsed.items() if end <= now]
         for key in expired:
@@ -384,7 +420,7 @@
             self._recovered_at = self._clock.monotonic()
         present = {item.key for item in listing.items}
         for key in [key for key in self._items if key not in present]:
-            self._remove(key)
+            self._remove(key, may_lapse=key in self._evacuations)
         # Values that the copy repeats are applied again at any revision.
         self._items = {
             key: Item(key, 0, item.value) for key, item in self._items.items()
@@ -419,12 +455,12 @@
             changed = True
             self._lapsed.pop(item.key, None)
             self._items[item.key] = item
-            self._apply_value(item.key, item.value)
+            self._apply_value(item.key, item.value, known)
         self._revision = max(self._revision, revision)
         if changed:
             self._notify()
 
-    def _apply_value(self, key: str, value: bytes) -> None:
+    def _apply_value(self, key: str, value: bytes, known: Item | None) -> None:
         decoded = self._decoder.decode(key, value)
         if isinstance(decoded, RoutingTable):
             if decoded.version > self.version:
@@ -441,14 +477,18 @@
                     "older configuration ignored",
                     extra={"offered": decoded.version, "known": self.version},
                 )
-            return
-        if decoded is None:
+        elif isinstance(decoded, ZoneEvacuation):
+            self._apply_evacuation(key, decoded, known)
+        elif decoded is not None:
+            self._apply_target(key, decoded)
+        else:
             self._targets.pop(key, None)
             if len(value) > _MAX_UNREADABLE_BYTES:
                 self._items[key] = dataclasses.replace(
                     self._items[key], value=b""
                 )
-            return
+
+    def _apply_target(self, key: str, decoded: TargetEntry) -> None:
         before = self._targets.get(key)
         if before is not None:
             self._versions.record(before)
@@ -469,11 +509,42 @@
                 },
             )
 
-    def _remove(self, key: str) -> None:
+    def _apply_evacuation(
+        self, key: str, decoded: ZoneEvacuation, known: Item | None
+    ) -> None:
+        """Starts an evacuation; one whose value cannot be read changes nothing.
+
+        One that is in force stays so, also at peers that learn of it from this
+        router: they get the last value that could be read. Without one they get
+        an empty value, since pages between routers hold text only and a value
+        that is none is sent as a removal, which would end an evacuation.
+
+        Args:
+            key: Key of the item.
+            decoded: The evacuation.
+            known: The item before, None without one.
+        """
+        item = self._items[key]
+        if decoded.is_readable:
+            self._evacuations.start(key, decoded.zone, item.revision)
+            return
+        is_in_force = known is not None and key in self._evacuations
+        self._items[key] = dataclasses.replace(
+            item, value=known.value if is_in_force else b""
+        )
+
+    def _remove(self, key: str, *, may_lapse: bool = False) -> None:
+        """Deletes an item now, or later if it may be written again.
+
+        Args:
+            key: Key of the item.
+            may_lapse: Whether it may also lapse if it is no target.
+        """
         if key in self._lapsed:
             return
         end = self._recovered_at + _LAPSE_GRACE_S
-        if key in self._targets and self._clock.monotonic() < end:
+        may_lapse = may_lapse or key in self._targets
+        if may_lapse and self._clock.monotonic() < end:
             self._lapsed[key] = end
             return
         self._delete(key)
@@ -489,10 +560,11 @@
 
     def _delete(self, key: str) -> None:
         self._items.pop(key, None)
+        revision = self._removals.get(key, self._revision)
+        self._evacuations.end(key, revision)
         target = self._targets.pop(key, None)
         if target is not None:
             self._versions.record(target)
-            revision = self._removals.get(key, self._revision)
             self._departures.record(key, target, revision, self._era)
             _LOGGER.info(
                 "target removed",
--- a/crowwinch/platform/_documents.py
+++ b/crowwinch/platform/_documents.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from crowwinch.directory import TargetEntry, TargetState
+from crowwinch.directory import TargetEntry, TargetState, ZoneEvacuation
 from crowwinch.errors import DECODE_ERRORS
 from crowwinch.forwarding import (
     Engine,
@@ -23,6 +23,7 @@
 
 CONFIGURATION_KEY = "op/config"
 TARGET_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"
 _MS_PER_S = 1000.0
 _DEFAULT_TIMEOUT_MS = 60_000.0
 _ROUTE_KINDS = {"safe": RouteKind.SAFE, "unsafe": RouteKind.UNSAFE}
@@ -127,7 +128,7 @@
 
     def decode(
         self, key: str, value: bytes
-    ) -> RoutingTable | TargetEntry | None:
+    ) -> RoutingTable | TargetEntry | ZoneEvacuation | None:
         """Decodes an item of the store.
 
         Args:
@@ -135,11 +136,13 @@
             value: Raw value of the item.
 
         Returns:
-            The configuration or target, or None if the item is of another kind
-            or malformed.
+            The configuration, target or evacuation, or None if the item is of
+            another kind or malformed.
         """
         if key.startswith(TARGET_PREFIX):
             return decode_target(key, value)
+        if key.startswith(EVACUATION_PREFIX):
+            return decode_evacuation(key, value)
         if key != CONFIGURATION_KEY:
             return None
         try:
@@ -279,3 +282,22 @@
         software_version=document.Version,
         cold_s=document.ColdRemainingMs / _MS_PER_S,
     )
+
+
+def decode_evacuation(key: str, value: bytes) -> ZoneEvacuation:
+    """Decodes the evacuation of an availability zone.
+
+    Args:
+        key: Key of the item, which contains the name of the zone.
+        value: Raw value of the item, a JSON object whose fields have no
+            meaning yet.
+    """
+    is_readable = True
+    try:
+        msgspec.json.decode(value, type=dict)
+    except DECODE_ERRORS as error:
+        _LOGGER.warning(
+            "evacuation ignored", extra={"key": key, "cause": str(error)}
+        )
+        is_readable = False
+    return ZoneEvacuation(key.removeprefix(EVACUATION_PREFIX), is_readable)
--- a/crowwinch/platform/tests/test_boundary.py
+++ b/crowwinch/platform/tests/test_boundary.py
@@ -8,7 +8,7 @@
 # Headers, endpoints, keys and fields that only the adapter may use.
 _PLATFORM_NAMES = re.compile(
     r"X-Crowwinch|X-Api-Key|Kv-(?:Fetch|From)|kv-(?:range|watch|key)"
-    r"|op/config|servers/|TokensPerS|TimeoutMs|TargetLatencyMs|MaxAttempts"
+    r"|op/config|op/evacuate|servers/|TokensPerS|TimeoutMs|TargetLatencyMs|MaxAttempts"
     r"|TrafficSplit|KvCapacity|RouteType|StreamResume|HeartbeatMs|NodeName"
     r"|PortRange|CROWWINCH_BOOT|[Tt]enant",
 )
--- a/crowwinch/platform/tests/test_documents.py
+++ b/crowwinch/platform/tests/test_documents.py
@@ -3,7 +3,7 @@
 import json
 import unittest
 
-from crowwinch.directory import TargetState
+from crowwinch.directory import TargetState, ZoneEvacuation
 from crowwinch.forwarding import RouteKind
 from crowwinch.platform import DocumentCodec
 from crowwinch.platform._documents import decode_configuration, decode_target
@@ -148,6 +148,47 @@
                     self.assertIsNone(codec.decode("op/config", value))
 
 
+class EvacuationTest(unittest.TestCase):
+    """Guards against orders to evacuate a zone that are misread."""
+
+    def _decode(self, key, value):
+        return DocumentCodec().decode(key, value)
+
+    def test_objects_evacuate_a_zone(self):
+        for value in (b"{}", b" {} ", b'{"By": "name", "At": [1, null]}'):
+            with self.subTest(value=value):
+                self.assertEqual(
+                    self._decode("op/evacuate/az-1", value),
+                    ZoneEvacuation("az-1"),
+                )
+
+    def test_other_values_evacuate_nothing(self):
+        cases = (
+            b"",
+            b"null",
+            b"true",
+            b"[]",
+            b'"az-1"',
+            b"{",
+            b"{} {}",
+            b'{"By": "\xff"}',
+            b'{"a":' * 5_000,
+        )
+        for value in cases:
+            with (
+                self.subTest(value=value[:20]),
+                self.assertLogs("crowwinch.platform", "WARNING") as log,
+            ):
+                evacuation = self._decode("op/evacuate/az-1", value)
+                self.assertFalse(evacuation.is_readable)
+                self.assertEqual(log.records[0].key, "op/evacuate/az-1")
+
+    def test_other_keys_evacuate_nothing(self):
+        for key in ("op/evacuate", "op/evacuated/az-1", "evacuate/az-1"):
+            with self.subTest(key):
+                self.assertIsNone(self._decode(key, b"{}"))
+
+
 class TargetTest(unittest.TestCase):
     """Guards against malformed registrations that yield a target."""
 
