Keep requests out of evacuated zones and foreign regions

Cause: routes and workspaces may be bound to home regions, and the targets of evacuated zones get nothing more. Without a target that may run it, a request waited 0.3 s like one whose target restarts. A request whose target was removed between decision and sending counted as a failure and a retry, which a route with one attempt refuses. Change: the ticket names the home regions of route and workspace, and admission is told which targets are evacuated. A request that only evacuated targets, or no target of its regions, could run is refused at once with a reason of its own, also behind a queue. A placed request whose target is gone is placed again. Requests of other regions do not wait behind those of a full one. Evidence: test_target_places in sharing and forwarding, test_target_set; the tests of sharing and of streams, versions and restarts in forwarding pass.

--- a/crowwinch/errors.py
+++ b/crowwinch/errors.py
@@ -49,6 +49,8 @@
     ANSWER_NOT_KEPT = 25
     ROUTER_OVERLOADED = 26
     STREAM_VERSION_UNKNOWN = 27
+    EVACUATED = 28
+    NO_HOME_TARGET = 29
 
 
 class RetryReason(enum.IntEnum):
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable, Mapping
 
 from crowwinch.coordination import Clock
-from crowwinch.errors import RefusalError, RefusalReason, RunState
+from crowwinch.errors import (
+    CrowwinchError,
+    RefusalError,
+    RefusalReason,
+    RunState,
+)
 from crowwinch.forwarding._call import Call
 from crowwinch.forwarding._delivery import deliver
 from crowwinch.forwarding._event_recorder import EventRecorder
@@ -48,9 +53,15 @@
     Verdict.REFUSE_OVERLOAD: RefusalReason.DEADLINE_UNREACHABLE,
     Verdict.REFUSE_OVER_SHARE: RefusalReason.WORKSPACE_LIMIT,
     Verdict.REFUSE_NO_TARGET: RefusalReason.NO_TARGET,
+    Verdict.REFUSE_EVACUATED: RefusalReason.EVACUATED,
+    Verdict.REFUSE_NO_HOME_TARGET: RefusalReason.NO_HOME_TARGET,
 }
 
 
+class _TargetGoneError(CrowwinchError):
+    """The target of a decision was removed before the request was sent."""
+
+
 class Forwarder:
     """Forwards requests to the targets that admission control selects."""
 
@@ -219,6 +230,7 @@
                 else 0.0
             ),
             last_event_id=head.last_event_id,
+            home_regions=table.home_regions(route, head.key),
         )
 
     def _choose_service(self, route: Route) -> str:
@@ -246,6 +258,9 @@
             target = placement.decision.target
             try:
                 await self._attempt(context, placement)
+            except _TargetGoneError:
+                # Nothing was sent, so this is no retry and no failure.
+                continue
             except AttemptError as error:
                 reason = self._retry_policy.handle_attempt_error(
                     context, target, error
@@ -303,6 +318,7 @@
             prior_wait_s=0.0 if context.is_taken_up else context.prior_wait_s,
             is_taken_up=context.is_taken_up,
             software_version=context.software_version,
+            home_regions=context.home_regions,
         )
         self._sharing.admission.submit(ticket)
         try:
@@ -332,6 +348,7 @@
 
         Raises:
             AttemptError: If there is no complete response.
+            _TargetGoneError: If the target was removed since the decision.
         """
         decision, reservation = placement.decision, placement.reservation
         assert reservation is not None, "no load reserved for the attempt"
@@ -339,7 +356,7 @@
         target = await self._find_target(context, placement)
         if target is None:
             self._sharing.release(work, placement)
-            raise AttemptError("the target is gone", may_have_run=False)
+            raise _TargetGoneError(decision.target)
         if context.software_version not in (None, target.software_version):
             self._sharing.release(work, placement)
             raise AttemptError(
@@ -438,10 +455,13 @@
         if context.route.kind is not RouteKind.RESUMABLE_STREAM:
             return target
         try:
-            return await self._lives.confirm(target)
+            confirmed = await self._lives.confirm(target)
         except asyncio.CancelledError:
             self._sharing.release(context.work, placement)
             raise
+        # The target may have left, or its zone may have been evacuated.
+        is_present = self._targets.get(target.identifier) is not None
+        return confirmed if is_present else None
 
     def _note_stream_start(
         self, context: RequestContext, target: Target
--- a/crowwinch/forwarding/_model.py
+++ b/crowwinch/forwarding/_model.py
@@ -260,3 +260,18 @@
             return None
         workspace = self.workspaces.get(key)
         return None if workspace is None else workspace.name
+
+    def home_regions(self, route: Route, key: str) -> frozenset[str] | None:
+        """Returns the regions whose targets may run requests of a key.
+
+        Both the route and the workspace of the key may restrict them; None
+        without a restriction.
+        """
+        workspace = None
+        if self.workspaces is not None and not route.is_anonymous:
+            workspace = self.workspaces.get(key)
+        if workspace is None or workspace.home_regions is None:
+            return route.home_regions
+        if route.home_regions is None:
+            return workspace.home_regions
+        return route.home_regions & workspace.home_regions
--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -32,6 +32,8 @@
             one.
         software_version: Version of the software of the targets that may go on
             with the stream, None before its first event.
+        home_regions: Regions whose targets may run the request, None if all
+            may.
         excluded: Targets at which an attempt has failed.
         attempts: Log entry of each attempt.
         first_event_at: Monotonic time in seconds at which the first event was
@@ -56,6 +58,7 @@
     last_event_id: str | None = None
     relayed_event_id: str | None = None
     software_version: str | None = None
+    home_regions: frozenset[str] | None = None
     excluded: set[str] = field(default_factory=set)
     attempts: list[dict[str, object]] = field(default_factory=list)
     first_event_at: float | None = None
--- a/crowwinch/forwarding/_target_set.py
+++ b/crowwinch/forwarding/_target_set.py
@@ -61,8 +61,11 @@
         # Targets that restarted, with the start time that the directory knows.
         self._restarted: dict[str, tuple[int, Target]] = {}
         self._targets: dict[str, Target] = {}
+        # Targets that get no requests while their zone is evacuated.
+        self._evacuated: dict[str, Target] = {}
         self._views: dict[str, TargetView] = {}
         self._by_service: dict[str, list[TargetView]] = {}
+        self._evacuated_by_service: dict[str, list[TargetView]] = {}
 
     def get(self, identifier: str) -> Target | None:
         """Returns a target, None if it does not accept requests."""
@@ -76,8 +79,20 @@
         """Returns the views of the targets of a service."""
         return self._by_service.get(service, ())
 
+    def evacuated_views_of_service(self, service: str) -> Sequence[TargetView]:
+        """Returns the views of the evacuated targets of a service."""
+        return self._evacuated_by_service.get(service, ())
+
+    @property
+    def views(self) -> Sequence[TargetView]:
+        """Views of all targets that accept requests."""
+        return tuple(self._views.values())
+
     def update(
-        self, targets: Iterable[Target], routing: RoutingTable | None
+        self,
+        targets: Iterable[Target],
+        routing: RoutingTable | None,
+        evacuated: Iterable[Target] = (),
     ) -> None:
         """Replaces all targets.
 
@@ -85,25 +100,28 @@
             targets: Targets that accept requests.
             routing: Current configuration, None if unknown; it supplies the
                 capacity of the targets.
+            evacuated: Targets that accept requests but get none while their
+                availability zone is evacuated.
         """
         self._routing = routing
-        current = {
-            target.identifier: self._newest(target)
-            for target in targets
-            if self._leaving.get(target.identifier) != target.life
-        }
-        for identifier, previous in self._targets.items():
-            target = current.get(identifier)
+        current, kept = (
+            self._by_identifier(targets),
+            self._by_identifier(evacuated),
+        )
+        # What is known of an evacuated target holds when it is used again.
+        for identifier, previous in (self._targets | self._evacuated).items():
+            target = current.get(identifier) or kept.get(identifier)
             if target is None or target.life != previous.life:
                 self._on_removed(identifier)
-        self._targets = current
+        self._targets, self._evacuated = current, kept
         self._views = {
             identifier: self._build_view(target, routing)
             for identifier, target in current.items()
         }
-        self._by_service = {}
-        for view in self._views.values():
-            self._by_service.setdefault(view.service, []).append(view)
+        self._by_service = _group_by_service(self._views.values())
+        self._evacuated_by_service = _group_by_service(
+            self._build_view(target, routing) for target in kept.values()
+        )
 
     def mark_leaving(self, target: Target) -> bool:
         """Stops using a target that says that it leaves, until it restarts.
@@ -117,7 +135,11 @@
         self._leaving[target.identifier] = target.life
         if len(self._leaving) > _MAX_LEAVING:
             del self._leaving[next(iter(self._leaving))]
-        self.update(list(self._targets.values()), self._routing)
+        self.update(
+            list(self._targets.values()),
+            self._routing,
+            list(self._evacuated.values()),
+        )
         return True
 
     def mark_restarted(self, target: Target, life: int) -> Target:
@@ -149,9 +171,18 @@
                 for each in self._targets.values()
             ],
             self._routing,
+            list(self._evacuated.values()),
         )
         return restarted
 
+    def _by_identifier(self, targets: Iterable[Target]) -> dict[str, Target]:
+        """Returns targets by identifier, without those that leave."""
+        return {
+            target.identifier: self._newest(target)
+            for target in targets
+            if self._leaving.get(target.identifier) != target.life
+        }
+
     def _newest(self, target: Target) -> Target:
         """Returns a target since its last restart."""
         known = self._restarted.get(target.identifier)
@@ -177,3 +208,12 @@
             cold_start_s=service.cold_start_s if service else 0.0,
             cold_per_s=service.cold_per_s if service else 0.0,
         )
+
+
+def _group_by_service(
+    views: Iterable[TargetView],
+) -> dict[str, list[TargetView]]:
+    groups: dict[str, list[TargetView]] = {}
+    for view in views:
+        groups.setdefault(view.service, []).append(view)
+    return groups
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -191,7 +191,9 @@
     is_keep_alive: bool = field(default=True)
 
 
-def make_sharing_state(clock, targets=lambda service: ()) -> SharingState:
+def make_sharing_state(
+    clock, targets=lambda service: (), evacuated=lambda service: ()
+) -> SharingState:
     """Returns the sharing state of a router that has just started."""
     loads, health = TargetLoads(clock), TargetHealth(clock)
     prefixes, speeds = PrefixCacheTracker(clock), EngineSpeeds()
@@ -205,6 +207,7 @@
             shares,
             targets,
             random.Random(1).random,
+            evacuated,
         ),
         budget=SlidingWindowRetryBudget(clock, 5.0, 10.0),
         crashes=CrashSuspects(clock),
@@ -241,7 +244,9 @@
         self.metrics = Metrics()
         self.target_set = TargetSet("az", lambda target: None)
         self.sharing = make_sharing_state(
-            self.clock, self.target_set.views_of_service
+            self.clock,
+            self.target_set.views_of_service,
+            self.target_set.evacuated_views_of_service,
         )
         self.loads = self.sharing.loads
         self.health = self.sharing.health
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -19,6 +19,7 @@
     DirectoryState,
     DirectoryWatcher,
     StoreReaderSelector,
+    TargetEntry,
 )
 from crowwinch.errors import PeerRejection, RefusalReason, RetryReason
 from crowwinch.fleet import DirectorySync, FleetService, StreamOrigins
@@ -113,12 +114,19 @@
         self._metrics.gauge("loop_lag_seconds", lambda: self._lag.seconds)
         self._metrics.gauge("ready", lambda: self.is_ready)
         self._store = StoreClient(settings.store)
-        self._state = DirectoryState(self._clock, DocumentCodec())
+        self._state = DirectoryState(
+            self._clock,
+            DocumentCodec(),
+            lambda zone: zone in self._settings.zones,
+        )
         self._state.subscribe(self._on_directory_changed)
         self._readers = StoreReaderSelector(self._clock, str(settings.control))
         self._targets = TargetSet(
             settings.availability_zone, self._remove_target
         )
+        self._metrics.gauge(
+            "evacuated_zones", lambda: len(self._state.evacuated_zones)
+        )
         self._sharing = self._build_sharing()
         self._is_stopping = False
         self._stopped = asyncio.Event()
@@ -233,6 +241,7 @@
                 shares,
                 self._targets.views_of_service,
                 self._rng.random,
+                self._targets.evacuated_views_of_service,
             ),
             budget=SlidingWindowRetryBudget(
                 self._clock, settings.retry_ratio, settings.retry_window_s
@@ -344,6 +353,8 @@
         self._sharing.shares.set_time_constant(
             time_constant(settings.share_window_s)
         )
+        # The zones of the deployment may have changed.
+        self._on_directory_changed()
 
     def _describe_state(self) -> dict[str, object]:
         """Returns log fields on how current this router's state is."""
@@ -366,26 +377,25 @@
             self._sharing.shares.set_capacity(
                 routing.limits.service_tokens_per_s
             )
-        self._sharing.admission.poll()
+        self._sharing.admission.note_targets_changed()
 
     def _update_targets(self, routing: RoutingTable | None) -> None:
         self._targets.update(
-            (
-                Target(
-                    identifier=entry.identifier,
-                    life=entry.started_ms,
-                    service=entry.service,
-                    address=entry.address,
-                    availability_zone=entry.availability_zone,
-                    slots=entry.slots,
-                    software_version=entry.software_version,
-                    region=self._settings.zones.get(
-                        entry.availability_zone, ""
-                    ),
-                )
-                for entry in self._state.available_targets()
-            ),
+            map(self._to_target, self._state.available_targets()),
             routing,
+            map(self._to_target, self._state.evacuated_targets()),
+        )
+
+    def _to_target(self, entry: TargetEntry) -> Target:
+        return Target(
+            identifier=entry.identifier,
+            life=entry.started_ms,
+            service=entry.service,
+            address=entry.address,
+            availability_zone=entry.availability_zone,
+            slots=entry.slots,
+            software_version=entry.software_version,
+            region=self._settings.zones.get(entry.availability_zone, ""),
         )
 
     def _remove_target(self, target: str) -> None:
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -10,7 +10,7 @@
 """
 
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import (
     Callable,
     Collection,
@@ -35,10 +35,14 @@
 # A service without targets regains them by a restart or a new target entry.
 _NO_TARGET_MAX_WAIT_S = 0.3
 _NO_TARGET_RETRY_S = 0.5
+# An evacuation takes seconds at least, and a region without targets mostly gets
+# some again when machines have started.
+_UNSERVABLE_RETRY_S = 2.0
 # Random jitter of that delay, as a fraction of it.
 _RETRY_JITTER = 0.5
-# Undecided requests of one workspace after which a poll stops. Later requests
-# would find the same targets full, and under load there are hundreds of them.
+# Undecided requests of one workspace after which a poll leaves out those with
+# the same home regions. They would find the same targets full, and under load
+# there are hundreds of them.
 _MAX_UNDECIDED = 8
 _NEGLIGIBLE_RATE = 1e-6
 
@@ -53,6 +57,7 @@
         shares: WorkspaceShares,
         targets: Callable[[str], Sequence[TargetView]],
         random: Callable[[], float],
+        evacuated: Callable[[str], Sequence[TargetView]] = lambda service: (),
     ) -> None:
         """Creates an empty queue.
 
@@ -62,11 +67,14 @@
             shares: Use of workspaces over the fleet.
             targets: Returns the targets of a service.
             random: Returns a number from 0 to 1, used as jitter of retries.
+            evacuated: Returns the targets of a service that would take requests
+                if their availability zone were not evacuated.
         """
         self._clock = clock
         self._placer = placer
         self._shares = shares
         self._targets = targets
+        self._evacuated = evacuated
         self._random = random
         self._return_times = ReturnTimes(random)
         self._standing = StandingQueues(clock)
@@ -87,14 +95,18 @@
         ticket.latest_start = self._order.latest_start(ticket)
         queues = self._queues.setdefault(ticket.work.service, {})
         queue = queues.setdefault(ticket.work.workspace, deque())
-        if not queue:
-            # Requests of other workspaces found no capacity at the last poll.
+        if not any(other.has_same_homes(ticket) for other in queue):
+            # Requests of other workspaces found no capacity at the last poll,
+            # and those with other home regions none in theirs.
             decision = self._decide(
                 ticket, self._observe(ticket.work.service), now
             )
             if decision is not None:
                 self._finish(ticket, decision)
                 return
+        elif refusal := self._refuse_unservable(ticket):
+            self._finish(ticket, refusal)
+            return
         elif self._is_rejection_certain(ticket, queue):
             self._finish(ticket, self._refuse_over_share(ticket, now))
             return
@@ -114,6 +126,23 @@
             self._remove(ticket, queue)
             self._note_if_empty(service)
 
+    def note_targets_changed(self) -> None:
+        """Decides queued requests after the targets of services have changed.
+
+        Requests that no target may run any more are refused first: a poll may
+        not reach them while others of their workspace stay queued.
+        """
+        queues = [
+            queue for each in self._queues.values() for queue in each.values()
+        ]
+        for queue in queues:
+            for ticket in tuple(queue):
+                if refusal := self._refuse_unservable(ticket):
+                    self._remove(ticket, queue)
+                    self._finish(ticket, refusal)
+                    self._note_if_empty(ticket.work.service)
+        self.poll()
+
     def poll(self) -> None:
         """Decides all queued requests that can be decided now."""
         if not self._waiting:
@@ -159,13 +188,13 @@
         statuses: dict[str, TargetStatus],
         now: float,
     ) -> None:
-        undecided = 0
+        undecided: Counter[frozenset[str] | None] = Counter()
         for ticket in tickets:
+            if undecided[ticket.home_regions] >= _MAX_UNDECIDED:
+                continue
             decision = self._decide(ticket, statuses, now)
             if decision is None:
-                undecided += 1
-                if undecided >= _MAX_UNDECIDED:
-                    break
+                undecided[ticket.home_regions] += 1
                 continue
             self._remove(ticket, queue)
             self._finish(ticket, decision)
@@ -192,11 +221,13 @@
         accepted = [
             status
             for status in statuses.values()
-            if ticket.accepts_version(status.target)
+            if ticket.accepts(status.target)
         ]
         candidates = self._placer.candidates(work, accepted, ticket.excluded)
         if not candidates:
-            return self._decide_without_target(
+            return self._refuse_unservable(
+                ticket
+            ) or self._decide_without_target(
                 ticket, waited, _hold_left_s(ticket, accepted)
             )
         claim = Claim(
@@ -269,6 +300,30 @@
             retry_after_s=self._return_times.delay_s(ticket.deadline - now),
         )
 
+    def _refuse_unservable(self, ticket: Ticket) -> Decision | None:
+        """Returns the refusal of a request that no target may run.
+
+        None if one may, or if the reason is not the place of the targets: a
+        target that has left or crashed mostly returns within a moment.
+        """
+        service = ticket.work.service
+        targets = self._targets(service)
+        if _has_usable(ticket, targets):
+            return None
+        if _has_usable(ticket, self._evacuated(service)):
+            verdict = Verdict.REFUSE_EVACUATED
+        elif ticket.home_regions is not None and not any(
+            map(ticket.accepts_region, targets)
+        ):
+            verdict = Verdict.REFUSE_NO_HOME_TARGET
+        else:
+            return None
+        return Decision(
+            verdict,
+            retry_after_s=_UNSERVABLE_RETRY_S
+            * (1 + _RETRY_JITTER * self._random()),
+        )
+
     def _decide_without_target(
         self, ticket: Ticket, waited: float, hold_left_s: float
     ) -> Decision | None:
@@ -283,6 +338,14 @@
         )
 
 
+def _has_usable(ticket: Ticket, targets: Iterable[TargetView]) -> bool:
+    """Returns whether a target may run a request."""
+    return any(
+        ticket.accepts(target) and target.identifier not in ticket.excluded
+        for target in targets
+    )
+
+
 def _uncharged_units(ticket: Ticket) -> int:
     """Returns the units of a request that its workspace was not charged for.
 
--- a/crowwinch/sharing/_model.py
+++ b/crowwinch/sharing/_model.py
@@ -118,6 +118,8 @@
     REFUSE_OVERLOAD = "refuse_overload"
     REFUSE_OVER_SHARE = "refuse_over_share"
     REFUSE_NO_TARGET = "refuse_no_target"
+    REFUSE_EVACUATED = "refuse_evacuated"
+    REFUSE_NO_HOME_TARGET = "refuse_no_home_target"
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowwinch/sharing/_ticket.py
+++ b/crowwinch/sharing/_ticket.py
@@ -25,6 +25,7 @@
             the first events.
         software_version: Only targets of this version may run it, None if any
             may.
+        home_regions: Only targets in these regions may run it, None if all may.
         latest_start: Monotonic time from which an answer is likely late; set
             when it is submitted.
     """
@@ -37,12 +38,24 @@
     prior_wait_s: float = 0.0
     is_taken_up: bool = False
     software_version: str | None = None
+    home_regions: frozenset[str] | None = None
     latest_start: float = field(default=0.0, init=False)
     is_done: bool = field(default=False, init=False)
 
-    def accepts_version(self, target: TargetView) -> bool:
-        """Returns whether targets of this software version may run it."""
-        return self.software_version in (None, target.software_version)
+    def accepts(self, target: TargetView) -> bool:
+        """Returns whether targets of this version and region may run it."""
+        return self.accepts_region(target) and self.software_version in (
+            None,
+            target.software_version,
+        )
+
+    def accepts_region(self, target: TargetView) -> bool:
+        """Returns whether targets in this region may run it."""
+        return self.home_regions is None or target.region in self.home_regions
+
+    def has_same_homes(self, other: "Ticket") -> bool:
+        """Returns whether two requests may run in the same regions."""
+        return self.home_regions == other.home_regions
 
     @property
     def latency_s(self) -> float:
