Gateway: serve its state on the metrics port

Cause: an operator could not ask a gateway which zones it holds for evacuated, what limits a target and how old its directory is.

--- /dev/null
+++ b/crowwinch/cli/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of crowwinch.cli."""
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -38,6 +38,7 @@
     TargetSet,
 )
 from crowwinch.gateway._settings_file import SettingsFile
+from crowwinch.gateway._state_report import STATE_PATH, StateReport
 from crowwinch.observability import Metrics
 from crowwinch.platform import (
     DocumentCodec,
@@ -146,6 +147,7 @@
             self._clock, self._state, self._store, self._fleet.sync_with_peers
         )
         self._fleet.serve_sync(sync.sync_with_store)
+        self._state_report = self._build_state_report()
         self._metrics.gauge(
             "evicted_stream_records", lambda: self._fleet.streams.evictions
         )
@@ -260,6 +262,18 @@
             speeds=speeds,
         )
 
+    def _build_state_report(self) -> StateReport:
+        report = StateReport(
+            self._clock,
+            lambda: self._settings,
+            self._state,
+            self._targets,
+            self._sharing,
+        )
+        report.add_section("ready", lambda: self.is_ready)
+        report.add_section("peers", lambda: self._fleet.live_peers)
+        return report
+
     async def start(self) -> None:
         """Starts all components in order."""
         settings = self._settings
@@ -422,7 +436,8 @@
         return web.Response(status=503, text="not ready\n")
 
     async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
-        del request
+        if request.path == STATE_PATH:
+            return self._state_report.respond()
         return web.Response(text=self._metrics.render())
 
 
