--- a/crowwinch/sharing/_observed_targets.py
+++ b/crowwinch/sharing/_observed_targets.py
@@ -67,7 +67,7 @@
 
     def usable_by(self, ticket: Ticket) -> UsableTargets:
         """Returns the targets that a request may use."""
-        if ticket.excluded or ticket.software_version is not None:
+        if ticket.is_restricted:
             return self._select(ticket)
         if self._common is None:
             self._common = self._select(ticket)
@@ -88,7 +88,7 @@
         return [
             status
             for status in self._statuses.values()
-            if ticket.accepts_version(status.target)
+            if ticket.accepts(status.target)
         ]
 
     def _select(self, ticket: Ticket) -> UsableTargets:
