--- a/crowwinch/directory/_departures.py
+++ b/crowwinch/directory/_departures.py
@@ -68,10 +68,25 @@
         self._distrust_until: float | None = None
 
     def record(
-        self, key: str, target: TargetEntry, revision: int, era: int
+        self,
+        key: str,
+        target: TargetEntry,
+        revision: int,
+        era: int,
+        *,
+        is_reported: bool = True,
     ) -> None:
-        """Records a target that is leaving or was removed."""
-        self._add_change(key, revision)
+        """Records a target that is leaving or was removed.
+
+        Args:
+            key: Key of the entry.
+            target: Last entry of the target.
+            revision: Revision of the change.
+            era: Era of the store to which the revision belongs.
+            is_reported: Whether peers are told.
+        """
+        if is_reported:
+            self._add_change(key, revision)
         self._departed.pop(key, None)
         self._departed[key] = _Departed(
             target.started_ms, target.state is TargetState.LEAVING, era
--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -30,6 +30,10 @@
 _MIN_OUTAGE_S = 1.0
 # Live targets register again within 2 s of the store's recovery.
 _LAPSE_GRACE_S = 2.2
+# A router without contact for longer may have missed an outage in which
+# registrations expired. Calls follow each other within 2 s; an entry expires at
+# the earliest 2.4 s after its last heartbeat was due.
+_MAX_CONTACT_GAP_S = 2.4
 # Limit on the removals kept for lagging routers. A router that is further
 # behind gets a complete listing.
 _MAX_REMOVALS = 1000
@@ -75,6 +79,7 @@
         self._synced_at = float("-inf")
         self._failing_since: float | None = None
         self._recovered_at = float("-inf")
+        self._resumed_at = float("-inf")
         self._subscribers: list[Callable[[], None]] = []
 
     @property
@@ -271,7 +276,10 @@
         """Records an answer of the store to this router or to a peer."""
         self._start_lapse_grace()
         self._failing_since = None
-        self._last_contact = self._clock.monotonic()
+        now = self._clock.monotonic()
+        if now - self._last_contact > _MAX_CONTACT_GAP_S:
+            self._resumed_at = now
+        self._last_contact = now
 
     def apply_listing(self, listing: Listing) -> None:
         """Applies a complete listing unless it is older than this state."""
@@ -339,18 +347,28 @@
         """Stops using targets that a peer knows to be leaving or removed.
 
         Such an announcement arrives before the page of the peer's directory,
-        which may be late. It holds until this directory has caught up.
+        which may be late. It holds until this directory has caught up. A
+        target that is kept as lapsed has left if a peer removed it.
 
         Args:
             departures: Keys of the targets and revisions of the changes.
         """
+        departures = list(departures)
         announced = self._departures.announce(departures, self._revision)
         for key, revision in announced:
             _LOGGER.info(
                 "departure announced by a peer",
                 extra={"key": key, "revision": revision},
             )
-        if announced:
+        removed = [
+            key
+            for key, revision in departures
+            if key in self._lapsed and revision > self._items[key].revision
+        ]
+        for key in removed:
+            del self._lapsed[key]
+            self._delete(key)
+        if announced or removed:
             self._notify()
 
     def expire_lapsed(self) -> None:
@@ -473,11 +491,32 @@
         if key in self._lapsed:
             return
         end = self._recovered_at + _LAPSE_GRACE_S
-        if key in self._targets and self._clock.monotonic() < end:
+        is_grace = self._clock.monotonic() < end
+        if key in self._targets and is_grace and not self._is_departed(key):
             self._lapsed[key] = end
             return
         self._delete(key)
 
+    def _is_departed(self, key: str) -> bool:
+        """Returns whether a peer announced a departure after the known entry.
+
+        A peer that was in contact with the store deleted the target, so its
+        registration did not expire in an outage.
+        """
+        return self._departures.is_announced(key, self._items[key].revision + 1)
+
+    def _may_have_lapsed(self, target: TargetEntry) -> bool:
+        """Returns whether a removed target may live after an outage.
+
+        A router that stood still during an outage does not notice it. Peers
+        that did would drop the targets that they keep, if it told them.
+        """
+        now = self._clock.monotonic()
+        is_late = now - self._last_contact > _MAX_CONTACT_GAP_S
+        is_resuming = now < self._resumed_at + _LAPSE_GRACE_S
+        is_ready = target.state is TargetState.READY
+        return is_ready and (is_late or is_resuming)
+
     def _record_removal(self, key: str, revision: int) -> None:
         self._removals.pop(key, None)
         self._removals[key] = revision
@@ -493,7 +532,13 @@
         if target is not None:
             self._versions.record(target)
             revision = self._removals.get(key, self._revision)
-            self._departures.record(key, target, revision, self._era)
+            self._departures.record(
+                key,
+                target,
+                revision,
+                self._era,
+                is_reported=not self._may_have_lapsed(target),
+            )
             _LOGGER.info(
                 "target removed",
                 extra={"target": target.identifier, "revision": revision},
--- a/crowwinch/directory/tests/test_state.py
+++ b/crowwinch/directory/tests/test_state.py
@@ -145,6 +145,31 @@
         keys = {item.key for item in self.state.listing().items}
         self.assertEqual(keys, {"b", "c"})
 
+    def test_target_that_a_peer_knows_to_have_left_is_not_kept(self):
+        """Guards against a departure that is taken for a lapsed registration.
+
+        Only this router was cut off. The target was used again as soon as the
+        directory had the removal that a peer had announced.
+        """
+        self._simulate_outage(4.0)
+        self.state.merge_departures([("a", 11)])
+        self.state.apply_changes(Changes(11, (_deleted("a", 11),)))
+        self.assertNotIn("a", self.state.targets)
+
+    def test_departure_announced_after_the_removal_ends_the_grace(self):
+        self._simulate_outage(4.0)
+        self.state.apply_changes(Changes(11, (_deleted("a", 11),)))
+        self.assertIn("a", self.state.targets)
+        self.state.merge_departures([("a", 11)])
+        self.assertNotIn("a", self.state.targets)
+
+    def test_departure_before_the_known_entry_does_not_end_the_grace(self):
+        self._simulate_outage(4.0)
+        self.state.apply_changes(Changes(12, (_item("a", 12),)))
+        self.state.apply_changes(Changes(13, (_deleted("a", 13),)))
+        self.state.merge_departures([("a", 11)])
+        self.assertIn("a", self.state.targets)
+
     def test_peer_listing_during_outage_keeps_lapsed_targets(self):
         self.state.record_failure(self.clock.monotonic())
         self._advance_clock(4.0)
--- a/crowwinch/fleet/tests/support.py
+++ b/crowwinch/fleet/tests/support.py
@@ -85,6 +85,8 @@
         self.is_down = False
         self.refused = set()
         self.silent = set()
+        # Routers whose calls of now get no answer, also after the fault.
+        self.disconnected = set()
         self.written = {}
         self.state = TargetState.READY
         self.era = 1
@@ -92,6 +94,7 @@
         self.others = {}
         self._other_changes = []
         self._pending = []
+        self._lost = set()
 
     def write(self, state=TargetState.READY):
         self.revision += 1
@@ -143,20 +146,37 @@
         end = self.clock.monotonic() + seconds
         future = asyncio.get_running_loop().create_future()
         self._pending.append((future, name, end, is_due))
+        if name in self.disconnected:
+            self._lost.add(future)
         await future
 
+    def disconnect(self, name):
+        """Lets the running calls of a router, and later ones, get no answer.
+
+        Calls that began before the router is connected again time out, as on a
+        connection that lost its packets.
+        """
+        self.disconnected.add(name)
+        self._lost.update(each[0] for each in self._pending if each[1] == name)
+
+    def reconnect(self, name):
+        """Answers the calls of a router that begin from now on."""
+        self.disconnected.discard(name)
+
     def step(self, frozen):
         """Completes the calls that are due, except those of frozen routers."""
         now = self.clock.monotonic()
         pending, self._pending = self._pending, []
         for entry in pending:
             future, name, end, is_due = entry
-            is_silent = name in self.silent
+            is_silent = name in self.silent or future in self._lost
             if future.done():
+                self._lost.discard(future)
                 continue
             if name in frozen:
                 self._pending.append(entry)
             elif self.is_down or (is_silent and now >= end + _CALL_TIMEOUT_S):
+                self._lost.discard(future)
                 future.set_exception(StoreError("call timed out"))
             elif not is_silent and (now >= end or is_due()):
                 future.set_result(None)
@@ -186,12 +206,16 @@
 class _FakeNetwork:
     """Fake network that drops traffic of partitioned and frozen routers."""
 
-    def __init__(self):
+    def __init__(self, clock):
+        self._clock = clock
         self.endpoints = {}
         self.states = {}
         self.frozen = set()
         self.is_partitioned = lambda one, other: False
+        # Routers whose fetches time out.
+        self.unanswered = set()
         self._updates = []
+        self._hanging = []
 
     def send(self, source, update, hosts):
         self._updates.extend((source, host, update) for host in hosts)
@@ -203,6 +227,22 @@
             if endpoint is None or self._is_unreachable(source, host):
                 continue
             endpoint(update)
+        now = self._clock.monotonic()
+        for end, future in self._hanging:
+            if end <= now and not future.done():
+                future.set_result(None)
+        self._hanging = [each for each in self._hanging if each[0] > now]
+
+    async def time_out(self, host, timeout_s):
+        """Waits for the timeout of a fetch.
+
+        Raises:
+            DirectoryFetchError: Always.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._hanging.append((self._clock.monotonic() + timeout_s, future))
+        await future
+        raise DirectoryFetchError(host)
 
     def page(self, source, host, after, era):
         if self._is_unreachable(source, host):
@@ -265,6 +305,8 @@
         ):
             del is_synced
             host = control.rpartition(":")[0]
+            if self._host in network.unanswered:
+                await network.time_out(host, timeout_s)
             return network.page(self._host, host, after, era)
 
     return _FakeExchange
@@ -331,7 +373,7 @@
         """Starts all routers."""
         self.clock = ManualClock(100.0, unix_start=1_000_000.0)
         self.store = _FakeStore(self.clock)
-        self.network = _FakeNetwork()
+        self.network = _FakeNetwork(self.clock)
         hosts = [f"10.0.{n // 10}.{n % 10}" for n in range(self.size)]
         with (
             mock.patch(
@@ -361,6 +403,18 @@
             await router.watcher.stop()
             await router.service.stop()
 
+    def cut_off(self, router):
+        """Cuts a router off from the store and from all peers."""
+        host = router.host
+        self.store.disconnect(host)
+        self.network.unanswered.add(host)
+        self.network.is_partitioned = lambda one, other: host in (one, other)
+
+    def rejoin(self, router):
+        """Ends the cut; calls that run time out, and fetches still do."""
+        self.store.reconnect(router.host)
+        self.network.is_partitioned = lambda one, other: False
+
     async def run(self, seconds, writes_every_s=None, on_step=lambda: None):
         """Advances the simulation in steps of 50 ms.
 
