Test evacuations in a fleet of routers without a network

Cause: nothing played routers that learn of an evacuation from each other, are cut off or restart while it lasts, or whose store returns from an older copy. Change: the fleet model has targets in several zones, evacuations and restarts, and its store forgets what a copy lacks.

--- a/crowwinch/fleet/tests/support.py
+++ b/crowwinch/fleet/tests/support.py
@@ -20,6 +20,7 @@
     StoreReaderSelector,
     TargetEntry,
     TargetState,
+    ZoneEvacuation,
 )
 from crowwinch.fleet import FleetService
 from crowwinch.fleet._directory_exchange import (
@@ -39,6 +40,7 @@
 _STEP_S = 0.05
 ZONES = 5
 SERVICES = ("llm", "other")
+EVACUATION = "evacuate"
 _PORT = 9
 # A call times out this long after the end of its requested wait.
 _CALL_TIMEOUT_S = 1.0
@@ -54,19 +56,24 @@
 class _Decoder:
     """Decodes the text of an item as the state and version of a target.
 
-    Targets without a version are of another service.
+    Targets without a version are of another service. A target whose key is
+    `ZONE/NAME` is in that zone, others in the first one; `evacuate/ZONE` is an
+    evacuation.
     """
 
     def decode(self, key, value):
         if key == _CONFIGURATION.key:
             services = {name: Service(name, 0, None) for name in SERVICES}
             return RoutingTable(int(value), (), services, None, RequestLimits())
+        prefix, separator, name = key.partition("/")
+        if prefix == EVACUATION:
+            return ZoneEvacuation(name)
         state, _, version = value.decode().partition(":")
         return TargetEntry(
             key,
             "llm" if version else "other",
             SocketAddress("10.1.0.1", 80),
-            "zone-0",
+            prefix if separator else "zone-0",
             4,
             TargetState(state),
             0,
@@ -104,9 +111,12 @@
         self.revision += 1
         change = Item(key, self.revision, text and text.encode())
         self._other_changes.append(change)
-        self.others.pop(key, None)
-        if text:
-            self.others[key] = change
+        self._apply_other(change)
+
+    def _apply_other(self, change):
+        self.others.pop(change.key, None)
+        if change.value:
+            self.others[change.key] = change
 
     def changes_after(self, revision):
         """Returns all changes after a revision."""
@@ -123,6 +133,13 @@
         self.revision = self._state_revision = revision
         self.state = state
         self.written.clear()
+        changes = self._other_changes
+        self._other_changes = [
+            change for change in changes if change.revision <= revision
+        ]
+        self.others.clear()
+        for change in self._other_changes:
+            self._apply_other(change)
 
     @property
     def item(self):
@@ -332,7 +349,22 @@
         self.clock = ManualClock(100.0, unix_start=1_000_000.0)
         self.store = _FakeStore(self.clock)
         self.network = _FakeNetwork()
-        hosts = [f"10.0.{n // 10}.{n % 10}" for n in range(self.size)]
+        self._hosts = [f"10.0.{n // 10}.{n % 10}" for n in range(self.size)]
+        self.routers = [self._create_router(n) for n in range(self.size)]
+        for router in self.routers:
+            await router.service.start()
+            await router.watcher.start()
+
+    async def restart(self, number):
+        """Starts a router again, without its memory."""
+        number %= self.size
+        await self.routers[number].watcher.stop()
+        await self.routers[number].service.stop()
+        router = self.routers[number] = self._create_router(number)
+        await router.service.start()
+        await router.watcher.start()
+
+    def _create_router(self, number):
         with (
             mock.patch(
                 "crowwinch.fleet._service.FleetEndpoint",
@@ -343,17 +375,15 @@
                 _make_exchange(self.network),
             ),
         ):
-            self.routers = [
-                _Router(
-                    self.clock,
-                    self.store,
-                    make_settings(host, f"zone-{n % ZONES}", hosts[:3]),
-                )
-                for n, host in enumerate(hosts)
-            ]
-        for router in self.routers:
-            await router.service.start()
-            await router.watcher.start()
+            return _Router(
+                self.clock,
+                self.store,
+                make_settings(
+                    self._hosts[number],
+                    f"zone-{number % ZONES}",
+                    self._hosts[:3],
+                ),
+            )
 
     async def stop(self):
         """Stops all routers."""
--- a/crowwinch/sharing/tests/test_target_places.py
+++ b/crowwinch/sharing/tests/test_target_places.py
@@ -241,7 +241,7 @@
         self.assertEqual(router.outcomes, ["s1"])
 
     def test_all_waiting_requests_are_refused_at_once(self):
-        """Guards against a poll that stops after a few undecided requests."""
+        """Guards against refusals that come when the queue has moved up."""
         router = _Router([_N1, _S1])
         router.fill("north")
         router.fill("south")
@@ -255,6 +255,17 @@
         self.assertEqual(router.outcomes, [Verdict.REFUSE_EVACUATED] * 40)
         self.assertEqual(router.admission.waiting, 0)
 
+    def test_streams_of_a_version_are_refused_behind_those_of_another(self):
+        """Guards against a poll that stops after a few undecided requests."""
+        router = _Router([_N1, _N2])
+        router.fill("north")
+        versions = ["v1"] * 12 + ["v2"] * 2
+        for version in versions:
+            router.submit(software_version=version)
+        router.evacuate(_N2)
+        refused = [None] * 12 + [Verdict.REFUSE_EVACUATED] * 2
+        self.assertEqual(router.outcomes, refused)
+
     def test_a_full_home_does_not_hold_up_requests_of_other_homes(self):
         """Guards against free targets while requests for them wait.
 
