--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -355,6 +355,7 @@
                 "target": decision.target,
                 "unread_tokens": decision.unread_tokens,
                 "read_again": decision.recompute_tokens,
+                "fetched": decision.fetched_tokens,
                 "ahead_s": round(decision.waiting_s, 3),
                 "expected_s": round(decision.expected_s, 3),
                 "delay_s": round(decision.expected_s - decision.forecast_s, 3),
@@ -390,6 +391,7 @@
                         remaining_s=context.deadline - started,
                         workspace=context.workspace,
                         last_event_id=context.last_event_id,
+                        fetch_from=self._address(decision.fetch_from),
                     ),
                 ),
                 call.body,
@@ -423,6 +425,11 @@
             reservation.finish()
             self.schedule_poll()
 
+    def _address(self, identifier: str) -> str | None:
+        """Returns the address of a target, None if it is gone."""
+        target = self._targets.get(identifier) if identifier else None
+        return None if target is None else str(target.address)
+
     async def _find_target(
         self, context: RequestContext, placement: Placement
     ) -> Target | None:
--- a/crowwinch/forwarding/_messages.py
+++ b/crowwinch/forwarding/_messages.py
@@ -48,12 +48,15 @@
         workspace: Name of the workspace, or None.
         last_event_id: Id of the event after which to resume a stream, None to
             keep the value from the caller.
+        fetch_from: Address (`IP:PORT`) of the target from which the cached part
+            of the prompt is to be fetched, None to fetch nothing.
     """
 
     target_id: str
     remaining_s: float
     workspace: str | None
     last_event_id: str | None
+    fetch_from: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowwinch/forwarding/_model.py
+++ b/crowwinch/forwarding/_model.py
@@ -138,10 +138,13 @@
         slots: Maximum number of concurrent requests.
         memory_tokens: Size in tokens of the memory that running requests and
             retained prompt parts share.
+        transfer_token_s: Time in seconds to fetch the cache of one token from
+            another engine, None if engines do not exchange their caches.
     """
 
     slots: int
     memory_tokens: float
+    transfer_token_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowwinch/forwarding/_target_set.py
+++ b/crowwinch/forwarding/_target_set.py
@@ -170,6 +170,7 @@
             is_local=target.availability_zone == self._zone,
             slots=slots or _DEFAULT_SLOTS,
             memory_tokens=engine.memory_tokens if engine else 0.0,
+            transfer_token_s=engine.transfer_token_s if engine else None,
             max_connections=service.max_connections if service else 0,
             is_engine=engine is not None,
             software_version=target.software_version,
--- a/crowwinch/platform/_documents.py
+++ b/crowwinch/platform/_documents.py
@@ -68,6 +68,11 @@
 class _Engine(msgspec.Struct):
     Slots: _Slots = 0
     KvCapacity: _NonNegativeFloat = 0.0
+    # Size of the KV cache of one token.
+    KvTokenBytes: _NonNegativeFloat = 0.0
+    # Bandwidth between engines for parts of their KV caches, in 10^6 bits per
+    # second.
+    LinkMbps: _NonNegativeFloat = 0.0
 
 
 class _Service(msgspec.Struct):
@@ -226,13 +231,25 @@
         engine=(
             None
             if engine is None
-            else Engine(slots=engine.Slots, memory_tokens=engine.KvCapacity)
+            else Engine(
+                slots=engine.Slots,
+                memory_tokens=engine.KvCapacity,
+                transfer_token_s=_transfer_token_s(engine),
+            )
         ),
         cold_start_s=service.ColdStartS,
         cold_per_s=service.ColdPerS,
     )
 
 
+def _transfer_token_s(engine: _Engine) -> float | None:
+    """Returns the time to transfer the KV cache of one token in seconds."""
+    bytes_per_s = engine.LinkMbps * 1e6 / 8
+    if not bytes_per_s or not engine.KvTokenBytes:
+        return None
+    return engine.KvTokenBytes / bytes_per_s
+
+
 def decode_target(key: str, value: bytes) -> TargetEntry | None:
     """Decodes the registration of a target.
 
--- a/crowwinch/platform/_headers.py
+++ b/crowwinch/platform/_headers.py
@@ -31,6 +31,8 @@
 # Identifier of the target that must run the request.
 _EXPECT_TARGET = "X-Crowwinch-Expect-Instance"
 _TENANT = "X-Crowwinch-Tenant"
+# Address of the target from which cached parts of the prompt are fetched.
+_FETCH_FROM = "Kv-Fetch"
 # Proves that the target itself produced the answer.
 _SERVER_SEAL = "X-Crowwinch-Server-Seal"
 _NOT_EXECUTED = "X-Crowwinch-Not-Executed"
@@ -68,12 +70,12 @@
 _ROUTER_HEADERS = frozenset(
     {
         "content-length",
-        "kv-fetch",
         "kv-from",
         "wait-ms",
         _API_KEY.lower(),
         _DEADLINE_MS.lower(),
         _EXPECT_TARGET.lower(),
+        _FETCH_FROM.lower(),
         _TENANT.lower(),
         "x-crowwinch-expect-version",
         "x-crowwinch-hold",
@@ -156,6 +158,8 @@
         )
         encoded[_DEADLINE_MS] = str(max(int(attempt.remaining_s * 1000), 1))
         encoded[_EXPECT_TARGET] = attempt.target_id
+        if attempt.fetch_from is not None:
+            encoded[_FETCH_FROM] = attempt.fetch_from
         if attempt.workspace is not None:
             encoded[_TENANT] = attempt.workspace
         if attempt.last_event_id is not None:
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -310,6 +310,8 @@
         unread_tokens=candidate.unread_tokens,
         recompute_tokens=candidate.recompute_tokens,
         is_home=candidate.is_home,
+        fetch_from=candidate.fetch.source,
+        fetched_tokens=candidate.fetch.tokens,
         reading_s=candidate.reading_s,
         waiting_s=candidate.waiting_s,
         reading_from_s=candidate.reading_from_s,
--- a/crowwinch/sharing/_model.py
+++ b/crowwinch/sharing/_model.py
@@ -86,6 +86,8 @@
         is_local: Whether it is in this router's availability zone.
         slots: Requests that it runs concurrently.
         memory_tokens: Tokens that its cache holds, 0 if it is not an engine.
+        transfer_token_s: Time in seconds to fetch the cache of one token from
+            another engine, None if it cannot.
         max_connections: Connections that it accepts from all routers, 0 if
             unknown.
         is_engine: Whether it is a model engine.
@@ -103,6 +105,7 @@
     is_local: bool
     slots: int
     memory_tokens: float = 0.0
+    transfer_token_s: float | None = None
     max_connections: int = 0
     is_engine: bool = False
     software_version: str = ""
@@ -132,6 +135,9 @@
         recompute_tokens: Shared tokens among them that another target has
             cached.
         is_home: Whether the target is the home of the prefix.
+        fetch_from: Identifier of the target from which it fetches the cached
+            part of the prompt that it lacks, empty if it fetches nothing.
+        fetched_tokens: Size of that part.
         reading_s: Modelled prefill time.
         waiting_s: Modelled prefill time of the prompts queued before it.
         reading_from_s: Time until the target starts to read the prompt.
@@ -146,6 +152,8 @@
     unread_tokens: int = 0
     recompute_tokens: int = 0
     is_home: bool = False
+    fetch_from: str = ""
+    fetched_tokens: int = 0
     reading_s: float = 0.0
     waiting_s: float = 0.0
     reading_from_s: float = 0.0
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -10,6 +10,11 @@
 from dataclasses import dataclass
 
 from crowwinch.coordination import owner
+from crowwinch.sharing._cache_sources import (
+    NO_FETCH,
+    CacheFetch,
+    CacheSources,
+)
 from crowwinch.sharing._health import TargetHealth
 from crowwinch.sharing._loads import TargetLoads
 from crowwinch.sharing._model import TargetView, Work
@@ -37,6 +42,9 @@
 _EARLY_VALUE = 0.1
 # Cost of recomputing a cached shared token, in service units.
 _RECOMPUTE_COST = 0.8
+# The same for a shared token that is fetched from another target: it takes
+# memory at both.
+_FETCH_COST = 0.1
 _DEFAULT_LATENCY_S = 1.0
 # Size of the home cache; only a few sets of targets are in use at a time.
 _HOME_CACHE_SIZE = 4_096
@@ -87,10 +95,11 @@
         expected_s: Time to the first event including recent delays.
         use: Active requests at the target as a fraction of its slots.
         recompute_tokens: Shared prompt tokens that another target has cached,
-            but not this one.
+            but not this one, and that it does not fetch.
         is_home: Whether the target is the home of the prefix, to which all
             routers prefer to send it.
         loss: Expected loss of value by choosing this target.
+        fetch: Part of the prompt that it fetches from another target.
         limit_wait_s: Seconds until its limits allow a request of this router,
             0 if they do now, inf if no time is known.
     """
@@ -109,6 +118,7 @@
     is_home: bool
     loss: float
     limit_wait_s: float = 0.0
+    fetch: CacheFetch = NO_FETCH
 
 
 class Placer:
@@ -208,9 +218,19 @@
         home = _home(work, statuses)
         cached_tokens_by_target = self._prefixes.cached_token_counts(work)
         speed = self._speed(work.service)
+        sources = CacheSources(
+            work,
+            cached_tokens_by_target,
+            home,
+            {
+                status.target.identifier
+                for status in statuses
+                if not status.is_blocked
+            },
+        )
         # Reused between engines, since most of them have the same number of
         # prompt tokens cached.
-        prefills: dict[int, _Prefill] = {}
+        prefills: dict[tuple[int, int], _Prefill] = {}
         candidates = []
         for status in statuses:
             if not status.has_connection:
@@ -227,12 +247,14 @@
                 if is_home
                 else cached_tokens_by_target.get(target.identifier, 0)
             )
-            prefill = prefills.get(cached_tokens)
+            fetch = sources.fetch(target, cached_tokens)
+            key = (cached_tokens, fetch.tokens)
+            prefill = prefills.get(key)
             if prefill is None:
-                prefill = _prefill(work, cached_tokens, speed)
-                prefills[cached_tokens] = prefill
+                prefill = _prefill(work, cached_tokens, speed, fetch)
+                prefills[key] = prefill
             candidates.append(
-                _engine_candidate(work, status, prefill, is_home, speed)
+                _engine_candidate(work, status, prefill, is_home, speed, fetch)
             )
         return candidates
 
@@ -272,9 +294,15 @@
         return self.overhead_s + reading_s * self.ratio
 
 
-def _prefill(work: Work, cached_tokens: int, speed: _Speed) -> _Prefill:
+def _prefill(
+    work: Work,
+    cached_tokens: int,
+    speed: _Speed,
+    fetch: CacheFetch = NO_FETCH,
+) -> _Prefill:
+    cached_tokens += fetch.tokens
     unread_tokens = max(work.prompt_tokens - cached_tokens, 1)
-    seconds = prefill_seconds(unread_tokens, cached_tokens)
+    seconds = prefill_seconds(unread_tokens, cached_tokens) + fetch.seconds
     return _Prefill(
         unread_tokens=unread_tokens,
         seconds=seconds,
@@ -289,6 +317,7 @@
     prefill: _Prefill,
     is_home: bool,
     speed: _Speed,
+    fetch: CacheFetch,
 ) -> Candidate:
     waiting_s = status.waiting_s
     forecast = speed.first_event_s(waiting_s + prefill.seconds)
@@ -306,8 +335,10 @@
         status.use,
         prefill.recompute_tokens,
         is_home,
-        _engine_loss(work, expected, prefill.recompute_tokens),
+        _engine_loss(work, expected, prefill.recompute_tokens)
+        + _FETCH_COST * fetch.tokens,
         status.limit_wait_s,
+        fetch,
     )
 
 
