--- a/crowwinch/platform/tests/test_documents.py
+++ b/crowwinch/platform/tests/test_documents.py
@@ -79,6 +79,23 @@
         self.assertIsNone(plain.routes[0].home_regions)
         self.assertEqual(plain.services["llm"].cold_start_s, 0.0)
 
+    def test_links_between_engines_are_decoded(self):
+        """Guards against transfers that engines cannot make."""
+        cases = {
+            "link and size": (
+                {"KvTokenBytes": 18_432, "LinkMbps": 370_000.0},
+                18_432 * 8 / 370e9,
+            ),
+            "no size": ({"LinkMbps": 370_000.0}, None),
+            "no link": ({"KvTokenBytes": 18_432, "LinkMbps": 0}, None),
+        }
+        for name, (fields, expected) in cases.items():
+            with self.subTest(name):
+                service = {"Name": "llm", "Engine": {"Slots": 8} | fields}
+                table = decode_configuration(_configuration(Services=[service]))
+                engine = table.services["llm"].engine
+                self.assertEqual(engine.transfer_token_s, expected)
+
     def test_route_types_map_to_route_kinds(self):
         cases = {
             ("safe", False): RouteKind.SAFE,
--- a/crowwinch/platform/tests/test_headers.py
+++ b/crowwinch/platform/tests/test_headers.py
@@ -120,6 +120,13 @@
         self.assertEqual(encoded.getall("X-Other"), ["1", "2"])
         self.assertEqual(encoded["Host"], "h")
 
+    def test_source_of_cached_parts_is_the_router_s(self):
+        """Guards against callers that choose what an engine fetches."""
+        attempt = AttemptHead("i-1", 1.0, None, None, "10.0.0.1:80")
+        encoded = _encode(("kv-fetch", "10.9.9.9:1"), attempt=attempt)
+        self.assertEqual(encoded.getall("Kv-Fetch"), ["10.0.0.1:80"])
+        self.assertNotIn("Kv-Fetch", _encode(("kv-fetch", "10.9.9.9:1")))
+
     def test_resumed_stream_replaces_last_event_id(self):
         attempt = AttemptHead("i-1", 1.0, None, "17")
         encoded = _encode(("Last-Event-Id", "3"), attempt=attempt)
