--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -10,20 +10,16 @@
 """
 
 import math
-from collections import deque
-from collections.abc import (
-    Callable,
-    Collection,
-    Iterable,
-    Mapping,
-    Sequence,
-)
+from collections import Counter, deque
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from crowwinch.coordination import Clock
 from crowwinch.sharing._claim import Claim
-from crowwinch.sharing._headroom import has_room
+from crowwinch.sharing._forecasts import Candidate, TargetStatus
+from crowwinch.sharing._headroom import has_room, use_limit
 from crowwinch.sharing._model import Decision, TargetView, Verdict
-from crowwinch.sharing._placer import Candidate, Placer, TargetStatus
+from crowwinch.sharing._observed_targets import ObservedTargets
+from crowwinch.sharing._placer import Placer
 from crowwinch.sharing._return_times import ReturnTimes
 from crowwinch.sharing._shares import WorkspaceShares
 from crowwinch.sharing._standing_queues import StandingQueues
@@ -35,10 +31,14 @@
 # A service without targets regains them by a restart or a new target entry.
 _NO_TARGET_MAX_WAIT_S = 0.3
 _NO_TARGET_RETRY_S = 0.5
+# An evacuation takes seconds at least, and a region without targets mostly gets
+# some again when machines have started.
+_UNSERVABLE_RETRY_S = 2.0
 # Random jitter of that delay, as a fraction of it.
 _RETRY_JITTER = 0.5
-# Undecided requests of one workspace after which a poll stops. Later requests
-# would find the same targets full, and under load there are hundreds of them.
+# Undecided requests of one workspace after which a poll leaves out those with
+# the same home regions. They would find the same targets full, and under load
+# there are hundreds of them.
 _MAX_UNDECIDED = 8
 _NEGLIGIBLE_RATE = 1e-6
 
@@ -53,6 +53,7 @@
         shares: WorkspaceShares,
         targets: Callable[[str], Sequence[TargetView]],
         random: Callable[[], float],
+        evacuated: Callable[[str], Sequence[TargetView]] = lambda service: (),
     ) -> None:
         """Creates an empty queue.
 
@@ -62,11 +63,14 @@
             shares: Use of workspaces over the fleet.
             targets: Returns the targets of a service.
             random: Returns a number from 0 to 1, used as jitter of retries.
+            evacuated: Returns the targets of a service that would take requests
+                if their availability zone were not evacuated.
         """
         self._clock = clock
         self._placer = placer
         self._shares = shares
         self._targets = targets
+        self._evacuated = evacuated
         self._random = random
         self._return_times = ReturnTimes(random)
         self._standing = StandingQueues(clock)
@@ -87,14 +91,18 @@
         ticket.latest_start = self._order.latest_start(ticket)
         queues = self._queues.setdefault(ticket.work.service, {})
         queue = queues.setdefault(ticket.work.workspace, deque())
-        if not queue:
-            # Requests of other workspaces found no capacity at the last poll.
+        if not any(other.has_same_homes(ticket) for other in queue):
+            # Requests of other workspaces found no capacity at the last poll,
+            # and those with other home regions none in theirs.
             decision = self._decide(
                 ticket, self._observe(ticket.work.service), now
             )
             if decision is not None:
                 self._finish(ticket, decision)
                 return
+        elif refusal := self._refuse_unservable(ticket):
+            self._finish(ticket, refusal)
+            return
         elif self._is_rejection_certain(ticket, queue):
             self._finish(ticket, self._refuse_over_share(ticket, now))
             return
@@ -114,6 +122,23 @@
             self._remove(ticket, queue)
             self._note_if_empty(service)
 
+    def note_targets_changed(self) -> None:
+        """Decides queued requests after the targets of services have changed.
+
+        Requests that no target may run any more are refused first: a poll may
+        not reach them while others of their workspace stay queued.
+        """
+        queues = [
+            queue for each in self._queues.values() for queue in each.values()
+        ]
+        for queue in queues:
+            for ticket in tuple(queue):
+                if refusal := self._refuse_unservable(ticket):
+                    self._remove(ticket, queue)
+                    self._finish(ticket, refusal)
+                    self._note_if_empty(ticket.work.service)
+        self.poll()
+
     def poll(self) -> None:
         """Decides all queued requests that can be decided now."""
         if not self._waiting:
@@ -122,9 +147,9 @@
         for service, queues in self._queues.items():
             if not queues:
                 continue
-            statuses = self._observe(service)
+            targets = self._observe(service)
             for workspace in self._fair_order(queues):
-                self._poll_workspace(queues[workspace], statuses, now)
+                self._poll_workspace(queues[workspace], targets, now)
             for workspace in [name for name, q in queues.items() if not q]:
                 del queues[workspace]
             self._note_if_empty(service)
@@ -137,42 +162,37 @@
         """Returns the workspaces by units served, the least first."""
         return sorted(queues, key=self._shares.served)
 
-    def _observe(self, service: str) -> dict[str, TargetStatus]:
-        return {
-            target.identifier: self._placer.observe(target)
-            for target in self._targets(service)
-        }
+    def _observe(self, service: str) -> ObservedTargets:
+        return ObservedTargets(self._placer, self._targets(service))
 
     def _poll_workspace(
         self,
         queue: deque[Ticket],
-        statuses: dict[str, TargetStatus],
+        targets: ObservedTargets,
         now: float,
     ) -> None:
         for tickets in self._order.groups(queue):
-            self._poll_tickets(tickets, queue, statuses, now)
+            self._poll_tickets(tickets, queue, targets, now)
 
     def _poll_tickets(
         self,
         tickets: Sequence[Ticket],
         queue: deque[Ticket],
-        statuses: dict[str, TargetStatus],
+        targets: ObservedTargets,
         now: float,
     ) -> None:
-        undecided = 0
+        undecided: Counter[frozenset[str] | None] = Counter()
         for ticket in tickets:
-            decision = self._decide(ticket, statuses, now)
+            if undecided[ticket.home_regions] >= _MAX_UNDECIDED:
+                continue
+            decision = self._decide(ticket, targets, now)
             if decision is None:
-                undecided += 1
-                if undecided >= _MAX_UNDECIDED:
-                    break
+                undecided[ticket.home_regions] += 1
                 continue
             self._remove(ticket, queue)
             self._finish(ticket, decision)
             if decision.verdict is Verdict.SEND:
-                # Make the added load visible to the next request.
-                target = statuses[decision.target].target
-                statuses[decision.target] = self._placer.observe(target)
+                targets.observe_again(decision.target)
 
     def _remove(self, ticket: Ticket, queue: deque[Ticket]) -> None:
         queue.remove(ticket)
@@ -184,20 +204,17 @@
         ticket.on_decision(decision)
 
     def _decide(
-        self, ticket: Ticket, statuses: dict[str, TargetStatus], now: float
+        self, ticket: Ticket, targets: ObservedTargets, now: float
     ) -> Decision | None:
         """Returns the decision, or None if the request stays queued."""
         work = ticket.work
         waited = now - ticket.arrived
-        accepted = [
-            status
-            for status in statuses.values()
-            if ticket.accepts_version(status.target)
-        ]
-        candidates = self._placer.candidates(work, accepted, ticket.excluded)
-        if not candidates:
-            return self._decide_without_target(
-                ticket, waited, _hold_left_s(ticket, accepted)
+        usable = targets.usable_by(ticket)
+        if not usable.connected:
+            return self._refuse_unservable(
+                ticket
+            ) or self._decide_without_target(
+                ticket, waited, targets.hold_left_s(ticket)
             )
         claim = Claim(
             share_use=self._shares.use_of_share(
@@ -210,11 +227,16 @@
             is_contended=self._timely.has_others(ticket),
             lead=self._shares.lead(work.workspace),
         )
-        for candidate in candidates:
-            if has_room(candidate, claim):
-                return _send_decision(candidate)
+        limit = use_limit(claim)
+        if usable.may_have_room(limit):
+            for candidate in self._placer.ranked(work, usable.statuses, limit):
+                if has_room(candidate, claim):
+                    return _send_decision(candidate)
         if self._wait_limits.may_wait(
-            ticket, claim, candidates, self._limit_wait_s(ticket, candidates)
+            ticket,
+            claim,
+            usable.connected,
+            self._limit_wait_s(ticket, usable.connected),
         ):
             return None
         if claim.is_within:
@@ -225,19 +247,18 @@
         return self._refuse_over_share(ticket, now)
 
     def _limit_wait_s(
-        self, ticket: Ticket, candidates: Sequence[Candidate]
+        self, ticket: Ticket, statuses: Sequence[TargetStatus]
     ) -> float:
         """Returns the seconds until rate limits allow a request, 0 without.
 
         The workspaces that wait take turns, and requests of the same workspace
         go before it in their order.
         """
-        rate = sum(
-            self._placer.limit_rate_per_s(candidate.target)
-            for candidate in candidates
-        )
-        if math.isinf(rate):
-            return 0.0
+        rate = 0.0
+        for status in statuses:
+            rate += self._placer.limit_rate_per_s(status.target)
+            if math.isinf(rate):
+                return 0.0
         queues = self._queues[ticket.work.service]
         waiting = sum(1 for queue in queues.values() if queue)
         queue = queues.get(ticket.work.workspace, ())
@@ -269,6 +290,30 @@
             retry_after_s=self._return_times.delay_s(ticket.deadline - now),
         )
 
+    def _refuse_unservable(self, ticket: Ticket) -> Decision | None:
+        """Returns the refusal of a request that no target may run.
+
+        None if one may, or if the reason is not the place of the targets: a
+        target that has left or crashed mostly returns within a moment.
+        """
+        service = ticket.work.service
+        targets = self._targets(service)
+        if _has_usable(ticket, targets):
+            return None
+        if _has_usable(ticket, self._evacuated(service)):
+            verdict = Verdict.REFUSE_EVACUATED
+        elif ticket.home_regions is not None and not any(
+            map(ticket.accepts_region, targets)
+        ):
+            verdict = Verdict.REFUSE_NO_HOME_TARGET
+        else:
+            return None
+        return Decision(
+            verdict,
+            retry_after_s=_UNSERVABLE_RETRY_S
+            * (1 + _RETRY_JITTER * self._random()),
+        )
+
     def _decide_without_target(
         self, ticket: Ticket, waited: float, hold_left_s: float
     ) -> Decision | None:
@@ -283,6 +328,14 @@
         )
 
 
+def _has_usable(ticket: Ticket, targets: Iterable[TargetView]) -> bool:
+    """Returns whether a target may run a request."""
+    return any(
+        ticket.accepts(target) and target.identifier not in ticket.excluded
+        for target in targets
+    )
+
+
 def _uncharged_units(ticket: Ticket) -> int:
     """Returns the units of a request that its workspace was not charged for.
 
@@ -291,18 +344,6 @@
     return 0 if ticket.is_taken_up else ticket.work.cost
 
 
-def _hold_left_s(ticket: Ticket, statuses: Iterable[TargetStatus]) -> float:
-    """Returns the seconds until a target wants requests, 0 if one does now."""
-    return min(
-        (
-            status.hold_left_s
-            for status in statuses
-            if status.target.identifier not in ticket.excluded
-        ),
-        default=0.0,
-    )
-
-
 def _send_decision(candidate: Candidate) -> Decision:
     return Decision(
         Verdict.SEND,
--- a/crowwinch/sharing/_cache_sources.py
+++ b/crowwinch/sharing/_cache_sources.py
@@ -5,9 +5,11 @@
 prefix again, which delays all prompts that wait there.
 """
 
-from collections.abc import Collection, Mapping
-from dataclasses import dataclass
+import math
+from collections.abc import Iterable, Mapping
 
+from crowwinch.sharing._cache_fetch import NO_FETCH, CacheFetch
+from crowwinch.sharing._forecasts import TargetStatus
 from crowwinch.sharing._model import TargetView, Work
 from crowwinch.sharing._speeds import prefill_seconds
 
@@ -17,24 +19,6 @@
 _MAX_TIME_FRACTION = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class CacheFetch:
-    """A part of a prompt that an engine fetches from another one.
-
-    Attributes:
-        source: Identifier of the other engine, empty without a fetch.
-        tokens: Size of the part.
-        seconds: Time to transfer it.
-    """
-
-    source: str = ""
-    tokens: int = 0
-    seconds: float = 0.0
-
-
-NO_FETCH = CacheFetch()
-
-
 class CacheSources:
     """Finds the engine from which a prompt's shared part can be fetched."""
 
@@ -43,7 +27,7 @@
         work: Work,
         cached_tokens: Mapping[str, int],
         home: str | None,
-        usable: Collection[str],
+        statuses: Iterable[TargetStatus],
     ) -> None:
         """Finds the engine with the longest part.
 
@@ -53,15 +37,21 @@
             home: Engine to which all routers prefer to send the prompt. It
                 counts as having all of the shared part unless another engine
                 is known to have it.
-            usable: Engines that are reachable.
+            statuses: State of the targets. Those in back-off are no sources.
         """
-        self._work = work
+        # Only engines that can fetch need a source.
+        reachable = {
+            status.target.identifier
+            for status in statuses
+            if status.target.transfer_token_s is not None
+            and not status.is_blocked
+        }
         known = {
             target: min(tokens, work.shared_tokens)
             for target, tokens in cached_tokens.items()
-            if target in usable
+            if target in reachable
         }
-        if home is not None and home in usable:
+        if home is not None and home in reachable:
             known.setdefault(home, work.shared_tokens)
         # The engine with the second longest part serves the one with the
         # longest.
@@ -76,14 +66,11 @@
             target: The engine.
             cached_tokens: Tokens of the prompt that it has cached itself.
         """
-        token_s = target.transfer_token_s
-        if token_s is None:
-            return NO_FETCH
         for source, tokens in self._sources:
             if source == target.identifier or tokens <= cached_tokens:
                 continue
             missing = tokens - cached_tokens
-            seconds = missing * token_s
+            seconds = missing * (target.transfer_token_s or math.inf)
             reading_s = prefill_seconds(missing, cached_tokens)
             if seconds > reading_s * _MAX_TIME_FRACTION:
                 return NO_FETCH
--- a/crowwinch/sharing/tests/test_cache_sources.py
+++ b/crowwinch/sharing/tests/test_cache_sources.py
@@ -15,7 +15,9 @@
     TargetView,
     Work,
 )
-from crowwinch.sharing._cache_sources import NO_FETCH, CacheSources
+from crowwinch.sharing._cache_fetch import NO_FETCH
+from crowwinch.sharing._cache_sources import CacheSources
+from crowwinch.sharing._forecasts import TargetStatus
 
 # A link that moves a token in a twentieth of the time to read it.
 _FAST_TOKEN_S = 1e-6
@@ -37,6 +39,18 @@
     )
 
 
+def _statuses(
+    names: str, token_s: float | None = _FAST_TOKEN_S
+) -> list[TargetStatus]:
+    """Returns the states of engines; an upper-case name is in back-off."""
+    return [
+        TargetStatus(
+            _engine(name.lower(), token_s), True, name.isupper(), 0, 0, 0, 0, 0
+        )
+        for name in names
+    ]
+
+
 def _prompt() -> Work:
     return Work(
         service="llm",
@@ -53,7 +67,7 @@
     """Guards against fetches that gain nothing or cannot succeed."""
 
     def test_source(self) -> None:
-        engines = {"a", "b", "c"}
+        engines = "abc"
         cases = {
             "home of the prefix": ({}, "a", engines, 0, ("a", 5_000)),
             "longest known part": (
@@ -86,28 +100,32 @@
             ),
             "nothing cached": ({}, None, engines, 0, ("", 0)),
             "nothing missing": ({"b": 4_000}, None, engines, 4_000, ("", 0)),
-            "source in back-off": ({"b": 4_000}, "a", {"c"}, 0, ("", 0)),
+            "source in back-off": ({"b": 4_000}, "a", "ABc", 0, ("", 0)),
         }
         for name, (cached, home, usable, own, expected) in cases.items():
             with self.subTest(name):
-                sources = CacheSources(_prompt(), cached, home, usable)
+                sources = CacheSources(
+                    _prompt(), cached, home, _statuses(usable)
+                )
                 fetch = sources.fetch(_engine("c"), own)
                 self.assertEqual((fetch.source, fetch.tokens), expected)
 
     def test_engine_does_not_fetch_from_itself(self) -> None:
         sources = CacheSources(
-            _prompt(), {"a": 4_000, "b": 3_000}, None, {"a", "b"}
+            _prompt(), {"a": 4_000, "b": 3_000}, None, _statuses("ab")
         )
         self.assertEqual(sources.fetch(_engine("a"), 1_000).source, "b")
         self.assertEqual(sources.fetch(_engine("a"), 4_000), NO_FETCH)
 
     def test_slow_or_unknown_links_are_not_used(self) -> None:
-        sources = CacheSources(_prompt(), {}, "a", {"a"})
         for token_s in (None, _SLOW_TOKEN_S):
             with self.subTest(token_s):
-                self.assertEqual(
-                    sources.fetch(_engine("b", token_s), 0), NO_FETCH
+                sources = CacheSources(
+                    _prompt(), {}, "a", _statuses("ab", token_s)
                 )
+                fetch = sources.fetch(_engine("b", token_s), 0)
+                self.assertEqual(fetch, NO_FETCH)
+        sources = CacheSources(_prompt(), {}, "a", _statuses("ab"))
         self.assertAlmostEqual(sources.fetch(_engine("b"), 0).seconds, 0.005)
 
 
