Sharing: fetch cached prompt parts from other engines

Change: the attempt names the engine that has the longest part of the prompt, where the configuration states the link and the size of a token, the link is at least four times as fast as reading, and the memory holds more than a batch of such prompts.

--- a/crowwinch/sharing/_cache_sources.py
+++ b/crowwinch/sharing/_cache_sources.py
@@ -55,6 +55,7 @@
             known.setdefault(home, work.shared_tokens)
         # The engine with the second longest part serves the one with the
         # longest.
+        self._prompt_tokens = work.prompt_tokens
         self._sources = sorted(
             known.items(), key=lambda entry: entry[1], reverse=True
         )[:2]
@@ -66,6 +67,8 @@
             target: The engine.
             cached_tokens: Tokens of the prompt that it has cached itself.
         """
+        if not self._has_memory(target):
+            return NO_FETCH
         for source, tokens in self._sources:
             if source == target.identifier or tokens <= cached_tokens:
                 continue
@@ -76,3 +79,11 @@
                 return NO_FETCH
             return CacheFetch(source, missing, seconds)
         return NO_FETCH
+
+    def _has_memory(self, target: TargetView) -> bool:
+        """Returns whether an engine keeps parts beside a batch of such prompts.
+
+        A copy of a part in an engine whose batch fills the memory displaces
+        other parts, which are then read again.
+        """
+        return self._prompt_tokens * target.slots <= target.memory_tokens
--- a/crowwinch/sharing/tests/test_cache_sources.py
+++ b/crowwinch/sharing/tests/test_cache_sources.py
@@ -128,6 +128,19 @@
         sources = CacheSources(_prompt(), {}, "a", _statuses("ab"))
         self.assertAlmostEqual(sources.fetch(_engine("b"), 0).seconds, 0.005)
 
+    def test_engines_whose_batch_fills_the_memory_fetch_nothing(self) -> None:
+        """Guards against copies that displace the parts of other prompts."""
+        sources = CacheSources(_prompt(), {}, "a", _statuses("ab"))
+        batch_tokens = _prompt().prompt_tokens * _engine("b").slots
+        for memory, is_fetched in (
+            (batch_tokens, True),
+            (batch_tokens - 1, False),
+        ):
+            with self.subTest(memory):
+                engine = dataclasses.replace(_engine("b"), memory_tokens=memory)
+                fetch = sources.fetch(engine, 0)
+                self.assertEqual(fetch != NO_FETCH, is_fetched)
+
 
 class OverflowTest(unittest.TestCase):
     """Plays more requests with one prefix than its home can take.
