--- a/crowwinch/sharing/_forecasts.py
+++ b/crowwinch/sharing/_forecasts.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from crowwinch.sharing._cache_fetch import NO_FETCH, CacheFetch
 from crowwinch.sharing._model import TargetView, Work
 from crowwinch.sharing._speeds import prefill_seconds
 
@@ -19,6 +20,9 @@
 _EARLY_VALUE = 0.1
 # Cost of recomputing a cached shared token, in service units.
 _RECOMPUTE_COST = 0.8
+# The same for a token that is fetched from another target: it then takes memory
+# at both.
+_FETCH_COST = 0.1
 _DEFAULT_LATENCY_S = 1.0
 
 
@@ -67,12 +71,13 @@
         expected_s: Time to the first event including recent delays.
         use: Active requests at the target as a fraction of its slots.
         recompute_tokens: Shared prompt tokens that another target has cached,
-            but not this one.
+            but not this one, and that it does not fetch.
         is_home: Whether the target is the home of the prefix, to which all
             routers prefer to send it.
         loss: Expected loss of value by choosing this target.
         limit_wait_s: Seconds until its limits allow a request of this router,
             0 if they do now, inf if no time is known.
+        fetch: Part of the prompt that it fetches from another target.
     """
 
     target: TargetView
@@ -89,6 +94,7 @@
     is_home: bool
     loss: float
     limit_wait_s: float = 0.0
+    fetch: CacheFetch = NO_FETCH
 
 
 @dataclass(slots=True)
@@ -96,17 +102,19 @@
     """Prefill of a prompt with a cached prefix.
 
     Attributes:
-        unread_tokens: Prompt tokens that are not cached.
-        seconds: Modelled prefill time of these tokens.
+        unread_tokens: Prompt tokens that are neither cached nor fetched.
+        seconds: Modelled prefill time of these tokens, and the time to fetch.
         alone_s: Modelled time to the first event at an idle engine.
         recompute_tokens: Shared prompt tokens that only another target has
             cached.
+        fetch: Part of the prompt that is fetched from another target.
     """
 
     unread_tokens: int
     seconds: float
     alone_s: float
     recompute_tokens: int
+    fetch: CacheFetch = NO_FETCH
 
 
 @dataclass(slots=True)
@@ -126,15 +134,22 @@
         return self.overhead_s + reading_s * self.ratio
 
 
-def prefill_of(work: Work, cached_tokens: int, speed: Speed) -> Prefill:
+def prefill_of(
+    work: Work,
+    cached_tokens: int,
+    speed: Speed,
+    fetch: CacheFetch = NO_FETCH,
+) -> Prefill:
     """Returns the prefill of a prompt of which some tokens are cached."""
+    cached_tokens += fetch.tokens
     unread_tokens = max(work.prompt_tokens - cached_tokens, 1)
-    seconds = prefill_seconds(unread_tokens, cached_tokens)
+    seconds = prefill_seconds(unread_tokens, cached_tokens) + fetch.seconds
     return Prefill(
         unread_tokens=unread_tokens,
         seconds=seconds,
         alone_s=speed.first_event_s(seconds),
         recompute_tokens=max(work.shared_tokens - cached_tokens, 0),
+        fetch=fetch,
     )
 
 
@@ -180,6 +195,7 @@
             is_home=self.is_home,
             loss=self.loss,
             limit_wait_s=status.limit_wait_s,
+            fetch=prefill.fetch,
         )
 
 
@@ -194,7 +210,7 @@
     forecast = speed.first_event_s(status.waiting_s + prefill.seconds)
     expected = forecast + status.delay_s
     return Forecast(
-        _engine_loss(work, expected, prefill.recompute_tokens),
+        _engine_loss(work, expected, prefill),
         status,
         forecast,
         expected,
@@ -232,12 +248,13 @@
     )
 
 
-def _engine_loss(work: Work, expected_s: float, recompute_tokens: int) -> float:
+def _engine_loss(work: Work, expected_s: float, prefill: Prefill) -> float:
     """Returns the expected loss in service units."""
     ratio = expected_s / (work.target_latency_s or _DEFAULT_LATENCY_S)
     late_probability = (ratio - _LATE_FROM) / (_LATE_TO - _LATE_FROM)
     late_probability = min(max(late_probability, 0.0), 1.0)
     return (
         work.cost * (_LATE_LOSS * late_probability + _EARLY_VALUE * ratio)
-        + _RECOMPUTE_COST * recompute_tokens
+        + _RECOMPUTE_COST * prefill.recompute_tokens
+        + _FETCH_COST * prefill.fetch.tokens
     )
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection, Iterable, Iterator, Sequence
 
 from crowwinch.coordination import owner
+from crowwinch.sharing._cache_sources import CacheFetch, CacheSources
 from crowwinch.sharing._forecasts import (
     Candidate,
     Forecast,
@@ -162,10 +163,11 @@
     ) -> "list[Forecast]":
         home = _home(work, statuses)
         cached_tokens_by_target = self._prefixes.cached_token_counts(work)
+        sources = CacheSources(work, cached_tokens_by_target, home, statuses)
         speed = self._speed(work.service)
         # Reused between engines, since most of them have the same number of
-        # prompt tokens cached.
-        prefills: dict[int, Prefill] = {}
+        # prompt tokens cached and fetch the same part.
+        prefills: dict[tuple[int, CacheFetch], Prefill] = {}
         forecasts = []
         for status in statuses:
             if not status.has_connection:
@@ -184,10 +186,11 @@
                 if is_home
                 else cached_tokens_by_target.get(target.identifier, 0)
             )
-            prefill = prefills.get(cached_tokens)
+            fetch = sources.fetch(target, cached_tokens)
+            prefill = prefills.get((cached_tokens, fetch))
             if prefill is None:
-                prefill = prefill_of(work, cached_tokens, speed)
-                prefills[cached_tokens] = prefill
+                prefill = prefill_of(work, cached_tokens, speed, fetch)
+                prefills[cached_tokens, fetch] = prefill
             forecasts.append(
                 forecast_engine(work, status, prefill, is_home, speed)
             )
