--- a/crowwinch/directory/_departures.py
+++ b/crowwinch/directory/_departures.py
@@ -1,5 +1,6 @@
 """Targets that are leaving or were removed."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -114,9 +115,13 @@
             self._add_change(key, changed_at)
         return new
 
-    def recent(self) -> list[tuple[str, int]]:
-        """Returns keys and revisions of the latest departures, for peers."""
-        oldest = self._clock.monotonic() - _REPORT_S
+    def recent(self, since: float = math.inf) -> list[tuple[str, int]]:
+        """Returns keys and revisions of the latest departures, for peers.
+
+        Args:
+            since: Monotonic time from which on the peer may have missed them.
+        """
+        oldest = min(self._clock.monotonic() - _REPORT_S, since - _REPORT_S)
         recent = [
             (key, change.revision)
             for key, change in self._changes.items()
--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from crowwinch.coordination import Clock
@@ -339,9 +340,15 @@
             self._start_lapse_grace()
             self._apply(changes.items, changes.revision)
 
-    def recent_departures(self) -> list[tuple[str, int]]:
-        """Returns keys and revisions of the latest departures, for peers."""
-        return self._departures.recent()
+    def recent_departures(
+        self, since: float = math.inf
+    ) -> list[tuple[str, int]]:
+        """Returns keys and revisions of the latest departures, for peers.
+
+        Args:
+            since: Monotonic time from which on the peer may have missed them.
+        """
+        return self._departures.recent(since)
 
     def merge_departures(self, departures: Iterable[tuple[str, int]]) -> None:
         """Stops using targets that a peer knows to be leaving or removed.
--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -38,6 +38,11 @@
 # `periods_per_round`, as in a larger fleet each router receives lists from more
 # peers.
 _MEMBERS_PERIOD_S = 3.0
+# A peer that was not heard for longer may have missed reports.
+_MAX_GAP_S = 1.0
+# Time after such a gap for which it is told what it may have missed: two rounds
+# of updates in a fleet of 200 routers.
+_CATCH_UP_S = 2.0
 # Update timers fire slightly earlier or later than scheduled.
 _TIMER_JITTER_S = 0.02
 # Shares are measured over seconds, so not every update needs to carry them.
@@ -52,6 +57,8 @@
     discovered_s: float = float("-inf")
     members_sent_s: float = float("-inf")
     shares_sent_s: float = float("-inf")
+    silent_from_s: float = float("inf")
+    returned_s: float = float("-inf")
     incarnation: int = 0
     sequence: int = -1
     is_leaving: bool = False
@@ -162,6 +169,8 @@
         if update.life != peer.incarnation:
             peer.discovered_s = now
             peer.members_sent_s = float("-inf")
+        if now - peer.last_heard_s > _MAX_GAP_S and peer.sequence >= 0:
+            peer.silent_from_s, peer.returned_s = peer.last_heard_s, now
         peer.last_heard_s = now
         peer.incarnation, peer.sequence = update.life, update.sequence
         peer.is_leaving = update.is_leaving
@@ -202,6 +211,20 @@
                 due.append(control)
         return due
 
+    def silent_from(self, control: str) -> float:
+        """Returns since when a peer may have missed reports, inf if it has not.
+
+        Args:
+            control: Control address of the peer.
+        """
+        peer = self._peers[control]
+        now = self._clock.monotonic()
+        if now - peer.returned_s <= _CATCH_UP_S:
+            return peer.silent_from_s
+        is_silent = now - peer.last_heard_s > _MAX_GAP_S
+        was_heard = peer.sequence >= 0
+        return peer.last_heard_s if is_silent and was_heard else float("inf")
+
     def take_due_for_shares(self, destinations: Iterable[str]) -> list[str]:
         """Returns the destinations due for shares and marks them as sent."""
         now = self._clock.monotonic()
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -281,9 +281,14 @@
         needs_shares = set(self._table.take_due_for_shares(destinations))
         groups = collections.defaultdict(list)
         for control in destinations:
-            needs = (control in needs_members, control in needs_shares)
+            needs = (
+                control in needs_members,
+                control in needs_shares,
+                self._table.silent_from(control),
+            )
             groups[needs].append(control)
-        for (includes_members, includes_shares), controls in groups.items():
+        for needs, controls in groups.items():
+            includes_members, includes_shares, silent_from = needs
             self._endpoint.send(
                 msgspec.structs.replace(
                     update,
@@ -293,10 +298,17 @@
                     workspaces=(
                         self._workspace_reports() if includes_shares else None
                     ),
+                    departures=self._departure_reports(silent_from),
                 ),
                 _hosts(controls),
             )
 
+    def _departure_reports(self, silent_from: float) -> list[DepartureReport]:
+        return [
+            DepartureReport(key, revision)
+            for key, revision in self._state.recent_departures(silent_from)
+        ]
+
     def _workspace_reports(self) -> list[WorkspaceReport]:
         return [
             WorkspaceReport(use.workspace, round(use.asked), round(use.served))
@@ -357,10 +369,7 @@
             members=[],
             crashes=encode_suspects(sharing.crashes.reports()),
             prefixes=self._prefix_reports(sequence),
-            departures=[
-                DepartureReport(key, revision)
-                for key, revision in self._state.recent_departures()
-            ],
+            departures=[],
             era=self._state.era,
             rate_limits=encode_rate_limits(sharing.rate_limits.reports()),
             demand=encode_demand(sharing.rate_limits.demand()),
--- a/crowwinch/fleet/tests/test_peer_table.py
+++ b/crowwinch/fleet/tests/test_peer_table.py
@@ -53,6 +53,23 @@
         self._advance(0.06)
         self.assertEqual(set(self.table.take_destinations()), {"a:1", "b:1"})
 
+    def test_gap_of_a_peer_is_known_until_it_has_caught_up(self):
+        """Guards against a peer that is not told what it missed in a cut."""
+        self.assertEqual(self.table.silent_from("a:1"), float("inf"))
+        self.table.accept(_update("a:1", sequence=0))
+        heard = self.clock.monotonic()
+        self._advance(0.9)
+        self.assertEqual(self.table.silent_from("a:1"), float("inf"))
+        self._advance(4.0)
+        self.assertEqual(self.table.silent_from("a:1"), heard)
+        for sequence in range(1, 20):
+            self.table.accept(_update("a:1", sequence=sequence))
+            self.assertEqual(self.table.silent_from("a:1"), heard)
+            self._advance(0.1)
+        self._advance(0.2)
+        self.table.accept(_update("a:1", sequence=20))
+        self.assertEqual(self.table.silent_from("a:1"), float("inf"))
+
     def test_restarted_peer_is_sent_members_again(self):
         def is_sent_members():
             return self.table.take_due_for_members(["a:1"]) == ["a:1"]
