Forwarding: read events without a second run of the parser

The HTTP library resumes reading with each read of a body and runs its parser without data, although nothing was paused: two runs for each event. Reading is now resumed only where it was paused. A read that holds exactly whole events is passed on without copying it through the buffer.

--- a/crowwinch/forwarding/_events.py
+++ b/crowwinch/forwarding/_events.py
@@ -43,6 +43,10 @@
     def feed(self, data: bytes) -> bytes:
         """Adds bytes and returns those of all events that are now complete."""
         buffer = self._buffer
+        if not buffer and data.endswith(_LF_SEPARATOR):
+            # Most reads hold exactly one event.
+            self._update_ids(data)
+            return data
         # Only a separator that ends in the new bytes can be missing so far.
         start = max(len(buffer) - len(_CRLF_SEPARATOR) + 1, 0)
         buffer += data
--- a/crowwinch/forwarding/_target_client.py
+++ b/crowwinch/forwarding/_target_client.py
@@ -102,6 +102,15 @@
             self._buffer.clear()
             self._fail(f"more than {_MAX_EXTRA_RESPONSES} unread responses")
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Resumes reading if it was paused.
+
+        The library calls this for each read of a body, and runs its parser
+        without data each time, which took a tenth of the time of an event.
+        """
+        if self._reading_paused or self._buffer_paused:
+            super().resume_reading(resume_parser)
+
     async def read(self) -> Any:
         """Returns the head and the payload of the matching response.
 
