Forwarding: end kept connections of an overloaded router

While the router is out of the balancer's rotation, its event loop is late and a peer of its availability zone has processor time to spare, connections end with their responses, at most half of the open ones per second. Updates between routers say whether their sender lacks processor time. The only ready router of a zone, and routers that are all short, keep their connections.

--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -33,6 +33,7 @@
     encode_sync,
     encode_versions,
 )
+from crowwinch.fleet._zone_peers import ZonePeers
 from crowwinch.forwarding import (
     GatewaySettings,
     SharingState,
@@ -64,6 +65,8 @@
 # time or after this many rounds of updates, whichever is longer.
 _MIN_READER_TIMEOUT_S = 0.5
 _READER_TIMEOUT_ROUNDS = 4
+# A peer of the zone that was not heard for this long is forgotten.
+_ZONE_PEER_EXPIRY_S = 60.0
 # A peer that was not heard for this long may be out of step with the store.
 _SILENCE_S = 1.0
 # Peers that are asked to read the store for this router.
@@ -82,6 +85,7 @@
         sharing: SharingState,
         is_leaving: Callable[[], bool],
         count_rejection: Callable[[PeerRejection], None],
+        is_overloaded: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates a service; nothing is sent until `start`.
 
@@ -93,6 +97,7 @@
             sharing: State that is shared with peers.
             is_leaving: Returns whether this router is shutting down.
             count_rejection: Called with the reason of each dropped datagram.
+            is_overloaded: Returns whether this router lacks processor time.
         """
         self._timers = timers
         self._settings = settings
@@ -100,6 +105,7 @@
         self._readers = readers
         self._sharing = sharing
         self._is_leaving = is_leaving
+        self._is_overloaded = is_overloaded
         self._incarnation = int(timers.clock.time() * 1000)
         self._sequence = itertools.count()
         self._table = PeerTable(
@@ -129,6 +135,7 @@
         self._drained_at = timers.clock.monotonic()
         self._exchange = DirectoryExchange(state, settings.control)
         self._pull = DirectoryPull(timers.clock, state, readers, self._exchange)
+        self._zone_peers = ZonePeers(timers.clock, settings.availability_zone)
         # Time of the last update from each peer in this availability zone.
         self._zone_peers_last_heard_s: dict[str, float] = {}
         self._subscription: Subscription | None = None
@@ -156,6 +163,11 @@
         """Seconds for which a peer's directory has been newer, 0 if none is."""
         return self._pull.behind_s
 
+    @property
+    def has_relief(self) -> bool:
+        """Whether a peer of this zone has processor time for connections."""
+        return self._zone_peers.has_relief(self._reader_timeout_s)
+
     def serve_sync(self, sync: Callable[[], Awaitable[bool]]) -> None:
         """Sets how the directory is brought up to date for peers.
 
@@ -226,6 +238,7 @@
     def _update_reader_role(self) -> None:
         """Updates whether this router reads the store itself."""
         self._pull.refresh()
+        self._zone_peers.remove_silent(_ZONE_PEER_EXPIRY_S)
         timeout_periods = _READER_TIMEOUT_ROUNDS * self._table.periods_per_round
         self._reader_timeout_s = max(
             _MIN_READER_TIMEOUT_S, timeout_periods * _UPDATE_PERIOD_S
@@ -347,6 +360,7 @@
             revision=self._state.revision,
             reading=self._readers.status.value,
             is_leaving=self._is_leaving(),
+            is_overloaded=self._is_overloaded(),
             targets=[
                 TargetReport(
                     use.target, use.active, round(use.reading_s * 1000)
@@ -388,6 +402,7 @@
         sharing = self._sharing
         peer = update.control
         self._peer_zones[peer] = update.availability_zone
+        self._zone_peers.record(update)
         sharing.loads.replace_peer_report(
             peer,
             [
--- a/crowwinch/forwarding/_overload.py
+++ b/crowwinch/forwarding/_overload.py
@@ -67,6 +67,12 @@
         """Whether this router should receive no new connections."""
         return self._clock.monotonic() < self._hold_end
 
+    @property
+    def is_out_of_rotation(self) -> bool:
+        """Whether the load balancer sends new connections elsewhere by now."""
+        now = self._clock.monotonic()
+        return self._hold_start + _BALANCER_REACTION_S <= now < self._hold_end
+
     def retry_after_s(self) -> float:
         """Returns the delay in seconds after which a refused caller may retry.
 
--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -15,6 +15,7 @@
 from crowwinch.forwarding._early_refusals import EarlyRefusals
 from crowwinch.forwarding._forwarder import Forwarder
 from crowwinch.forwarding._listener import ConnectionListener
+from crowwinch.forwarding._load_shedding import LoadShedding
 from crowwinch.forwarding._memory import Allocation, MemoryPool
 from crowwinch.forwarding._messages import WireCodec
 from crowwinch.forwarding._model import RequestLimits, SocketAddress
@@ -137,6 +138,7 @@
         max_descriptors: int,
         was_late: Callable[[], bool] = lambda: False,
         lag_s: Callable[[], float] = lambda: 0.0,
+        has_relief: Callable[[], bool] = lambda: False,
     ) -> None:
         """Initializes the server without opening the port.
 
@@ -153,6 +155,8 @@
                 time.
             lag_s: Returns for how many seconds the event loop recently did not
                 run.
+            has_relief: Returns whether a peer that callers may reach instead
+                has processor time to spare.
         """
         self._clock = clock
         self._address = address
@@ -163,6 +167,8 @@
         metrics.gauge("open_connections", lambda: self._open_connections)
         self._was_late = was_late
         self._overload = OverloadDetector(clock, random.random, lag_s)
+        self._shedding = LoadShedding(clock, self._overload, lag_s, has_relief)
+        metrics.gauge("overloaded", lambda: self._shedding.is_short)
         self._max_keep_alive_connections = int(
             max_descriptors * _KEEP_ALIVE_DESCRIPTOR_SHARE
         )
@@ -189,6 +195,11 @@
         """Whether other routers should take new connections."""
         return self._overload.is_overloaded
 
+    @property
+    def is_short(self) -> bool:
+        """Whether the router lacks processor time, which peers must know."""
+        return self._shedding.is_short
+
     @property
     def port(self) -> int:
         """The port in use once started."""
@@ -259,7 +270,12 @@
         """Returns whether connections are closed after the next response."""
         if self._is_draining:
             return True
-        return self._open_connections > self._max_keep_alive_connections
+        if self._open_connections > self._max_keep_alive_connections:
+            return True
+        is_shed = self._shedding.take_connection(self._open_connections)
+        if is_shed:
+            self._metrics.count("shed_connections")
+        return is_shed
 
     def _overload_refusal(self) -> RefusalError:
         return RefusalError(
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -133,6 +133,7 @@
             lambda reason: self._metrics.count_reason(
                 "peer_rejections", reason
             ),
+            lambda: self._callers.is_short,
         )
         sync = DirectorySync(
             self._clock, self._state, self._store, self._fleet.sync_with_peers
@@ -189,6 +190,7 @@
             settings.max_descriptors,
             lambda: self._lag.was_late,
             lambda: self._lag.seconds,
+            lambda: self._fleet.has_relief,
         )
         self._runners: list[web.ServerRunner] = []
         self._components: list[Component] = [
