Sharing: split what routers share from the rule of rate limits

Change: RouterShares holds members, owners, demand and what peers have sent; RequestWindow holds tokens and sent requests; TargetRateLimits keeps the rule. No behaviour changes. Evidence: test_rate_limits (sharing, forwarding) and test_limited_service pass unchanged.

--- a/crowwinch/sharing/_rate_limits.py
+++ b/crowwinch/sharing/_rate_limits.py
@@ -6,12 +6,14 @@
 """
 
 import math
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Collection, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from crowwinch.coordination import Clock, rank
+from crowwinch.coordination import Clock
 from crowwinch.sharing._model import TargetView
+from crowwinch.sharing._request_window import RequestWindow
+from crowwinch.sharing._router_shares import RouterShares, TargetKey
 from crowwinch.sharing._target_limits import (
     UNLIMITED,
     Allowance,
@@ -32,12 +34,6 @@
 _SAVED_S = 0.5
 # A target that gets no request cannot say that its limit has ended.
 _MIN_RATE_PER_S = 0.2
-# Time constant of the measured rate of requests for a service.
-_DEMAND_TIME_CONSTANT_S = 2.0
-# Fraction of the mean rate that a router without requests counts as, so that
-# its first request finds a part of the limit.
-_MIN_WEIGHT = 0.05
-_NEGLIGIBLE_RATE = 1e-6
 # Time to wait when the requests of all routers have reached the limit.
 _RECHECK_S = 0.1
 # What a router observes is reported to peers for this time, which covers two
@@ -47,9 +43,6 @@
 _MAX_LIMITS = 1_000
 _NEVER = float("-inf")
 
-# Identifier and start time of a target; a restart ends its limit.
-_Key = tuple[str, int]
-
 
 @dataclass(frozen=True, slots=True)
 class RateLimitReport:
@@ -84,19 +77,15 @@
         cleared_at: Time at which the latest request was sent whose answer
             named no limit.
         observed_at: Time of the latest answer that this router got itself.
-        tokens: Requests that this router may send now.
-        filled_at: Time up to which the tokens are counted.
-        sent: Times of the requests that this router sent in the window.
+        window: Requests that this router may send and has sent.
     """
 
     per_s: float
     named_at: float
-    tokens: float
-    filled_at: float
+    window: RequestWindow
     named_by: float = _NEVER
     cleared_at: float = _NEVER
     observed_at: float = _NEVER
-    sent: deque[float] = field(default_factory=deque)
 
     @property
     def is_in_force(self) -> bool:
@@ -106,53 +95,6 @@
         """
         return self.named_at >= self.cleared_at
 
-    def count_sent(self, now: float) -> int:
-        """Returns the requests that this router sent in the window."""
-        while self.sent and self.sent[0] <= now - _WINDOW_S:
-            self.sent.popleft()
-        return len(self.sent)
-
-
-@dataclass(frozen=True, slots=True)
-class _PeerUse:
-    """What a peer sends.
-
-    Attributes:
-        life: Start of the peer.
-        at: Time at which its report arrived.
-        sent: Requests that it sent in the window before, by target.
-        demand: Requests per second that it gets, by service.
-    """
-
-    life: int
-    at: float
-    sent: Mapping[_Key, int]
-    demand: Mapping[str, float]
-
-
-class _Weights:
-    """Weight of each router in the limits of the targets of a service.
-
-    It is the rate of requests for the service at the router. A router that has
-    not told it counts like the mean of those that have.
-    """
-
-    def __init__(
-        self, known: Mapping[str, float], mean: float, members: int
-    ) -> None:
-        self._known = known
-        self._mean = mean
-        self._total = sum(known.values()) + mean * (members - len(known))
-
-    @property
-    def total(self) -> float:
-        """Sum over all routers."""
-        return self._total
-
-    def of(self, name: str) -> float:
-        """Returns the weight of a router."""
-        return self._known.get(name, self._mean)
-
 
 class TargetRateLimits:
     """Shares the rate limits of targets between the routers of a fleet."""
@@ -170,18 +112,10 @@
         self._clock = clock
         self._random = random
         # The limit with the oldest answer first.
-        self._limits: OrderedDict[_Key, _Limit] = OrderedDict()
-        self._own_name = ""
-        self._members: frozenset[str] = frozenset()
-        self._owners: dict[tuple[str, int], list[str]] = {}
-        self._peers: dict[str, _PeerUse] = {}
-        # Last reports of peers that have restarted since.
-        self._earlier: list[_PeerUse] = []
-        # Decayed number of requests by service, and the time of the count.
-        self._demand: dict[str, tuple[float, float]] = {}
+        self._limits: OrderedDict[TargetKey, _Limit] = OrderedDict()
+        self._routers = RouterShares(clock, _WINDOW_S)
         # Part of each limit, until `refresh`.
-        self._own_rates: dict[_Key, float] = {}
-        self._weights: dict[str, _Weights] = {}
+        self._own_rates: dict[TargetKey, float] = {}
 
     def set_fleet(self, own_name: str, members: Collection[str]) -> None:
         """Sets the routers that share the limits.
@@ -190,22 +124,17 @@
             own_name: Name of this router.
             members: Names of all routers, with or without this one.
         """
-        names = frozenset(members) | {own_name}
-        if names == self._members and own_name == self._own_name:
-            return
-        self._own_name, self._members = own_name, names
-        self._owners.clear()
-        self.refresh()
+        if self._routers.set_fleet(own_name, members):
+            self.refresh()
 
     def refresh(self) -> None:
         """Recomputes the parts of this router when they are next needed."""
         self._own_rates.clear()
-        self._weights.clear()
+        self._routers.refresh()
 
     def record_demand(self, service: str) -> None:
         """Counts a request for a service that arrived at this router."""
-        now = self._clock.monotonic()
-        self._demand[service] = (self._decayed_demand(service, now) + 1, now)
+        self._routers.record_demand(service)
 
     def observe(
         self, target: str, life: int, per_s: float | None, sent_at: float
@@ -266,17 +195,9 @@
                 limit.cleared_at = max(
                     limit.cleared_at, now - report.cleared_age_s
                 )
-        previous = self._peers.get(peer)
-        if previous is not None and previous.life != life:
-            self._earlier = [
-                use for use in self._earlier if now - use.at < _WINDOW_S
-            ]
-            self._earlier.append(previous)
-        if previous is None and not reports and not demand:
-            return
-        self._peers[peer] = _PeerUse(
+        self._routers.merge_peer(
+            peer,
             life,
-            now,
             {
                 (report.target, report.life): report.sent
                 for report in reports
@@ -306,15 +227,13 @@
         """Counts a request that is sent to a target."""
         limit = self._limits.get((target, life))
         if limit is not None and limit.is_in_force:
-            limit.tokens -= 1.0
-            limit.sent.append(self._clock.monotonic())
+            limit.window.take(self._clock.monotonic())
 
     def give_back(self, target: str, life: int) -> None:
         """Reverts `take` for a request that was not sent."""
         limit = self._limits.get((target, life))
-        if limit is not None and limit.sent:
-            limit.tokens += 1.0
-            limit.sent.pop()
+        if limit is not None:
+            limit.window.give_back()
 
     def reports(self) -> list[RateLimitReport]:
         """Returns what peers must hear: own observations and requests sent."""
@@ -329,10 +248,11 @@
                 limit.per_s,
                 now - limit.named_at,
                 None if limit.cleared_at == _NEVER else now - limit.cleared_at,
-                limit.count_sent(now),
+                limit.window.count_sent(now),
             )
             for (target, life), limit in self._limits.items()
-            if limit.count_sent(now) or now - limit.observed_at <= _REPORT_S
+            if limit.window.count_sent(now)
+            or now - limit.observed_at <= _REPORT_S
         ]
 
     def demand(self) -> dict[str, float]:
@@ -342,12 +262,7 @@
         """
         if not self._limits:
             return {}
-        now = self._clock.monotonic()
-        return {
-            service: self._decayed_demand(service, now)
-            / _DEMAND_TIME_CONSTANT_S
-            for service in self._demand
-        }
+        return self._routers.demand()
 
     def _wait_s(self, target: TargetView) -> float:
         """Returns the seconds until this router may send to a target again."""
@@ -360,12 +275,13 @@
         rate = self._own_rate(target, limit)
         if rate <= 0.0:
             return math.inf
-        self._fill(limit, rate, now)
-        if limit.tokens < 1.0:
-            return (1.0 - limit.tokens) / rate
-        if self._count_sent(target, limit, now) >= max(
-            limit.per_s * _WINDOW_S, 1.0
-        ):
+        window = limit.window
+        window.fill(rate, max(1.0, rate * _SAVED_S), now)
+        if window.tokens < 1.0:
+            return (1.0 - window.tokens) / rate
+        key = (target.identifier, target.life)
+        sent = window.count_sent(now) + self._routers.count_peers_sent(key)
+        if sent >= max(limit.per_s * _WINDOW_S, 1.0):
             return _RECHECK_S
         return 0.0
 
@@ -375,7 +291,11 @@
         limit = self._limits.get((target, life))
         if limit is None:
             self._limits[target, life] = _Limit(
-                per_s, at, self._random(), self._clock.monotonic()
+                per_s,
+                at,
+                RequestWindow(
+                    _WINDOW_S, self._random(), self._clock.monotonic()
+                ),
             )
             if len(self._limits) > _MAX_LIMITS:
                 self._limits.popitem(last=False)
@@ -400,95 +320,24 @@
                 limit.observed_at = now
         return limit.is_in_force != was_in_force
 
-    def _fill(self, limit: _Limit, rate: float, now: float) -> None:
-        capacity = max(1.0, rate * _SAVED_S)
-        added = (now - limit.filled_at) * rate
-        limit.tokens = min(limit.tokens + added, capacity)
-        limit.filled_at = now
-
     def _own_rate(self, target: TargetView, limit: _Limit) -> float:
         """Returns the requests per second that this router may send."""
         key = (target.identifier, target.life)
         rate = self._own_rates.get(key)
         if rate is None:
-            share = self._own_share(target, limit.per_s)
+            share = self._routers.own_share(
+                target.service,
+                target.identifier,
+                int(_BURST_REQUESTS + _BURST_S * limit.per_s),
+            )
             rate = limit.per_s * _SHARED_FRACTION * share
             self._own_rates[key] = rate
         return rate
 
-    def _own_share(self, target: TargetView, per_s: float) -> float:
-        """Returns the fraction of a limit that this router may use."""
-        weights = self._weights.get(target.service)
-        if weights is None:
-            weights = self._weights[target.service] = self._weigh_routers(
-                target.service
-            )
-        own = weights.of(self._own_name)
-        most = int(_BURST_REQUESTS + _BURST_S * per_s)
-        if len(self._members) <= most:
-            return own / max(weights.total, own)
-        owners = self._find_owners(target.identifier, most)
-        if self._own_name not in owners:
-            return 0.0
-        return own / sum(weights.of(owner) for owner in owners)
-
-    def _find_owners(self, target: str, most: int) -> list[str]:
-        """Returns the routers that send to a target with a limit.
-
-        They are the same at all routers that know the same fleet.
-        """
-        owners = self._owners.get((target, most))
-        if owners is None:
-            owners = rank(target, self._members)[:most]
-            self._owners[target, most] = owners
-        return owners
-
-    def _weigh_routers(self, service: str) -> "_Weights":
-        now = self._clock.monotonic()
-        known = {
-            self._own_name: self._decayed_demand(service, now)
-            / _DEMAND_TIME_CONSTANT_S
-        }
-        for peer, use in self._peers.items():
-            if peer in self._members and service in use.demand:
-                known[peer] = use.demand[service]
-        mean = sum(known.values()) / len(known)
-        least = max(mean * _MIN_WEIGHT, _NEGLIGIBLE_RATE)
-        return _Weights(
-            {name: max(rate, least) for name, rate in known.items()},
-            max(mean, least),
-            len(self._members),
-        )
-
-    def _count_sent(
-        self, target: TargetView, limit: _Limit, now: float
-    ) -> float:
-        """Returns the requests that all routers sent in the window.
-
-        Those of a peer leave the window evenly after its last report, also when
-        it is gone.
-        """
-        key = (target.identifier, target.life)
-        count = float(limit.count_sent(now))
-        for use in (*self._peers.values(), *self._earlier):
-            left = 1 - (now - use.at) / _WINDOW_S
-            if left > 0.0:
-                count += use.sent.get(key, 0) * left
-        return count
-
-    def _decayed_demand(self, service: str, now: float) -> float:
-        count, at = self._demand.get(service, (0.0, now))
-        return count * math.exp((at - now) / _DEMAND_TIME_CONSTANT_S)
-
     def _expire(self, now: float) -> None:
         while self._limits:
             key, limit = next(iter(self._limits.items()))
             if limit.named_at >= now - _EXPIRY_S:
                 break
             del self._limits[key]
-        for peer in [
-            peer
-            for peer, use in self._peers.items()
-            if now - use.at > _EXPIRY_S
-        ]:
-            del self._peers[peer]
+        self._routers.expire()
