Sharing: limit the requests of all routers to cold targets

Cause: a target that has just started crashes well above a few requests a second from the whole fleet; nothing limited them. Change: ColdTargets, a TargetLimit. Owners chosen by rendezvous hashing send at equal, fixed rates with at most one request saved and none at the start; their number and rate keep the sum below the bound even if arrivals are 0.5 s late and one more router takes itself for an owner. is_cold and is_assumed_cold tell other rules about a target. Nothing uses the class yet. Evidence: crowwinch.sharing.tests.test_cold_targets.

--- a/crowwinch/sharing/__init__.py
+++ b/crowwinch/sharing/__init__.py
@@ -5,6 +5,12 @@
 
 from crowwinch.sharing._admission import Admission
 from crowwinch.sharing._caller_deadlines import CallerDeadlines
+from crowwinch.sharing._cold_targets import (
+    ColdCause,
+    ColdReport,
+    ColdStart,
+    ColdTargets,
+)
 from crowwinch.sharing._crash_suspects import (
     CrashSuspects,
     RequestFeatures,
@@ -48,6 +54,10 @@
     "Admission",
     "CallerDeadlines",
     "Candidate",
+    "ColdCause",
+    "ColdReport",
+    "ColdStart",
+    "ColdTargets",
     "CrashSuspects",
     "Decision",
     "EngineSpeeds",
--- a/crowwinch/sharing/_model.py
+++ b/crowwinch/sharing/_model.py
@@ -110,6 +110,11 @@
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
 
+    @property
+    def has_cold_starts(self) -> bool:
+        """Whether it may be cold."""
+        return self.cold_start_s > 0.0 or self.cold_per_s > 0.0
+
 
 class Verdict(enum.Enum):
     """Outcome of a queued request."""
