Tests: ask rate limits in large fleets through their new call

Cause: test_large_fleets still called TargetRateLimits.wait_s, which is part of allowance since limits have one interface, and ended with an error. Change: it reads allowance(view).wait_s, the same number. Evidence: crowwinch.fleet.tests.test_large_fleets passes.

--- a/crowwinch/fleet/tests/test_large_fleets.py
+++ b/crowwinch/fleet/tests/test_large_fleets.py
@@ -82,7 +82,8 @@
             first.sharing.rate_limits.observe("engine", 1, 1.0, now)
             await fleet.run(1.0)
             waits_s = [
-                router.sharing.rate_limits.wait_s(view) for router in others
+                router.sharing.rate_limits.allowance(view).wait_s
+                for router in others
             ]
             self.assertGreater(min(waits_s), 0.0)
 
