Fleet, forwarding: apply the limit on cold targets

Cause: nothing told routers which targets are cold, and requests that were placed earlier were sent without a grant. Change: entries, response heads, broken connections, restarts that a target's report shows and a list in the updates between routers tell it. The peer table says which routers may still send, and whether this one knows them. A request is checked when it is sent and placed anew without a grant; reports are read from cold targets only with a grant. Log line and gauge.

--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -26,6 +26,16 @@
 _REORDER_WINDOW_S = 1.0
 # A peer without an update for this long is removed, unless it is a seed.
 _PEER_EXPIRY_S = 60.0
+# A router may send to cold targets from this time after its start on. Until
+# then it hears from peers, and they from it: a round of updates takes 0.85 s in
+# a fleet of 200.
+_SETTLING_S = 3.0
+# A peer that was removed may be cut off and go on. It counts as a member for
+# this time after it was last heard, unless it said that it leaves.
+_ABSENCE_S = 600.0
+# After this time, a router that said that it leaves is gone, and one that only
+# peers have named is not there.
+_GONE_S = 5.0
 # Updates sent per period; in larger fleets, peers are served round-robin.
 _FAN_OUT = 12
 # Member addresses in one update.
@@ -77,6 +87,8 @@
         self._own_control = own_control
         self._seeds: frozenset[str] = frozenset()
         self._peers: dict[str, _Peer] = {}
+        # Time of the last update of peers that were removed.
+        self._absent: dict[str, float] = {}
         self._next_member_index = 0
         self._live: list[str] = []
         self._live_computed_s = float("-inf")
@@ -120,6 +132,34 @@
         is_majority = 2 * (len(live) + 1) > len(heard) + 1
         return live if is_majority else heard
 
+    @property
+    def known_routers(self) -> frozenset[str]:
+        """Control addresses of all peers that may still be sending requests.
+
+        Peers that are silent are included, since they may be cut off or frozen.
+        """
+        now = self._clock.monotonic()
+        known = {
+            control
+            for control, heard_s in self._absent.items()
+            if now - heard_s < _ABSENCE_S
+        }
+        for peer in self._peers.values():
+            is_recent = now - peer.last_heard_s < _GONE_S
+            if is_recent or (peer.incarnation and not peer.is_leaving):
+                known.add(peer.control)
+        return frozenset(known)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether this router has had time to hear from all peers.
+
+        One that hears no peer, although seeds name others, may be cut off.
+        """
+        if self._clock.monotonic() - self._started_s < _SETTLING_S:
+            return False
+        return bool(self.live) or not self._seeds
+
     @property
     def periods_per_round(self) -> int:
         """Update periods needed to send one update to each live peer."""
@@ -231,4 +271,12 @@
             and now - peer.last_heard_s > _PEER_EXPIRY_S
         ]
         for control in expired:
-            del self._peers[control]
+            peer = self._peers.pop(control)
+            if peer.incarnation and not peer.is_leaving:
+                self._absent[control] = peer.last_heard_s
+        if expired:
+            self._absent = {
+                control: heard_s
+                for control, heard_s in self._absent.items()
+                if now - heard_s < _ABSENCE_S
+            }
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -22,11 +22,13 @@
 from crowwinch.fleet._peer_table import PeerTable
 from crowwinch.fleet._stream_records import StreamRecords
 from crowwinch.fleet._update_codec import (
+    decode_cold,
     decode_demand,
     decode_rate_limits,
     decode_suspects,
     decode_sync,
     decode_versions,
+    encode_cold,
     encode_demand,
     encode_rate_limits,
     encode_suspects,
@@ -218,6 +220,13 @@
             str(self._settings.control), self._table.shared_by
         )
         sharing.rate_limits.refresh()
+        if sharing.cold.is_enabled:
+            sharing.cold.set_fleet(
+                str(self._settings.control),
+                self._table.known_routers,
+                self._table.is_settled,
+            )
+            sharing.cold.refresh()
         sharing.admission.poll()
         self._log_membership_changes()
         self._update_reader_role()
@@ -369,6 +378,7 @@
             synced_ms=encode_sync(
                 self._state.synced_at, self._timers.clock.monotonic()
             ),
+            cold=encode_cold(sharing.cold.reports()),
         )
 
     def _live_peer_zones(self) -> dict[str, str]:
@@ -415,6 +425,8 @@
             decode_rate_limits(update.rate_limits),
             decode_demand(update.demand),
         )
+        if update.cold:
+            sharing.cold.merge_peer(peer, update.life, decode_cold(update.cold))
         self._merge_directory_state(update)
         if update.era == self._state.era:
             self._state.merge_departures(
--- a/crowwinch/fleet/_update_codec.py
+++ b/crowwinch/fleet/_update_codec.py
@@ -5,13 +5,14 @@
 
 from crowwinch.directory import VersionAge
 from crowwinch.generated.fleet_messages import (
+    ColdMessage,
     CrashReport,
     CrashTime,
     DemandReport,
     RateLimitMessage,
     VersionReport,
 )
-from crowwinch.sharing import RateLimitReport, SuspectReport
+from crowwinch.sharing import ColdReport, RateLimitReport, SuspectReport
 
 _MS_PER_S = 1000.0
 # Age in milliseconds of an answer or a request that there was not.
@@ -82,6 +83,33 @@
     ]
 
 
+def encode_cold(reports: Iterable[ColdReport]) -> list[ColdMessage]:
+    """Returns the messages about cold targets.
+
+    Remaining times are rounded up, so that no router takes a target as warm too
+    early.
+    """
+    return [
+        ColdMessage(
+            report.target,
+            report.life,
+            math.ceil(report.left_s * _MS_PER_S),
+            report.sent,
+        )
+        for report in reports
+    ]
+
+
+def decode_cold(reports: Iterable[ColdMessage]) -> list[ColdReport]:
+    """Returns what a peer knows of cold targets."""
+    return [
+        ColdReport(
+            report.target, report.life, report.left_ms / _MS_PER_S, report.sent
+        )
+        for report in reports
+    ]
+
+
 def encode_sync(synced_at: float, now: float) -> int:
     """Returns the age in ms of a directory, -1 without one."""
     return _encode_age(None if math.isinf(synced_at) else now - synced_at)
--- a/crowwinch/fleet/_update_size.py
+++ b/crowwinch/fleet/_update_size.py
@@ -17,6 +17,7 @@
     "targets",
     "crashes",
     "rate_limits",
+    "cold",
     "versions",
     "departures",
 )
--- a/crowwinch/fleet/tests/test_peer_table.py
+++ b/crowwinch/fleet/tests/test_peer_table.py
@@ -53,6 +53,40 @@
         self._advance(0.06)
         self.assertEqual(set(self.table.take_destinations()), {"a:1", "b:1"})
 
+    def test_routers_that_may_still_send_requests(self):
+        """Guards against a cut-off peer whose part another router takes."""
+        self.table.accept(_update("a:1"))
+        self.table.accept(_update("c:1"))
+        self.table.accept(_update("d:1", members=["e:1"], leaving=True))
+        cases = (
+            (4.0, {"a:1", "c:1", "d:1", "e:1"}),
+            (2.0, {"a:1", "c:1"}),
+            (70.0, {"a:1", "c:1"}),
+            (600.0, {"a:1"}),
+        )
+        for seconds, known in cases:
+            with self.subTest(seconds):
+                self._advance(seconds)
+                self.table.take_destinations()
+                # Seeds are not forgotten; b:1 is one that was never heard.
+                self.assertEqual(self.table.known_routers, known)
+
+    def test_router_is_settled_once_it_hears_its_peers(self):
+        """Guards against a new or cut-off router that takes itself for all."""
+        self.assertFalse(self.table.is_settled)
+        self._advance(5.0)
+        self.assertFalse(self.table.is_settled)
+        self.table.accept(_update("a:1"))
+        self.assertTrue(self.table.is_settled)
+        self._advance(3.5)
+        self.assertFalse(self.table.is_settled)
+
+    def test_router_without_seeds_is_settled_alone(self):
+        table = PeerTable(self.clock, "me:1", ["me:1"])
+        self.assertFalse(table.is_settled)
+        self._advance(3.1)
+        self.assertTrue(table.is_settled)
+
     def test_restarted_peer_is_sent_members_again(self):
         def is_sent_members():
             return self.table.take_due_for_members(["a:1"]) == ["a:1"]
--- a/crowwinch/fleet/tests/test_update_size.py
+++ b/crowwinch/fleet/tests/test_update_size.py
@@ -17,6 +17,7 @@
 from crowwinch.fleet.tests.support import make_settings
 from crowwinch.forwarding.tests.support import make_sharing_state
 from crowwinch.generated.fleet_messages import (
+    ColdMessage,
     CrashReport,
     CrashTime,
     DemandReport,
@@ -66,6 +67,7 @@
     "prefixes": lambda n: PrefixReport(f"{n}{_KEY}", "00" * 16),
     "departures": lambda n: DepartureReport(f"{n}{_KEY}", n),
     "rate_limits": lambda n: RateLimitMessage(f"{n}{_KEY}", 1, 5.0, 1, -1, 3),
+    "cold": lambda n: ColdMessage(f"{n}{_KEY}", 1, 2_000, 3),
     "demand": lambda n: DemandReport(f"{n}{_KEY}", 5.0),
     "versions": lambda n: VersionReport(f"{n}", _KEY, 1_000 + n),
 }
@@ -73,6 +75,7 @@
     "targets": TargetReport(_LONG, 1, 5),
     "workspaces": WorkspaceReport(_LONG, 1, 1),
     "departures": DepartureReport(_LONG, 1),
+    "cold": ColdMessage(_LONG, 1, 2_000, 3),
     "demand": DemandReport(_LONG, 5.0),
     "versions": VersionReport(_LONG, "v2", 2_000),
 }
@@ -130,6 +133,18 @@
         self.assertIn(_SOUND_DEPARTURE, received.departures)
         self.assertEqual(received.revision, _UPDATE.revision)
 
+    async def test_cold_targets_stay_longer_than_rate_limits(self):
+        """Guards against a limit that gives way to one that matters less.
+
+        A target beyond its rate limit refuses requests, a cold one crashes.
+        """
+        received = await self._deliver(
+            rate_limits=[_FULL["rate_limits"](n) for n in range(_COUNT)],
+            cold=[_FULL["cold"](n) for n in range(50)],
+        )
+        self.assertEqual(len(received.cold), 50)
+        self.assertLess(len(received.rate_limits), _COUNT)
+
     async def test_long_names_are_left_out(self):
         for name, entry in _LONG_NAMES.items():
             with self.subTest(name):
--- a/crowwinch/forwarding/_exchange.py
+++ b/crowwinch/forwarding/_exchange.py
@@ -20,6 +20,13 @@
 _EVENT_STREAM_TYPE = "text/event-stream"
 
 
+class StalePlacementError(CrowwinchError):
+    """A request may no longer be sent to the target that was chosen for it.
+
+    Nothing was sent, and the target is not at fault.
+    """
+
+
 class AttemptError(CrowwinchError):
     """An attempt without a response that may be relayed to the caller.
 
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -9,7 +9,11 @@
 from crowwinch.forwarding._call import Call
 from crowwinch.forwarding._delivery import deliver
 from crowwinch.forwarding._event_recorder import EventRecorder
-from crowwinch.forwarding._exchange import AttemptError, Exchange
+from crowwinch.forwarding._exchange import (
+    AttemptError,
+    Exchange,
+    StalePlacementError,
+)
 from crowwinch.forwarding._memory import MemoryPool
 from crowwinch.forwarding._messages import (
     AttemptHead,
@@ -246,6 +250,8 @@
             target = placement.decision.target
             try:
                 await self._attempt(context, placement)
+            except StalePlacementError:
+                continue
             except AttemptError as error:
                 reason = self._retry_policy.handle_attempt_error(
                     context, target, error
@@ -287,7 +293,10 @@
         def on_decision(decision: Decision) -> None:
             # The future is cancelled if the caller has just disconnected.
             if not future.done():
-                future.set_result(self._sharing.place(context.work, decision))
+                now = self._clock.monotonic()
+                future.set_result(
+                    self._sharing.place(context.work, decision, now)
+                )
 
         ticket = Ticket(
             work=context.work,
@@ -332,6 +341,7 @@
 
         Raises:
             AttemptError: If there is no complete response.
+            StalePlacementError: If the request must be placed anew.
         """
         decision, reservation = placement.decision, placement.reservation
         assert reservation is not None, "no load reserved for the attempt"
@@ -346,6 +356,7 @@
                 "the target has restarted with another software version",
                 may_have_run=False,
             )
+        self._check_grant(target, context, placement)
         started = self._clock.monotonic()
         context.target = target
         context.attempt_began_at = None
@@ -412,6 +423,7 @@
         except AttemptError as error:
             if error.is_connection_lost or error.is_unreachable:
                 self._lives.doubt(target)
+                self._observer.record_broken_connection(target, error)
             if error.is_oversized:
                 self._observer.record_oversized(target, error)
             if not error.may_have_run:
@@ -443,6 +455,23 @@
             self._sharing.release(context.work, placement)
             raise
 
+    def _check_grant(
+        self, target: Target, context: RequestContext, placement: Placement
+    ) -> None:
+        """Checks that a request may be sent to its target now.
+
+        Raises:
+            StalePlacementError: If the target became cold after the request was
+                placed, or too much time has passed since.
+        """
+        view = self._targets.view(target.identifier)
+        if view is None or self._sharing.cold.may_send(
+            view, placement.placed_at
+        ):
+            return
+        self._sharing.release(context.work, placement)
+        raise StalePlacementError("the target is cold")
+
     def _note_stream_start(
         self, context: RequestContext, target: Target
     ) -> None:
--- a/crowwinch/forwarding/_sharing_state.py
+++ b/crowwinch/forwarding/_sharing_state.py
@@ -5,6 +5,7 @@
 from crowwinch.sharing import (
     Admission,
     CallerDeadlines,
+    ColdTargets,
     CrashSuspects,
     Decision,
     EngineSpeeds,
@@ -28,10 +29,12 @@
     Attributes:
         decision: Selected target or refusal.
         reservation: Load reserved at the target, None for a refusal.
+        placed_at: Monotonic time of the decision.
     """
 
     decision: Decision
     reservation: Reservation | None
+    placed_at: float
 
 
 @dataclass(slots=True)
@@ -40,6 +43,7 @@
 
     admission: Admission
     budget: SlidingWindowRetryBudget
+    cold: ColdTargets
     crashes: CrashSuspects
     health: TargetHealth
     limits: TargetLimits
@@ -50,14 +54,14 @@
     speeds: EngineSpeeds
     deadlines: CallerDeadlines = field(default_factory=CallerDeadlines)
 
-    def place(self, work: Work, decision: Decision) -> Placement:
+    def place(self, work: Work, decision: Decision, now: float) -> Placement:
         """Reserves load at the target and charges the workspace.
 
         One poll makes several decisions in a row, so each must be accounted
         for before the next one is made.
         """
         if decision.verdict is not Verdict.SEND:
-            return Placement(decision, None)
+            return Placement(decision, None, now)
         reservation = self.loads.reserve_decided(decision)
         self.limits.take(decision.target, decision.target_life)
         self.shares.record_usage(work.workspace, work.cost)
@@ -65,7 +69,7 @@
             self.prefixes.record_prefill(
                 decision.target, work, decision.is_home
             )
-        return Placement(decision, reservation)
+        return Placement(decision, reservation, now)
 
     def release(self, work: Work, placement: Placement) -> None:
         """Undoes `place` for a request that is not sent.
--- a/crowwinch/forwarding/_target_lives.py
+++ b/crowwinch/forwarding/_target_lives.py
@@ -10,6 +10,7 @@
 from crowwinch.forwarding._messages import WireCodec
 from crowwinch.forwarding._target_client import TargetClient
 from crowwinch.forwarding._target_set import Target, TargetSet
+from crowwinch.sharing import ColdTargets
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -37,6 +38,7 @@
         codec: WireCodec,
         targets: TargetSet,
         synced_at: Callable[[], float],
+        cold: ColdTargets,
     ) -> None:
         """Creates an instance without doubts.
 
@@ -47,8 +49,11 @@
             targets: Targets of the directory; restarts are noted there.
             synced_at: Returns the monotonic time up to which the directory
                 includes all changes.
+            cold: Limits the reports that cold targets are asked for, and is
+                told of restarts.
         """
         self._clock = clock
+        self._cold = cold
         self._client = client
         self._codec = codec
         self._targets = targets
@@ -110,7 +115,11 @@
                 "known_ms": target.life,
             },
         )
-        return self._targets.mark_restarted(target, started_ms)
+        restarted = self._targets.mark_restarted(target, started_ms)
+        view = self._targets.view(target.identifier)
+        if view is not None:
+            self._cold.assume_cold(view, started_ms)
+        return restarted
 
     def _is_doubted(self, target: Target) -> bool:
         doubt = self._doubts.get(target.identifier)
@@ -124,9 +133,15 @@
         return True
 
     async def _read_started_ms(self, target: Target) -> int | None:
-        """Returns the start time that a target reports, None without one."""
+        """Returns the start time that a target reports, None without one.
+
+        A cold target is only asked if this router may send it a request now.
+        """
         running = self._confirmations.get(target.identifier)
         if running is None:
+            view = self._targets.view(target.identifier)
+            if view is not None and not self._cold.try_take(view):
+                return None
             running = asyncio.ensure_future(self._read_report(target))
             self._confirmations[target.identifier] = running
             running.add_done_callback(
--- a/crowwinch/forwarding/_target_observer.py
+++ b/crowwinch/forwarding/_target_observer.py
@@ -4,6 +4,7 @@
 
 from crowwinch.coordination import Clock
 from crowwinch.errors import CrowwinchError
+from crowwinch.forwarding._exchange import AttemptError
 from crowwinch.forwarding._messages import ResponseHead
 from crowwinch.forwarding._request_log import RequestLog
 from crowwinch.forwarding._sharing_state import SharingState
@@ -56,6 +57,12 @@
             head: Head of the response.
         """
         self._note_rate_limit(target, started, head)
+        if head.cold_s is not None:
+            view = self._targets.view(target.identifier)
+            if view is not None:
+                self._sharing.cold.observe_header(
+                    view, target.life, head.cold_s
+                )
         if head.is_leaving and self._targets.mark_leaving(target):
             _LOGGER.info(
                 "target says that it leaves",
@@ -73,6 +80,20 @@
                 extra={"target": target.identifier, "seconds": head.hold_s},
             )
 
+    def record_broken_connection(
+        self, target: Target, error: AttemptError
+    ) -> None:
+        """Records that a target may have restarted.
+
+        Args:
+            target: The target.
+            error: How the connection failed. One to another target that has
+                the address now says nothing.
+        """
+        view = self._targets.view(target.identifier)
+        if view is not None and not error.is_refusal:
+            self._sharing.cold.assume_cold(view, target.life)
+
     def record_oversized(self, target: Target, error: CrowwinchError) -> None:
         """Records that a target sent more bytes than are kept.
 
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -33,6 +33,7 @@
 from crowwinch.platform import HeaderCodec
 from crowwinch.sharing import (
     Admission,
+    ColdTargets,
     CrashSuspects,
     EngineSpeeds,
     Placer,
@@ -191,13 +192,16 @@
     is_keep_alive: bool = field(default=True)
 
 
-def make_sharing_state(clock, targets=lambda service: ()) -> SharingState:
+def make_sharing_state(
+    clock, targets=lambda service: (), view=lambda identifier: None
+) -> SharingState:
     """Returns the sharing state of a router that has just started."""
     loads, health = TargetLoads(clock), TargetHealth(clock)
     prefixes, speeds = PrefixCacheTracker(clock), EngineSpeeds()
     shares = WorkspaceShares(clock, 4.0)
     rate_limits = TargetRateLimits(clock)
-    limits = TargetLimits([rate_limits])
+    cold = ColdTargets(clock, view)
+    limits = TargetLimits([rate_limits, cold])
     return SharingState(
         admission=Admission(
             clock,
@@ -207,6 +211,7 @@
             random.Random(1).random,
         ),
         budget=SlidingWindowRetryBudget(clock, 5.0, 10.0),
+        cold=cold,
         crashes=CrashSuspects(clock),
         health=health,
         loads=loads,
@@ -292,6 +297,7 @@
                     codec,
                     self.target_set,
                     lambda: self.synced_at(),
+                    self.sharing.cold,
                 ),
                 self.response_memory,
                 was_late=lambda: was_late,
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -36,6 +36,7 @@
     TargetLives,
     TargetSet,
 )
+from crowwinch.gateway._cold_entries import observe_cold_entries
 from crowwinch.gateway._settings_file import SettingsFile
 from crowwinch.observability import Metrics
 from crowwinch.platform import (
@@ -46,6 +47,8 @@
 )
 from crowwinch.sharing import (
     Admission,
+    ColdStart,
+    ColdTargets,
     CrashSuspects,
     EngineSpeeds,
     Placer,
@@ -120,6 +123,7 @@
             settings.availability_zone, self._remove_target
         )
         self._sharing = self._build_sharing()
+        self._metrics.gauge("cold_targets", lambda: self._sharing.cold.count)
         self._is_stopping = False
         self._stopped = asyncio.Event()
         self._background: set[asyncio.Task[None]] = set()
@@ -178,6 +182,7 @@
                     codec,
                     self._targets,
                     lambda: self._state.synced_at,
+                    self._sharing.cold,
                 ),
                 response_memory,
                 self._describe_state,
@@ -222,7 +227,14 @@
         speeds = EngineSpeeds()
         health = TargetHealth(self._clock)
         rate_limits = TargetRateLimits(self._clock, self._rng.random)
-        limits = TargetLimits([rate_limits])
+        cold = ColdTargets(
+            self._clock,
+            self._targets.view,
+            settings.cold_overage,
+            settings.cold_slack,
+            _log_cold_target,
+        )
+        limits = TargetLimits([rate_limits, cold])
         shares = WorkspaceShares(
             self._clock, time_constant(settings.share_window_s)
         )
@@ -237,6 +249,7 @@
             budget=SlidingWindowRetryBudget(
                 self._clock, settings.retry_ratio, settings.retry_window_s
             ),
+            cold=cold,
             crashes=CrashSuspects(
                 self._clock,
                 self._rng.random,
@@ -344,6 +357,7 @@
         self._sharing.shares.set_time_constant(
             time_constant(settings.share_window_s)
         )
+        self._sharing.cold.set_bound(settings.cold_overage, settings.cold_slack)
 
     def _describe_state(self) -> dict[str, object]:
         """Returns log fields on how current this router's state is."""
@@ -387,6 +401,9 @@
             ),
             routing,
         )
+        observe_cold_entries(
+            self._sharing.cold, self._state.available_targets(), routing
+        )
 
     def _remove_target(self, target: str) -> None:
         self._sharing.prefixes.remove_target(target)
@@ -416,6 +433,18 @@
         return web.Response(text=self._metrics.render())
 
 
+def _log_cold_target(start: ColdStart) -> None:
+    _LOGGER.info(
+        "target is cold",
+        extra={
+            "target": start.target,
+            "started_ms": start.life,
+            "seconds": round(start.left_s, 3),
+            "cause": start.cause.value,
+        },
+    )
+
+
 def run_gateway(path: str) -> None:
     """Runs a router until a graceful shutdown has finished.
 
