Sharing: refuse at once what only closed cold targets could take

Cause: a router that may not send to a cold target waits until it is warm. Its callers were told to return after a part of the time that they have left, and its free slots shortened the wait for the slots of other targets. Change: such targets are left out of the decision to wait. If there are no others, the request is refused at once, with the time until one is warm. Evidence: crowwinch.sharing.tests.test_cold_service; tests of admission, waits, placement and limited services pass.

--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -213,16 +213,45 @@
         for candidate in candidates:
             if has_room(candidate, claim):
                 return _send_decision(candidate)
+        usable = [each for each in candidates if not self._is_closed(each)]
+        if not usable:
+            opens_s = min(each.limit_wait_s for each in candidates)
+            return self._refuse(ticket, claim, now, opens_s)
         if self._wait_limits.may_wait(
-            ticket, claim, candidates, self._limit_wait_s(ticket, candidates)
+            ticket, claim, usable, self._limit_wait_s(ticket, usable)
         ):
             return None
-        if claim.is_within:
-            return Decision(
-                Verdict.REFUSE_OVERLOAD,
-                retry_after_s=self._return_times.delay_s(ticket.deadline - now),
-            )
-        return self._refuse_over_share(ticket, now)
+        return self._refuse(ticket, claim, now)
+
+    def _is_closed(self, candidate: Candidate) -> bool:
+        """Returns whether a target takes nothing of this router until a time.
+
+        That is so while it is cold and other routers send to it. Requests do
+        not wait for it.
+        """
+        return (
+            0.0 < candidate.limit_wait_s < math.inf
+            and self._placer.limit_rate_per_s(candidate.target) <= 0.0
+        )
+
+    def _refuse(
+        self, ticket: Ticket, claim: Claim, now: float, opens_s: float = 0.0
+    ) -> Decision:
+        """Refuses a request.
+
+        Args:
+            ticket: The request.
+            claim: Its claim at this moment.
+            now: Monotonic time.
+            opens_s: Seconds until a target may be used at all.
+        """
+        delay_s = self._return_times.delay_s(ticket.deadline - now)
+        return Decision(
+            Verdict.REFUSE_OVERLOAD
+            if claim.is_within
+            else Verdict.REFUSE_OVER_SHARE,
+            retry_after_s=max(delay_s, opens_s),
+        )
 
     def _limit_wait_s(
         self, ticket: Ticket, candidates: Sequence[Candidate]
--- a/crowwinch/sharing/tests/support.py
+++ b/crowwinch/sharing/tests/support.py
@@ -6,6 +6,7 @@
 from crowwinch.sharing import (
     Admission,
     CallerDeadlines,
+    ColdTargets,
     EngineSpeeds,
     Placer,
     PrefixCacheTracker,
@@ -46,6 +47,7 @@
         self.loads = TargetLoads(self.clock)
         self.prefixes = PrefixCacheTracker(self.clock)
         self.rate_limits = TargetRateLimits(self.clock)
+        self.cold = ColdTargets(self.clock, self._view)
         self.shares = WorkspaceShares(self.clock, _WINDOW_S)
         self.shares.set_capacity(capacity)
         self.views = [
@@ -67,7 +69,7 @@
                 self.prefixes,
                 EngineSpeeds(),
                 TargetHealth(self.clock),
-                TargetLimits([self.rate_limits]),
+                TargetLimits([self.rate_limits, self.cold]),
             ),
             self.shares,
             lambda service: self.views,
@@ -89,6 +91,12 @@
         self.events.run()
         return self.jobs
 
+    def _view(self, identifier):
+        for view in self.views:
+            if view.identifier == identifier:
+                return view
+        return None
+
     def _tick(self):
         self.loads.refresh()
         self.shares.refresh()
