--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -238,6 +238,8 @@
         was_late: bool = False,
         versions: Sequence[str] = (),
         life: int = 0,
+        cold_start_s: float = 0.0,
+        cold_per_s: float = 0.0,
     ) -> None:
         self._life = life
         self._versions = versions or [""] * len(targets)
@@ -246,8 +248,11 @@
         self.metrics = Metrics()
         self.target_set = TargetSet("az", lambda target: None)
         self.sharing = make_sharing_state(
-            self.clock, self.target_set.views_of_service
+            self.clock,
+            self.target_set.views_of_service,
+            self.target_set.view,
         )
+        self.sharing.cold.set_fleet("r", (), is_settled=True)
         self.loads = self.sharing.loads
         self.health = self.sharing.health
         self.crashes = self.sharing.crashes
@@ -267,7 +272,15 @@
                     False,
                 ),
             ),
-            {"s": Service("s", 0, Engine(8, 1e5) if is_engine else None)},
+            {
+                "s": Service(
+                    "s",
+                    0,
+                    Engine(8, 1e5) if is_engine else None,
+                    cold_start_s,
+                    cold_per_s,
+                )
+            },
             {KEY: Workspace("tenant")},
             limits or RequestLimits(),
         )
