Sharing: let all of eight routers send to a cold target

Cause: in a fleet of 8 one router was left out for 0.17 of the rate, although demand is often uneven. The test of reports passed without its rule. Change: the number of owners may cost up to a fifth of the rate; the test fails without the rule; all routers restart after a pause in the simulation, so that no update of an earlier life helps them.

--- a/crowwinch/fleet/tests/test_cold_fleet.py
+++ b/crowwinch/fleet/tests/test_cold_fleet.py
@@ -128,6 +128,10 @@
             with self.subTest(routers=size):
                 fleet = self.make_fleet(size)
                 fleet.run(1.0)
+                for name in list(fleet.routers):
+                    fleet.kill(name)
+                # Updates of their earlier lives are no longer on the way.
+                fleet.run(0.6)
                 for name in list(fleet.routers):
                     fleet.start(name)
                 fleet.run(5.5)
--- a/crowwinch/sharing/_cold_grants.py
+++ b/crowwinch/sharing/_cold_grants.py
@@ -14,7 +14,7 @@
 _MAX_OWNERS = 16
 # More routers may send at a somewhat lower total rate, since some of them get
 # few requests.
-_MIN_USE = 0.85
+_MIN_USE = 0.8
 # A router whose rate is just below a whole number saves no further request.
 _BELOW = 0.999
 
