Forwarding: take only refused and broken connections as restarts

Cause: any failed connection made its router assume that the target had just started, and tell all peers. One router cut off from a healthy target would have kept the whole fleet at the rate of a cold one. Change: time-outs and unreachable hosts do not count. Evidence: crowwinch.forwarding.tests.test_cold_targets.

--- a/crowwinch/forwarding/_target_observer.py
+++ b/crowwinch/forwarding/_target_observer.py
@@ -1,7 +1,10 @@
 """Applies what the heads of responses say about their targets."""
 
+import errno
 import logging
 
+import aiohttp
+
 from crowwinch.coordination import Clock
 from crowwinch.errors import CrowwinchError
 from crowwinch.forwarding._exchange import AttemptError
@@ -14,6 +17,12 @@
 
 # Targets whose unreadable limit is not logged again.
 _MAX_UNREADABLE_LIMITS = 1_000
+# Errors of a path that carries nothing, which the target did not cause. If they
+# counted as a restart, one router that is cut off from a target would have the
+# whole fleet take it as cold.
+_PATH_ERRORS = frozenset(
+    {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH}
+)
 # Minimum interval between two log lines on responses that are too large.
 _OVERSIZED_LOG_INTERVAL_S = 1.0
 
@@ -87,11 +96,10 @@
 
         Args:
             target: The target.
-            error: How the connection failed. One to another target that has
-                the address now says nothing.
+            error: How the connection failed.
         """
         view = self._targets.view(target.identifier)
-        if view is not None and not error.is_refusal:
+        if view is not None and _may_show_restart(error):
             self._sharing.cold.assume_cold(view, target.life)
 
     def record_oversized(self, target: Target, error: CrowwinchError) -> None:
@@ -147,3 +155,14 @@
             "unreadable rate limit of a target ignored",
             extra={"target": target.identifier},
         )
+
+
+def _may_show_restart(error: AttemptError) -> bool:
+    """Returns whether a connection that failed may have met a new process.
+
+    A response of another target that has the address now says nothing.
+    """
+    cause = error.__cause__
+    if error.is_refusal or isinstance(cause, aiohttp.ConnectionTimeoutError):
+        return False
+    return not (isinstance(cause, OSError) and cause.errno in _PATH_ERRORS)
--- a/crowwinch/forwarding/tests/test_cold_targets.py
+++ b/crowwinch/forwarding/tests/test_cold_targets.py
@@ -1,8 +1,15 @@
 """Tests of targets that have just started."""
 
 import asyncio
+import errno
+import unittest
+
+import aiohttp
+from aiohttp.client_exceptions import ClientOSError
 
 from crowwinch.forwarding import RouteKind
+from crowwinch.forwarding._exchange import AttemptError
+from crowwinch.forwarding._target_observer import _may_show_restart
 from crowwinch.forwarding.tests.support import (
     RouterTest,
     chunk,
@@ -115,6 +122,31 @@
         self.assertEqual(self.targets[0].requests, [])
 
 
+class RestartSignTest(unittest.TestCase):
+    """Guards against cut paths that limit a target for the whole fleet."""
+
+    def test_what_may_show_a_restart(self):
+        cases = (
+            (ClientOSError(errno.ECONNREFUSED, "refused"), True),
+            (ClientOSError(errno.ECONNRESET, "reset"), True),
+            (aiohttp.ServerDisconnectedError(), True),
+            (aiohttp.ConnectionTimeoutError(), False),
+            (ClientOSError(errno.ETIMEDOUT, "no acknowledgement"), False),
+            (ClientOSError(errno.EHOSTUNREACH, "no path"), False),
+        )
+        for cause, is_sign in cases:
+            with self.subTest(repr(cause)):
+                error = AttemptError("lost", may_have_run=True)
+                error.__cause__ = cause
+                self.assertIs(_may_show_restart(error), is_sign)
+
+    def test_other_target_at_the_address(self):
+        error = AttemptError(
+            "not run", False, is_refusal=True, is_unreachable=True
+        )
+        self.assertFalse(_may_show_restart(error))
+
+
 class PlacedBeforeTest(RouterTest):
     """Guards against requests that are sent on an old decision.
 
