Tests: check cold targets between routers over loopback

Cause: only simulated routers showed that what one knows reaches the others and that the rate is divided. Change: two tests with FleetService. Evidence: crowwinch.fleet.tests.test_service.

--- a/crowwinch/fleet/tests/test_service.py
+++ b/crowwinch/fleet/tests/test_service.py
@@ -9,6 +9,7 @@
 from crowwinch.fleet.tests.support import make_settings
 from crowwinch.forwarding.tests.support import make_sharing_state
 from crowwinch.platform import DocumentCodec
+from crowwinch.sharing import TargetView
 from standins.processes import free_port
 
 _ROUTERS = 6
@@ -18,6 +19,11 @@
 # all to all. As many again are allowed for.
 _DISCOVERY_PERIODS = 6
 _DELIVERY_ITERATIONS = 5
+# Routers send to cold targets from 3 s after their start on.
+_UNSETTLED_PERIODS = 58
+_TARGET = TargetView(
+    "engine", 5, "llm", False, 32, cold_start_s=3.0, cold_per_s=12.0
+)
 
 
 class FleetServiceTest(unittest.IsolatedAsyncioTestCase):
@@ -34,7 +40,9 @@
         self.timers = []
         for number in range(1, _ROUTERS + 1):
             timers = TimerService(self.clock)
-            sharing = make_sharing_state(self.clock)
+            sharing = make_sharing_state(
+                self.clock, view={"engine": _TARGET}.get
+            )
             service = FleetService(
                 timers,
                 make_settings(f"127.0.0.{number}", "az", _SEEDS, port),
@@ -86,3 +94,33 @@
         await self._advance(_UPDATE_PERIOD_S / 10)
         reading_s = [sharing.loads.reading_s("engine") for sharing in others]
         self.assertEqual(reading_s, [1.5] * len(others))
+
+    async def test_cold_target_of_one_router_is_cold_at_all(self):
+        """Guards against routers that learn too late that a target is cold."""
+        await self._discover()
+        first, *others = self.sharings
+        first.cold.observe_header(_TARGET, 5, 2.0)
+        await self._advance(_UPDATE_PERIOD_S)
+        self.assertEqual([each.cold.count for each in others], [1] * 5)
+
+    async def test_rate_of_a_cold_target_is_divided_once_all_are_known(self):
+        """Guards against a full rate for each router that has just started."""
+        for sharing in self.sharings:
+            sharing.cold.set_enabled(True)
+            sharing.cold.observe_entry("engine", 5, 1, 30.0)
+        for _ in range(_UNSETTLED_PERIODS):
+            rates = [each.cold.rate_per_s(_TARGET) for each in self.sharings]
+            self.assertEqual(sum(rates), 0.0)
+            await self._advance(_UPDATE_PERIOD_S)
+        for _ in range(4):
+            await self._advance(_UPDATE_PERIOD_S)
+        rates = [each.cold.rate_per_s(_TARGET) for each in self.sharings]
+        self.assertGreater(min(rates), 0.0)
+        self.assertLessEqual(sum(rates), _TARGET.cold_per_s + 1e-9)
+        # A router that is gone may still send, so nobody takes its part.
+        await self.services[-1].stop()
+        self.timers[-1] = TimerService(self.clock)
+        for _ in range(_UNSETTLED_PERIODS * 2):
+            await self._advance(_UPDATE_PERIOD_S)
+        left = [each.cold.rate_per_s(_TARGET) for each in self.sharings[:-1]]
+        self.assertEqual(left, rates[:-1])
