Sharing: count entries of targets whose clock was set back

Cause: an entry with an earlier start than an assumed one was ignored, so a target whose wall clock was set back could be taken as warm too early. Reports of peers were never dropped by a router whose configuration has no cold starts. Change: entries always count; records are dropped while there are any. The directory's targets are listed once for each change. Evidence: crowwinch.sharing.tests.test_cold_targets.

--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -220,7 +220,7 @@
             str(self._settings.control), self._table.shared_by
         )
         sharing.rate_limits.refresh()
-        if sharing.cold.is_enabled:
+        if sharing.cold.is_active:
             sharing.cold.set_fleet(
                 str(self._settings.control),
                 self._table.known_routers,
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -383,6 +383,7 @@
         self._sharing.admission.poll()
 
     def _update_targets(self, routing: RoutingTable | None) -> None:
+        entries = self._state.available_targets()
         self._targets.update(
             (
                 Target(
@@ -397,13 +398,11 @@
                         entry.availability_zone, ""
                     ),
                 )
-                for entry in self._state.available_targets()
+                for entry in entries
             ),
             routing,
         )
-        observe_cold_entries(
-            self._sharing.cold, self._state.available_targets(), routing
-        )
+        observe_cold_entries(self._sharing.cold, entries, routing)
 
     def _remove_target(self, target: str) -> None:
         self._sharing.prefixes.remove_target(target)
--- a/crowwinch/gateway/tests/test_cold_entries.py
+++ b/crowwinch/gateway/tests/test_cold_entries.py
@@ -102,7 +102,7 @@
             self._change(a=_entry("llm", 2, 2_900))
             self.assertGreater(self._end("a"), end)
         self.assertEqual(self.cold.count, 1)
-        self.assertTrue(self.cold.is_enabled)
+        self.assertTrue(self.cold.is_active)
         (record,) = [r for r in logs.records if r.msg == "target is cold"]
         self.assertEqual(
             (record.target, record.started_ms, record.seconds, record.cause),
@@ -117,4 +117,4 @@
         """Guards against new behaviour where nothing calls for it."""
         self._list(_configuration(), a=_entry("llm", 1, 2_900))
         self.assertEqual(self.cold.count, 0)
-        self.assertFalse(self.cold.is_enabled)
+        self.assertFalse(self.cold.is_active)
--- a/crowwinch/sharing/_cold_targets.py
+++ b/crowwinch/sharing/_cold_targets.py
@@ -164,9 +164,9 @@
         self._entries: OrderedDict[str, tuple[int, int, float]] = OrderedDict()
 
     @property
-    def is_enabled(self) -> bool:
-        """Whether the configuration has services with cold starts."""
-        return self._is_enabled
+    def is_active(self) -> bool:
+        """Whether the configuration has cold starts, or a target is cold."""
+        return self._is_enabled or bool(self._records)
 
     @property
     def count(self) -> int:
@@ -429,6 +429,9 @@
             record = self._records[target] = _Record(
                 life, RequestWindow(_WINDOW_S, 0.0, now), now, 0.0, {}
             )
+        if cause is ColdCause.ENTRY:
+            # A target whose wall clock was set back has an earlier start.
+            life = max(life, record.life)
         if life < record.life:
             return
         is_news = life > record.life or record.end <= now
--- a/crowwinch/sharing/tests/test_cold_targets.py
+++ b/crowwinch/sharing/tests/test_cold_targets.py
@@ -118,6 +118,15 @@
         self.assertFalse(self.cold.is_assumed_cold(_VIEW))
         self.assertTrue(self.cold.is_cold(_VIEW))
 
+    def test_restart_with_a_wall_clock_that_was_set_back(self):
+        """Guards against an entry that is ignored for its earlier start."""
+        self.cold.assume_cold(_VIEW, 5)
+        self.advance(2.0)
+        self.cold.observe_entry("t", 3, 1, 2.9)
+        self.assertAlmostEqual(
+            self.left_s(dataclasses.replace(_VIEW, life=3)), 2.9
+        )
+
     def test_start_that_is_over_does_not_count(self):
         """Guards against a new process that is limited for the old one."""
         self.views["t"] = dataclasses.replace(_VIEW, life=9)
@@ -133,6 +142,7 @@
         self.cold.merge_peer("b", 1, [ColdReport("t", 5, 2.5, 1)])
         self.assertEqual(self.cold.count, 0)
         self.assertEqual(self.cold.allowance(_WARM_VIEW).wait_s, 0.0)
+        self.assertFalse(self.cold.is_active)
         self.assertEqual(self.cold.reports(), [])
 
     def test_each_cold_start_is_reported_once(self):
