--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -6,7 +6,6 @@
 
 from crowwinch.coordination import Clock
 from crowwinch.errors import (
-    CrowwinchError,
     RefusalError,
     RefusalReason,
     RunState,
@@ -14,7 +13,11 @@
 from crowwinch.forwarding._call import Call
 from crowwinch.forwarding._delivery import deliver
 from crowwinch.forwarding._event_recorder import EventRecorder
-from crowwinch.forwarding._exchange import AttemptError, Exchange
+from crowwinch.forwarding._exchange import (
+    AttemptError,
+    Exchange,
+    StalePlacementError,
+)
 from crowwinch.forwarding._memory import MemoryPool
 from crowwinch.forwarding._messages import (
     AttemptHead,
@@ -58,10 +61,6 @@
 }
 
 
-class _TargetGoneError(CrowwinchError):
-    """The target of a decision was removed before the request was sent."""
-
-
 class Forwarder:
     """Forwards requests to the targets that admission control selects."""
 
@@ -258,7 +257,7 @@
             target = placement.decision.target
             try:
                 await self._attempt(context, placement)
-            except _TargetGoneError:
+            except StalePlacementError:
                 # Nothing was sent, so this is no retry and no failure.
                 continue
             except AttemptError as error:
@@ -302,7 +301,10 @@
         def on_decision(decision: Decision) -> None:
             # The future is cancelled if the caller has just disconnected.
             if not future.done():
-                future.set_result(self._sharing.place(context.work, decision))
+                now = self._clock.monotonic()
+                future.set_result(
+                    self._sharing.place(context.work, decision, now)
+                )
 
         ticket = Ticket(
             work=context.work,
@@ -348,7 +350,7 @@
 
         Raises:
             AttemptError: If there is no complete response.
-            _TargetGoneError: If the target was removed since the decision.
+            StalePlacementError: If the request must be placed anew.
         """
         decision, reservation = placement.decision, placement.reservation
         assert reservation is not None, "no load reserved for the attempt"
@@ -356,13 +358,14 @@
         target = await self._find_target(context, placement)
         if target is None:
             self._sharing.release(work, placement)
-            raise _TargetGoneError(decision.target)
+            raise StalePlacementError("the target is gone")
         if context.software_version not in (None, target.software_version):
             self._sharing.release(work, placement)
             raise AttemptError(
                 "the target has restarted with another software version",
                 may_have_run=False,
             )
+        self._check_grant(target, context, placement)
         started = self._clock.monotonic()
         context.target = target
         context.attempt_began_at = None
@@ -431,6 +434,7 @@
         except AttemptError as error:
             if error.is_connection_lost or error.is_unreachable:
                 self._lives.doubt(target)
+                self._observer.record_broken_connection(target, error)
             if error.is_oversized:
                 self._observer.record_oversized(target, error)
             if not error.may_have_run:
@@ -470,6 +474,23 @@
         is_present = self._targets.get(target.identifier) is not None
         return confirmed if is_present else None
 
+    def _check_grant(
+        self, target: Target, context: RequestContext, placement: Placement
+    ) -> None:
+        """Checks that a request may be sent to its target now.
+
+        Raises:
+            StalePlacementError: If the target became cold after the request was
+                placed, or too much time has passed since.
+        """
+        view = self._targets.view(target.identifier)
+        if view is None or self._sharing.cold.may_send(
+            view, placement.placed_at
+        ):
+            return
+        self._sharing.release(context.work, placement)
+        raise StalePlacementError("the target is cold")
+
     def _note_stream_start(
         self, context: RequestContext, target: Target
     ) -> None:
--- a/crowwinch/forwarding/_target_observer.py
+++ b/crowwinch/forwarding/_target_observer.py
@@ -1,9 +1,13 @@
 """Applies what the heads of responses say about their targets."""
 
+import errno
 import logging
 
+import aiohttp
+
 from crowwinch.coordination import Clock
 from crowwinch.errors import CrowwinchError
+from crowwinch.forwarding._exchange import AttemptError
 from crowwinch.forwarding._messages import ResponseHead
 from crowwinch.forwarding._request_log import RequestLog
 from crowwinch.forwarding._sharing_state import SharingState
@@ -13,6 +17,12 @@
 
 # Targets whose unreadable limit is not logged again.
 _MAX_UNREADABLE_LIMITS = 1_000
+# Errors of a path that carries nothing, which the target did not cause. If they
+# counted as a restart, one router that is cut off from a target would have the
+# whole fleet take it as cold.
+_PATH_ERRORS = frozenset(
+    {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH}
+)
 # Minimum interval between two log lines on responses that are too large.
 _OVERSIZED_LOG_INTERVAL_S = 1.0
 
@@ -56,6 +66,12 @@
             head: Head of the response.
         """
         self._note_rate_limit(target, started, head)
+        if head.cold_s is not None:
+            view = self._targets.view(target.identifier)
+            if view is not None:
+                self._sharing.cold.observe_header(
+                    view, target.life, head.cold_s
+                )
         if head.is_leaving and self._targets.mark_leaving(target):
             _LOGGER.info(
                 "target says that it leaves",
@@ -73,6 +89,19 @@
                 extra={"target": target.identifier, "seconds": head.hold_s},
             )
 
+    def record_broken_connection(
+        self, target: Target, error: AttemptError
+    ) -> None:
+        """Records that a target may have restarted.
+
+        Args:
+            target: The target.
+            error: How the connection failed.
+        """
+        view = self._targets.view(target.identifier)
+        if view is not None and _may_show_restart(error):
+            self._sharing.cold.assume_cold(view, target.life)
+
     def record_oversized(self, target: Target, error: CrowwinchError) -> None:
         """Records that a target sent more bytes than are kept.
 
@@ -126,3 +155,14 @@
             "unreadable rate limit of a target ignored",
             extra={"target": target.identifier},
         )
+
+
+def _may_show_restart(error: AttemptError) -> bool:
+    """Returns whether a connection that failed may have met a new process.
+
+    A response of another target that has the address now says nothing.
+    """
+    cause = error.__cause__
+    if error.is_refusal or isinstance(cause, aiohttp.ConnectionTimeoutError):
+        return False
+    return not (isinstance(cause, OSError) and cause.errno in _PATH_ERRORS)
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -33,6 +33,7 @@
 from crowwinch.platform import HeaderCodec
 from crowwinch.sharing import (
     Admission,
+    ColdTargets,
     CrashSuspects,
     EngineSpeeds,
     Placer,
@@ -192,14 +193,18 @@
 
 
 def make_sharing_state(
-    clock, targets=lambda service: (), evacuated=lambda service: ()
+    clock,
+    targets=lambda service: (),
+    evacuated=lambda service: (),
+    view=lambda identifier: None,
 ) -> SharingState:
     """Returns the sharing state of a router that has just started."""
     loads, health = TargetLoads(clock), TargetHealth(clock)
     prefixes, speeds = PrefixCacheTracker(clock), EngineSpeeds()
     shares = WorkspaceShares(clock, 4.0)
     rate_limits = TargetRateLimits(clock)
-    limits = TargetLimits([rate_limits])
+    cold = ColdTargets(clock, view)
+    limits = TargetLimits([rate_limits, cold])
     return SharingState(
         admission=Admission(
             clock,
@@ -210,6 +215,7 @@
             evacuated,
         ),
         budget=SlidingWindowRetryBudget(clock, 5.0, 10.0),
+        cold=cold,
         crashes=CrashSuspects(clock),
         health=health,
         loads=loads,
@@ -236,6 +242,8 @@
         was_late: bool = False,
         versions: Sequence[str] = (),
         life: int = 0,
+        cold_start_s: float = 0.0,
+        cold_per_s: float = 0.0,
     ) -> None:
         self._life = life
         self._versions = versions or [""] * len(targets)
@@ -247,7 +255,9 @@
             self.clock,
             self.target_set.views_of_service,
             self.target_set.evacuated_views_of_service,
+            self.target_set.view,
         )
+        self.sharing.cold.set_fleet("r", (), is_settled=True)
         self.loads = self.sharing.loads
         self.health = self.sharing.health
         self.crashes = self.sharing.crashes
@@ -267,7 +277,15 @@
                     False,
                 ),
             ),
-            {"s": Service("s", 0, Engine(8, 1e5) if is_engine else None)},
+            {
+                "s": Service(
+                    "s",
+                    0,
+                    Engine(8, 1e5) if is_engine else None,
+                    cold_start_s,
+                    cold_per_s,
+                )
+            },
             {KEY: Workspace("tenant")},
             limits or RequestLimits(),
         )
@@ -297,6 +315,7 @@
                     codec,
                     self.target_set,
                     lambda: self.synced_at(),
+                    self.sharing.cold,
                 ),
                 self.response_memory,
                 was_late=lambda: was_late,
--- a/crowwinch/forwarding/tests/test_target_places.py
+++ b/crowwinch/forwarding/tests/test_target_places.py
@@ -67,8 +67,8 @@
         place = SharingState.place
         decided = []
 
-        def place_and_evacuate(state, work, decision):
-            placement = place(state, work, decision)
+        def place_and_evacuate(state, work, decision, now):
+            placement = place(state, work, decision, now)
             decided.append(decision.target)
             if len(decided) == 1:
                 self._evacuate(router, decision.target)
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -37,6 +37,7 @@
     TargetLives,
     TargetSet,
 )
+from crowwinch.gateway._cold_entries import observe_cold_entries
 from crowwinch.gateway._settings_file import SettingsFile
 from crowwinch.gateway._state_report import STATE_PATH, StateReport
 from crowwinch.observability import Metrics
@@ -48,6 +49,8 @@
 )
 from crowwinch.sharing import (
     Admission,
+    ColdStart,
+    ColdTargets,
     CrashSuspects,
     EngineSpeeds,
     Placer,
@@ -129,6 +132,7 @@
             "evacuated_zones", lambda: len(self._state.evacuated_zones)
         )
         self._sharing = self._build_sharing()
+        self._metrics.gauge("cold_targets", lambda: self._sharing.cold.count)
         self._is_stopping = False
         self._stopped = asyncio.Event()
         self._background: set[asyncio.Task[None]] = set()
@@ -189,6 +193,7 @@
                     codec,
                     self._targets,
                     lambda: self._state.synced_at,
+                    self._sharing.cold,
                 ),
                 response_memory,
                 self._describe_state,
@@ -234,7 +239,14 @@
         speeds = EngineSpeeds()
         health = TargetHealth(self._clock)
         rate_limits = TargetRateLimits(self._clock, self._rng.random)
-        limits = TargetLimits([rate_limits])
+        cold = ColdTargets(
+            self._clock,
+            self._targets.view,
+            settings.cold_overage,
+            settings.cold_slack,
+            _log_cold_target,
+        )
+        limits = TargetLimits([rate_limits, cold])
         shares = WorkspaceShares(
             self._clock, time_constant(settings.share_window_s)
         )
@@ -250,6 +262,7 @@
             budget=SlidingWindowRetryBudget(
                 self._clock, settings.retry_ratio, settings.retry_window_s
             ),
+            cold=cold,
             crashes=CrashSuspects(
                 self._clock,
                 self._rng.random,
@@ -369,6 +382,7 @@
         self._sharing.shares.set_time_constant(
             time_constant(settings.share_window_s)
         )
+        self._sharing.cold.set_bound(settings.cold_overage, settings.cold_slack)
         # The zones of the deployment may have changed.
         self._on_directory_changed()
 
@@ -396,11 +410,13 @@
         self._sharing.admission.note_targets_changed()
 
     def _update_targets(self, routing: RoutingTable | None) -> None:
+        entries = self._state.available_targets()
         self._targets.update(
-            map(self._to_target, self._state.available_targets()),
+            map(self._to_target, entries),
             routing,
             map(self._to_target, self._state.evacuated_targets()),
         )
+        observe_cold_entries(self._sharing.cold, entries, routing)
 
     def _to_target(self, entry: TargetEntry) -> Target:
         return Target(
@@ -443,6 +459,18 @@
         return web.Response(text=self._metrics.render())
 
 
+def _log_cold_target(start: ColdStart) -> None:
+    _LOGGER.info(
+        "target is cold",
+        extra={
+            "target": start.target,
+            "started_ms": start.life,
+            "seconds": round(start.left_s, 3),
+            "cause": start.cause.value,
+        },
+    )
+
+
 def run_gateway(path: str) -> None:
     """Runs a router until a graceful shutdown has finished.
 
--- a/crowwinch/sharing/__init__.py
+++ b/crowwinch/sharing/__init__.py
@@ -5,6 +5,8 @@
 
 from crowwinch.sharing._admission import Admission
 from crowwinch.sharing._caller_deadlines import CallerDeadlines
+from crowwinch.sharing._cold_starts import ColdCause, ColdReport, ColdStart
+from crowwinch.sharing._cold_targets import ColdTargets
 from crowwinch.sharing._crash_suspects import (
     CrashSuspects,
     RequestFeatures,
@@ -49,6 +51,10 @@
     "Admission",
     "CallerDeadlines",
     "Candidate",
+    "ColdCause",
+    "ColdReport",
+    "ColdStart",
+    "ColdTargets",
     "CrashSuspects",
     "Decision",
     "EngineSpeeds",
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -232,19 +232,50 @@
             for candidate in self._placer.ranked(work, usable.statuses, limit):
                 if has_room(candidate, claim):
                     return _send_decision(candidate)
+        open_targets = [
+            each for each in usable.connected if not self._is_closed(each)
+        ]
+        if not open_targets:
+            opens_s = min(each.limit_wait_s for each in usable.connected)
+            return self._refuse(ticket, claim, now, opens_s)
         if self._wait_limits.may_wait(
             ticket,
             claim,
-            usable.connected,
-            self._limit_wait_s(ticket, usable.connected),
+            open_targets,
+            self._limit_wait_s(ticket, open_targets),
         ):
             return None
-        if claim.is_within:
-            return Decision(
-                Verdict.REFUSE_OVERLOAD,
-                retry_after_s=self._return_times.delay_s(ticket.deadline - now),
-            )
-        return self._refuse_over_share(ticket, now)
+        return self._refuse(ticket, claim, now)
+
+    def _is_closed(self, status: TargetStatus) -> bool:
+        """Returns whether a target takes nothing of this router until a time.
+
+        That is so while it is cold and other routers send to it. Requests do
+        not wait for it.
+        """
+        return (
+            0.0 < status.limit_wait_s < math.inf
+            and self._placer.limit_rate_per_s(status.target) <= 0.0
+        )
+
+    def _refuse(
+        self, ticket: Ticket, claim: Claim, now: float, opens_s: float = 0.0
+    ) -> Decision:
+        """Refuses a request.
+
+        Args:
+            ticket: The request.
+            claim: Its claim at this moment.
+            now: Monotonic time.
+            opens_s: Seconds until a target may be used at all.
+        """
+        delay_s = self._return_times.delay_s(ticket.deadline - now)
+        return Decision(
+            Verdict.REFUSE_OVERLOAD
+            if claim.is_within
+            else Verdict.REFUSE_OVER_SHARE,
+            retry_after_s=max(delay_s, opens_s),
+        )
 
     def _limit_wait_s(
         self, ticket: Ticket, statuses: Sequence[TargetStatus]
