--- a/crowwinch/directory/tests/test_evacuations.py
+++ b/crowwinch/directory/tests/test_evacuations.py
@@ -54,7 +54,8 @@
     """A directory that knows the zones of the deployment, but not az-9."""
 
     def __init__(self, clock):
-        super().__init__(clock, _Decoder(), lambda zone: zone in _ZONES)
+        self.zones = set(_ZONES)
+        super().__init__(clock, _Decoder(), lambda zone: zone in self.zones)
 
     @property
     def used_zones(self):
@@ -157,6 +158,13 @@
         state.apply_listing(Listing(11, items, era=1))
         self.assertEqual(used, [["az-2", "az-3", "az-9"]])
 
+    def test_a_zone_that_the_settings_name_later(self):
+        """Guards against an order that is lost because it came too early."""
+        self._change(_evacuation("az-9", 11))
+        self._assert_evacuated()
+        self.state.zones.add("az-9")
+        self._assert_evacuated("az-9")
+
     def test_an_outage_of_the_store_ends_nothing_and_delays_nothing(self):
         """Guards against targets that stay unused after the order to use them.
 
