Fleet: let a router settle from the first peer that it hears

Cause: a router that started while it was cut off could send to cold targets as soon as it heard one peer, which it then took for the only one. Change: the time to settle also runs from the first update of a peer. Evidence: crowwinch.fleet.tests.test_peer_table, which fails without it, and a simulated fleet of which a quarter starts cut off.

--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -26,9 +26,9 @@
 _REORDER_WINDOW_S = 1.0
 # A peer without an update for this long is removed, unless it is a seed.
 _PEER_EXPIRY_S = 60.0
-# A router may send to cold targets from this time after its start on. Until
-# then it hears from peers, and they from it: a round of updates takes 0.85 s in
-# a fleet of 200.
+# A router may send to cold targets from this time after its start and after the
+# first update of a peer on. Until then it hears from all peers, and they from
+# it: a round of updates takes 0.85 s in a fleet of 200.
 _SETTLING_S = 3.0
 # A peer that was removed may be cut off and go on. It counts as a member for
 # this time after it was last heard, unless it said that it leaves.
@@ -93,6 +93,7 @@
         self._live: list[str] = []
         self._live_computed_s = float("-inf")
         self._started_s = clock.monotonic()
+        self._first_heard_s = float("-inf")
         self.set_seeds(seeds)
 
     @property
@@ -156,7 +157,8 @@
 
         One that hears no peer, although seeds name others, may be cut off.
         """
-        if self._clock.monotonic() - self._started_s < _SETTLING_S:
+        since_s = max(self._started_s, self._first_heard_s)
+        if self._clock.monotonic() - since_s < _SETTLING_S:
             return False
         return bool(self.live) or not self._seeds
 
@@ -181,6 +183,8 @@
         if update.control == self._own_control:
             return False
         now = self._clock.monotonic()
+        if self._first_heard_s == float("-inf"):
+            self._first_heard_s = now
         peer = self._peers.get(update.control)
         if peer is None:
             peer = self._peers[update.control] = _Peer(update.control)
--- a/crowwinch/fleet/tests/cold_fleet.py
+++ b/crowwinch/fleet/tests/cold_fleet.py
@@ -115,6 +115,8 @@
         self.lives = itertools.count(1)
         # Names on one side of a partition.
         self.side = frozenset()
+        # Names that neither hear others nor are heard.
+        self.isolated = frozenset()
         self.in_flight = []
         self.order = itertools.count()
         self.arrivals = {}
@@ -156,6 +158,8 @@
         """Sends an update, which the partition may drop."""
         if (sender in self.side) != (receiver in self.side):
             return
+        if sender in self.isolated or receiver in self.isolated:
+            return
         at = self.clock.monotonic() + self.rng.uniform(0.0, _MAX_DELAY_S)
         heapq.heappush(self.in_flight, (at, next(self.order), receiver, update))
 
--- a/crowwinch/fleet/tests/test_cold_fleet.py
+++ b/crowwinch/fleet/tests/test_cold_fleet.py
@@ -138,6 +138,25 @@
                 self.assert_within(fleet)
                 self.assert_used(fleet, 1.0)
 
+    def test_routers_that_start_cut_off(self):
+        """Guards against a router that takes its first peer for all."""
+        for size in (8, 77):
+            with self.subTest(routers=size):
+                fleet = self.make_fleet(size)
+                names = list(fleet.routers)[::4]
+                # Each is alone until the path is back.
+                fleet.isolated = frozenset(names)
+                for name in names:
+                    fleet.kill(name)
+                fleet.run(0.6)
+                for name in names:
+                    fleet.start(name)
+                fleet.run(4.0)
+                fleet.isolated = frozenset()
+                fleet.run(4.0)
+                self.assert_within(fleet)
+                self.assert_used(fleet, 0.8)
+
     def test_frozen_routers_wake(self):
         """Guards against requests for what was saved while they slept."""
         for size, victims in ((8, 1), (8, 8), (77, 8)):
--- a/crowwinch/fleet/tests/test_peer_table.py
+++ b/crowwinch/fleet/tests/test_peer_table.py
@@ -76,10 +76,18 @@
         self.assertFalse(self.table.is_settled)
         self._advance(5.0)
         self.assertFalse(self.table.is_settled)
-        self.table.accept(_update("a:1"))
+        # It may have been cut off since its start, and knows one peer now.
+        for sequence in range(4):
+            self.table.accept(_update("a:1", sequence=sequence))
+            self.assertFalse(self.table.is_settled)
+            self._advance(0.9)
         self.assertTrue(self.table.is_settled)
+        # Cut off again, it still knows its peers when it hears them.
         self._advance(3.5)
         self.assertFalse(self.table.is_settled)
+        self.table.accept(_update("a:1", sequence=9))
+        self._advance(0.01)
+        self.assertTrue(self.table.is_settled)
 
     def test_router_without_seeds_is_settled_alone(self):
         table = PeerTable(self.clock, "me:1", ["me:1"])
