Refuse a request over its share before the work of a sent one

A request whose workspace is over its share and has eight waiting requests is refused at once, but only after a time limit, a future and a ticket had been made for it. The queue is now asked first; while requests that crash targets are known, their refusal still comes before. A body that has arrived with its head is taken without a time limit of its own.

--- a/crowwinch/forwarding/_call.py
+++ b/crowwinch/forwarding/_call.py
@@ -176,6 +176,11 @@
         request.writer.output_size = 0
     if not request.can_read_body:
         return b""
+    if request.content.is_eof():
+        # Most bodies arrive with their heads and need no time limit.
+        data = request.content.read_nowait()
+        _check_size(len(data), limit, memory)
+        return data
     body = bytearray()
     try:
         async with asyncio.timeout(timeout_s):
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -144,6 +144,7 @@
             self._shutdown.refuse_if_too_late(context)
             if self._was_late():
                 await _process_socket_events()
+            self._refuse_if_certain(context)
             async with asyncio.timeout(
                 context.deadline - self._clock.monotonic()
             ) as time_limit:
@@ -166,6 +167,23 @@
             self._shutdown.record_answer(context)
             self._log.record_end(call, context, SERVED)
 
+    def _refuse_if_certain(self, context: RequestContext) -> None:
+        """Refuses a request whose refusal needs nothing but its workspace.
+
+        While requests that crash targets are known, the refusal of those comes
+        first.
+
+        Raises:
+            RefusalError: If the request would be refused at once.
+        """
+        if not self._sharing.crashes.is_empty:
+            return
+        decision = self._sharing.admission.certain_refusal(
+            context.work, context.deadline, context.is_taken_up
+        )
+        if decision is not None:
+            raise _refusal_of(decision, context)
+
     def _resolve_request(self, call: Call) -> RequestContext:
         """Determines the route, workspace and deadline of a request.
 
@@ -318,12 +336,7 @@
         decision = placement.decision
         if decision.verdict is Verdict.SEND:
             return placement
-        raise RefusalError(
-            _REFUSALS[decision.verdict],
-            decision.verdict.value,
-            context.run_state,
-            decision.retry_after_s,
-        )
+        raise _refusal_of(decision, context)
 
     async def _attempt(
         self, context: RequestContext, placement: Placement
@@ -513,6 +526,15 @@
             )
 
 
+def _refusal_of(decision: Decision, context: RequestContext) -> RefusalError:
+    return RefusalError(
+        _REFUSALS[decision.verdict],
+        decision.verdict.value,
+        context.run_state,
+        decision.retry_after_s,
+    )
+
+
 async def _process_socket_events() -> None:
     """Lets the event loop detect callers that have disconnected.
 
--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -17,7 +17,7 @@
 from crowwinch.sharing._claim import Claim
 from crowwinch.sharing._forecasts import Candidate, TargetStatus
 from crowwinch.sharing._headroom import has_room, use_limit
-from crowwinch.sharing._model import Decision, TargetView, Verdict
+from crowwinch.sharing._model import Decision, TargetView, Verdict, Work
 from crowwinch.sharing._observed_targets import ObservedTargets
 from crowwinch.sharing._placer import Placer
 from crowwinch.sharing._return_times import ReturnTimes
@@ -77,6 +77,25 @@
         """Number of queued requests."""
         return self._waiting
 
+    def certain_refusal(
+        self, work: Work, deadline: float, is_taken_up: bool
+    ) -> Decision | None:
+        """Returns the refusal that a new request would get at once.
+
+        A router that refuses most of what it gets needs no ticket for it.
+
+        Args:
+            work: Work of the request.
+            deadline: Monotonic time after which an answer is useless.
+            is_taken_up: Whether it goes on with a stream.
+        """
+        queue = self._queues.get(work.service, {}).get(work.workspace)
+        if not queue or not self._is_rejection_certain(
+            work, is_taken_up, queue
+        ):
+            return None
+        return self._refuse_over_share(deadline, self._clock.monotonic())
+
     def submit(self, ticket: Ticket) -> None:
         """Decides a request immediately or queues it."""
         now = self._clock.monotonic()
@@ -91,8 +110,9 @@
             if decision is not None:
                 self._finish(ticket, decision)
                 return
-        elif self._is_rejection_certain(ticket, queue):
-            self._finish(ticket, self._refuse_over_share(ticket, now))
+        elif self._is_rejection_certain(ticket.work, ticket.is_taken_up, queue):
+            refusal = self._refuse_over_share(ticket.deadline, now)
+            self._finish(ticket, refusal)
             return
         self._standing.note_request(ticket.work.service)
         self._timely.add(ticket)
@@ -213,7 +233,7 @@
                 Verdict.REFUSE_OVERLOAD,
                 retry_after_s=self._return_times.delay_s(ticket.deadline - now),
             )
-        return self._refuse_over_share(ticket, now)
+        return self._refuse_over_share(ticket.deadline, now)
 
     def _limit_wait_s(
         self, ticket: Ticket, statuses: Sequence[TargetStatus]
@@ -239,24 +259,23 @@
         return (ahead + 1) * max(waiting, 1) / max(rate, _NEGLIGIBLE_RATE)
 
     def _is_rejection_certain(
-        self, ticket: Ticket, queue: Collection[Ticket]
+        self, work: Work, is_taken_up: bool, queue: Collection[Ticket]
     ) -> bool:
         """Returns whether a new request would only be rejected later.
 
         That is so over the share once a poll no longer reaches the request.
         Polls reach streams that are taken up before all others.
         """
-        work = ticket.work
         return (
-            not ticket.is_taken_up
+            not is_taken_up
             and len(queue) >= _MAX_UNDECIDED
             and self._shares.use_of_share(work.workspace, work.cost) > 1.0
         )
 
-    def _refuse_over_share(self, ticket: Ticket, now: float) -> Decision:
+    def _refuse_over_share(self, deadline: float, now: float) -> Decision:
         return Decision(
             Verdict.REFUSE_OVER_SHARE,
-            retry_after_s=self._return_times.delay_s(ticket.deadline - now),
+            retry_after_s=self._return_times.delay_s(deadline - now),
         )
 
     def _decide_without_target(
