--- a/crowwinch/forwarding/_load_shedding.py
+++ b/crowwinch/forwarding/_load_shedding.py
@@ -13,8 +13,8 @@
 # that a single late turn counts for less than a second.
 _SHORT_LAG_S = 0.02
 # Open connections that end per second, as a fraction. Reports of peers are up
-# to 0.45 s old, so less than a quarter moves before it shows that the peers
-# that take them are short as well, or that this router no longer is.
+# to 0.45 s old, so less than a third moves before it shows that the peers that
+# take them are short as well.
 _CLOSED_FRACTION_PER_S = 0.5
 # Connections that may end at once, as the time in which they accumulate.
 _MAX_ACCUMULATION_S = 0.2
