Sharing: observe targets with fewer steps

A new request looks at the state of each target of its service; with 45 targets this took a third of the time of a plain request. The queue of prompts is computed for engines only, as nothing reads it for other targets; targets that have not failed need no clock, and loads are looked up once.

--- a/crowwinch/sharing/_forecasts.py
+++ b/crowwinch/sharing/_forecasts.py
@@ -33,7 +33,8 @@
         hold_left_s: Seconds until it wants requests again, 0 if it does now.
         limit_wait_s: Seconds until its limits allow a request of this router,
             0 if they do now, inf if no time is known.
-        waiting_s: Modelled prefill time of the prompts queued at the target.
+        waiting_s: Modelled prefill time of the prompts queued at the target, 0
+            if it is not an engine.
         use: Active requests at the target as a fraction of its slots.
         delay_s: Delay of the first event beyond prefill: the recent delay, the
             wait for a full batch and the cost of failures.
--- a/crowwinch/sharing/_health.py
+++ b/crowwinch/sharing/_health.py
@@ -83,15 +83,14 @@
     def is_blocked(self, target: str) -> bool:
         """Returns whether a target is in back-off after a failed connection."""
         record = self._records.get(target)
-        return (
-            record is not None
-            and record.blocked_until > self._clock.monotonic()
-        )
+        if record is None or not record.blocked_until:
+            return False
+        return record.blocked_until > self._clock.monotonic()
 
     def failing_share(self, target: str) -> float:
         """Returns the failure rate, or 0 if it is below the threshold."""
         record = self._records.get(target)
-        if record is None:
+        if record is None or record.failures < _FAILING_THRESHOLD:
             return 0.0
         share = self._decayed_rate(record, self._clock.monotonic())
         return share if share >= _FAILING_THRESHOLD else 0.0
--- a/crowwinch/sharing/_loads.py
+++ b/crowwinch/sharing/_loads.py
@@ -162,9 +162,6 @@
     reading_s: float = 0.0
 
 
-_NO_LOAD = _Total()
-
-
 def _add_uses(
     totals: dict[str, _Total],
     uses: Sequence[TargetUse],
@@ -311,15 +308,20 @@
 
     def active(self, target: str) -> float:
         """Returns the estimated number of active requests at a target."""
-        remote = self._remote.get(target, _NO_LOAD).active
-        return max(self.own_active(target) + remote, 0.0)
+        own, remote = self._own.get(target), self._remote.get(target)
+        active = remote.active if remote else 0.0
+        if own:
+            active += own.active
+        # Differences of rounding may leave less than nothing.
+        return active if active > 0.0 else 0.0
 
     def reading_s(self, target: str) -> float:
         """Returns the modelled prefill time queued at a target in seconds."""
-        load = self._own.get(target)
-        own = load.reading_s(self._clock.monotonic()) if load else 0.0
-        remote = self._remote.get(target, _NO_LOAD).reading_s
-        return max(own + remote, 0.0)
+        own, remote = self._own.get(target), self._remote.get(target)
+        reading_s = remote.reading_s if remote else 0.0
+        if own and own.unread:
+            reading_s += own.reading_s(self._clock.monotonic())
+        return reading_s if reading_s > 0.0 else 0.0
 
     def remove_target(self, target: str) -> None:
         """Removes the load of a target unless attempts are active."""
--- a/crowwinch/sharing/_observed_targets.py
+++ b/crowwinch/sharing/_observed_targets.py
@@ -85,6 +85,8 @@
         )
 
     def _accepted_by(self, ticket: Ticket) -> list[TargetStatus]:
+        if ticket.software_version is None:
+            return list(self._statuses.values())
         return [
             status
             for status in self._statuses.values()
--- a/crowwinch/sharing/_placer.py
+++ b/crowwinch/sharing/_placer.py
@@ -73,7 +73,9 @@
         loads, health = self._loads, self._health
         use = loads.active(identifier) / max(target.slots, 1)
         delay = _FAILURE_COST_S * health.failing_share(identifier)
+        waiting_s = 0.0
         if target.is_engine:
+            waiting_s = loads.reading_s(identifier)
             delay += loads.delay_s(identifier)
             if use >= 1.0:
                 delay += _FULL_BATCH_WAIT_S * use
@@ -83,7 +85,7 @@
             is_blocked=health.is_blocked(identifier),
             hold_left_s=health.hold_left_s(identifier, target.life),
             limit_wait_s=self._limits.allowance(target).wait_s,
-            waiting_s=loads.reading_s(identifier),
+            waiting_s=waiting_s,
             use=use,
             delay_s=delay,
         )
