Sharing: look up cached prefixes by prefix

Each streamed request looked for each of its prefixes in the list of each of 45 targets. Prefixes are now indexed by themselves, as most are known of few targets. The delay of a target without open prompts and without a recent delay is 0 without a look at the clock.

--- a/crowwinch/sharing/_loads.py
+++ b/crowwinch/sharing/_loads.py
@@ -252,7 +252,7 @@
     def delay_s(self, target: str) -> float:
         """Returns the current delay of first events of a target in seconds."""
         load = self._own.get(target)
-        if load is None:
+        if load is None or not (load.unread or load.delay_s):
             return 0.0
         now = self._clock.monotonic()
         overdue = max((now - each.due for each in load.unread), default=0.0)
--- a/crowwinch/sharing/_prefixes.py
+++ b/crowwinch/sharing/_prefixes.py
@@ -25,7 +25,11 @@
     def __init__(self, clock: Clock) -> None:
         """Creates an instance without prefixes."""
         self._clock = clock
-        self._used_at: dict[str, OrderedDict[str, float]] = {}
+        # Time of the last use by prefix and target. Most prefixes are known of
+        # few targets, so requests look up their prefixes, not all targets.
+        self._used_at: dict[str, dict[str, float]] = {}
+        # Prefixes of each target, the one that was used last at the end.
+        self._paths: dict[str, OrderedDict[str, None]] = {}
         self._unsent_prefills: list[tuple[str, str]] = []
 
     def cached_token_counts(self, work: Work) -> dict[str, int]:
@@ -34,14 +38,13 @@
         Targets without cached tokens are omitted.
         """
         oldest = self._clock.monotonic() - _CACHE_LIFETIME_S
-        tokens_by_target = {}
-        for target, used_at in self._used_at.items():
-            # The longest prefix comes first; a cached prefix includes all
-            # shorter ones.
-            for path, tokens in work.prefixes:
-                if used_at.get(path, oldest) > oldest:
-                    tokens_by_target[target] = tokens
-                    break
+        tokens_by_target: dict[str, int] = {}
+        # The longest prefix comes first; a cached prefix includes all shorter
+        # ones.
+        for path, tokens in work.prefixes:
+            for target, used_at in self._used_at.get(path, {}).items():
+                if used_at > oldest:
+                    tokens_by_target.setdefault(target, tokens)
         return tokens_by_target
 
     def record_prefill(
@@ -70,11 +73,20 @@
 
     def remove_target(self, target: str) -> None:
         """Removes the prefixes of a target that restarted or was removed."""
-        self._used_at.pop(target, None)
+        for path in self._paths.pop(target, ()):
+            self._forget(target, path)
 
     def _record(self, target: str, path: str) -> None:
-        used_at = self._used_at.setdefault(target, OrderedDict())
-        used_at.pop(path, None)
-        used_at[path] = self._clock.monotonic()
-        if len(used_at) > _MAX_PREFIXES_PER_TARGET:
-            used_at.popitem(last=False)
+        paths = self._paths.setdefault(target, OrderedDict())
+        paths[path] = None
+        paths.move_to_end(path)
+        self._used_at.setdefault(path, {})[target] = self._clock.monotonic()
+        if len(paths) > _MAX_PREFIXES_PER_TARGET:
+            oldest, _ = paths.popitem(last=False)
+            self._forget(target, oldest)
+
+    def _forget(self, target: str, path: str) -> None:
+        used_at = self._used_at[path]
+        del used_at[target]
+        if not used_at:
+            del self._used_at[path]
