--- a/crowwinch/sharing/_loads.py
+++ b/crowwinch/sharing/_loads.py
@@ -25,7 +25,9 @@
 _MIN_READING_S = 1e-6
 
 
-@dataclass(frozen=True, slots=True)
+# Not frozen: a router in a large fleet receives some 10,000 of them per second,
+# and creating a frozen one takes three times as long.
+@dataclass(slots=True)
 class TargetUse:
     """Load of one router on a target.
 
@@ -152,17 +154,25 @@
     weight: float = 1.0
 
 
+@dataclass(slots=True)
+class _Total:
+    """Sum of the loads that peers report for a target."""
+
+    active: float = 0.0
+    reading_s: float = 0.0
+
+
 def _add_uses(
-    totals: dict[str, tuple[float, float]],
+    totals: dict[str, _Total],
     uses: Sequence[TargetUse],
     weight: float,
 ) -> None:
     for use in uses:
-        active, reading_s = totals.get(use.target, (0.0, 0.0))
-        totals[use.target] = (
-            active + weight * use.active,
-            reading_s + weight * use.reading_s,
-        )
+        total = totals.get(use.target)
+        if total is None:
+            total = totals[use.target] = _Total()
+        total.active += weight * use.active
+        total.reading_s += weight * use.reading_s
 
 
 class TargetLoads:
@@ -174,7 +184,7 @@
         self._own: dict[str, _OwnLoad] = {}
         # Ordered by arrival time, the oldest report first.
         self._peers: dict[str, _PeerReport] = {}
-        self._remote: dict[str, tuple[float, float]] = {}
+        self._remote: dict[str, _Total] = {}
         self._summed_at = float("-inf")
         self._on_long_prompt: Callable[[], None] = lambda: None
 
@@ -242,7 +252,7 @@
     def delay_s(self, target: str) -> float:
         """Returns the current delay of first events of a target in seconds."""
         load = self._own.get(target)
-        if load is None:
+        if load is None or not (load.unread or load.delay_s):
             return 0.0
         now = self._clock.monotonic()
         overdue = max((now - each.due for each in load.unread), default=0.0)
@@ -270,7 +280,7 @@
         if not has_stale_report and now - self._summed_at < _RECOMPUTE_PERIOD_S:
             return
         self._summed_at = now
-        remote: dict[str, tuple[float, float]] = {}
+        remote: dict[str, _Total] = {}
         for peer, report in list(self._peers.items()):
             age = now - report.arrived_at
             if age > _EXPIRY_S:
@@ -298,14 +308,20 @@
 
     def active(self, target: str) -> float:
         """Returns the estimated number of active requests at a target."""
-        remote = self._remote.get(target, (0.0, 0.0))[0]
-        return max(self.own_active(target) + remote, 0.0)
+        own, remote = self._own.get(target), self._remote.get(target)
+        active = remote.active if remote else 0.0
+        if own:
+            active += own.active
+        # Differences of rounding may leave less than nothing.
+        return active if active > 0.0 else 0.0
 
     def reading_s(self, target: str) -> float:
         """Returns the modelled prefill time queued at a target in seconds."""
-        load = self._own.get(target)
-        own = load.reading_s(self._clock.monotonic()) if load else 0.0
-        return max(own + self._remote.get(target, (0.0, 0.0))[1], 0.0)
+        own, remote = self._own.get(target), self._remote.get(target)
+        reading_s = remote.reading_s if remote else 0.0
+        if own and own.unread:
+            reading_s += own.reading_s(self._clock.monotonic())
+        return reading_s if reading_s > 0.0 else 0.0
 
     def remove_target(self, target: str) -> None:
         """Removes the load of a target unless attempts are active."""
