--- a/crowwinch/sharing/_observed_targets.py
+++ b/crowwinch/sharing/_observed_targets.py
@@ -85,7 +85,7 @@
         )
 
     def _accepted_by(self, ticket: Ticket) -> list[TargetStatus]:
-        if ticket.software_version is None:
+        if not ticket.is_restricted:
             return list(self._statuses.values())
         return [
             status
