Test a gateway process against untrusted clients

Clients could end a router by filling its memory, and no test with real processes showed it (section 9 of docs/design/hard-load.md).

The module runs after all others, one at a time.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -68,6 +68,10 @@
         self.store = start_standin("operators_platform")
         self.targets: dict[str, Process] = {}
         self.routers: list[Process | None] = [None] * routers
+        # Limits in the settings of the routers, and their configuration.
+        self.memory_mb = 300
+        self.max_descriptors = 4_100
+        self.configuration = configuration(3)
         # One port of each kind on all routers, as on the platform.
         self._ports = free_ports(5)
 
@@ -78,7 +82,7 @@
 
     def start(self) -> None:
         """Starts targets and routers and waits until they serve."""
-        self.put("op/config", configuration(3))
+        self.put("op/config", self.configuration)
         for name, service in (
             ("i-desk-1", "desk"),
             ("i-desk-2", "desk"),
@@ -202,6 +206,15 @@
         """Returns where a router listens for callers."""
         return self.address(index), self._ports[0]
 
+    def status_addresses(self, index: int) -> list[tuple[str, int]]:
+        """Returns the readiness, control and metrics address of a router."""
+        _, readiness, control, _, metrics = self._ports
+        return [
+            (self.address(index), readiness),
+            (self.control_address(index), control),
+            (self.address(index), metrics),
+        ]
+
     def store_address(self, index: int) -> str:
         """Returns the address at which a router finds the store."""
         del index
@@ -222,7 +235,8 @@
             f'[Listen]\nFrontend = "{address}:{caller}"\n'
             f'Readiness = "{address}:{readiness}"\n'
             f'Control = "{self.control_address(index)}:{control}"\n'
-            "[Limits]\nMemoryMb = 300\nMaxFds = 4100\n"
+            f"[Limits]\nMemoryMb = {self.memory_mb}\n"
+            f"MaxFds = {self.max_descriptors}\n"
             "[Bounds]\nDrainMs = 2000\nGraceS = 8\nReuseAfterS = 2\n"
             "RetryBudgetRatio = 0.2\nBudgetWindowS = 10\n"
             f'[Platform]\nAddress = "{self.store_address(index)}"\n'
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,7 +5,8 @@
 
 Each module of tests of whole processes runs in a process of its own, several at
 a time, since these tests mostly wait. The tests of single classes need a
-processor and run beside them in a few processes.
+processor and run beside them in a few processes. Modules that load the machine
+run after all others, one at a time.
 """
 
 import argparse
@@ -18,7 +19,7 @@
 import sys
 import time
 import unittest
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from standins.processes import PORT_SLICE_VARIABLE
 
@@ -38,6 +39,8 @@
     "test_fault_steps",
     "test_fault_targets",
 )
+# Modules that keep several cores busy, which would disturb others.
+_ALONE = ("test_untrusted_clients",)
 _SUMMARY = re.compile(r"^(\d+) passed, (\d+) failed, (\d+) skipped$", re.M)
 _FAILED = re.compile(r"^failed: .+$", re.M)
 # The list of errors as unittest prints it, up to its count of tests.
@@ -109,6 +112,27 @@
     return _LONGEST.index(name) if name in _LONGEST else len(_LONGEST)
 
 
+def _runs_alone(part: Sequence[str]) -> bool:
+    return part[0].rpartition(".")[2] in _ALONE
+
+
+def _run_parts(
+    parts: Sequence[Sequence[str]],
+) -> Iterator[tuple[Sequence[str], tuple[int, str]]]:
+    """Runs parts side by side, and then those that must run alone."""
+    workers = max((os.cpu_count() or 1) // _CORES_PER_MODULE, 1) + 1
+    beside = [part for part in parts if not _runs_alone(part)]
+    alone = [part for part in parts if _runs_alone(part)]
+    with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+        yield from zip(
+            beside,
+            pool.map(_run_apart, beside, itertools.count()),
+            strict=True,
+        )
+    for index, part in enumerate(alone, len(beside)):
+        yield part, _run_apart(part, index)
+
+
 def _failures(output: str) -> str:
     """Returns the tests that failed in an output and the end of their errors.
 
@@ -136,30 +160,26 @@
             for module in sorted(_modules([_PROCESSES]), key=_by_length)
         ),
     ]
-    workers = max((os.cpu_count() or 1) // _CORES_PER_MODULE, 1) + 1
     totals = [0, 0, 0]
     failures = []
     code = 0
-    with concurrent.futures.ThreadPoolExecutor(workers) as pool:
-        for part, (part_code, output) in zip(
-            parts, pool.map(_run_apart, parts, itertools.count()), strict=True
-        ):
-            name = part[0] if len(part) == 1 else "tests of classes"
-            print(f"== {name}\n{output}", flush=True)
-            summary = _SUMMARY.findall(output)
-            if not summary:
-                failures.append(
-                    f"{output[-_ERRORS_SHOWN_CHARS:]}\n"
-                    f"failed: {name} gave no result, exit {part_code}"
-                )
-                part_code = part_code or 1
-            failures.append(_failures(output))
-            for counts in summary[-1:]:
-                totals = [
-                    total + int(count)
-                    for total, count in zip(totals, counts, strict=True)
-                ]
-            code = code or part_code
+    for part, (part_code, output) in _run_parts(parts):
+        name = part[0] if len(part) == 1 else "tests of classes"
+        print(f"== {name}\n{output}", flush=True)
+        summary = _SUMMARY.findall(output)
+        if not summary:
+            failures.append(
+                f"{output[-_ERRORS_SHOWN_CHARS:]}\n"
+                f"failed: {name} gave no result, exit {part_code}"
+            )
+            part_code = part_code or 1
+        failures.append(_failures(output))
+        for counts in summary[-1:]:
+            totals = [
+                total + int(count)
+                for total, count in zip(totals, counts, strict=True)
+            ]
+        code = code or part_code
     for failure in filter(None, failures):
         print(failure)
     print(f"took {time.monotonic() - started:.1f} s in all")
