--- a/crowwinch/errors.py
+++ b/crowwinch/errors.py
@@ -49,6 +49,7 @@
     ANSWER_NOT_KEPT = 25
     ROUTER_OVERLOADED = 26
     STREAM_VERSION_UNKNOWN = 27
+    HEAD_TOO_LARGE = 35
 
 
 class RetryReason(enum.IntEnum):
@@ -71,6 +72,7 @@
     RefusalReason.NOT_FOUND: 404,
     RefusalReason.MALFORMED_BODY: 400,
     RefusalReason.BODY_TOO_LARGE: 413,
+    RefusalReason.HEAD_TOO_LARGE: 431,
     RefusalReason.QUEUE_FULL: 429,
     RefusalReason.WORKSPACE_LIMIT: 429,
     RefusalReason.DEADLINE_UNREACHABLE: 503,
