Bound what clients make a gateway keep

Untrusted clients could end a gateway: 128 fields of MaxHeaderBytes each, trailers, an error for each piece of data behind the first one, up to 32 requests parsed ahead with their bodies, responses that nobody reads, and any number of silent connections.

GuardedProtocol parses one request of a connection at a time and pauses reading behind it. Heads, bytes that were not parsed and unread responses are charged to the account of bodies before they are kept. ConnectionGuard closes connections that hold most and have waited longest for their clients when the account or the connections are used up. 431 is sent beyond MaxHeaderBytes, and the client gets a second to read it. The readiness address, the metrics port and the control address use StatusServer with limits of its own. Each reason has a metric and one summary line a second.

Tracebacks of errors are dropped: with them, an error refers to itself and keeps the data of its request until the next full collection. A refusal that ends the connection now says so in its head.

A test of the change found bytes that were parsed before those that had been kept behind a request; it is fixed and has a test that failed before.

A connection without a request takes 7 KB.

--- a/crowwinch/fleet/_directory_exchange.py
+++ b/crowwinch/fleet/_directory_exchange.py
@@ -8,7 +8,7 @@
 
 from crowwinch.directory import DirectoryState
 from crowwinch.errors import DECODE_ERRORS, CrowwinchError
-from crowwinch.forwarding import SocketAddress
+from crowwinch.forwarding import SocketAddress, StatusServer
 from crowwinch.generated.fleet_messages import (
     DirectoryItem,
     DirectoryPage,
@@ -20,7 +20,6 @@
 _ERA_PARAMETER = "era"
 # Asks the peer to read the store before it answers.
 _SYNC_PARAMETER = "sync"
-_SHUTDOWN_TIMEOUT_S = 0.1
 # Pages from this size on are compressed. A table of 1,500 routes takes half a
 # second on a link of 10 Mbit/s, for each peer that fetches it.
 _MIN_COMPRESSED_BYTES = 16_384
@@ -43,9 +42,8 @@
             address: Address to listen on.
         """
         self._state = state
-        self._address = address
+        self._server = StatusServer(address, self._serve)
         self._session: aiohttp.ClientSession | None = None
-        self._runner: web.ServerRunner | None = None
         self._sync: Callable[[], Awaitable[bool]] | None = None
 
     def set_sync(self, sync: Callable[[], Awaitable[bool]]) -> None:
@@ -66,22 +64,13 @@
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(force_close=True),
         )
-        self._runner = web.ServerRunner(
-            web.Server(self._serve, access_log=None),
-            handle_signals=False,
-            shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
-        )
-        await self._runner.setup()
-        await web.TCPSite(
-            self._runner, self._address.host, self._address.port
-        ).start()
+        await self._server.start()
 
     async def stop(self) -> None:
         """Stops the server and closes all connections."""
         if self._session is not None:
             await self._session.close()
-        if self._runner is not None:
-            await self._runner.cleanup()
+        await self._server.stop()
 
     async def fetch(
         self,
--- a/crowwinch/forwarding/__init__.py
+++ b/crowwinch/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """Forwards HTTP requests and event streams from callers to targets."""
 
 from crowwinch.forwarding._call import Call
+from crowwinch.forwarding._connection_guard import ConnectionGuard
 from crowwinch.forwarding._events import EventSplitter
 from crowwinch.forwarding._exchange import (
     AttemptError,
@@ -8,6 +9,7 @@
     TargetResponse,
 )
 from crowwinch.forwarding._forwarder import Forwarder
+from crowwinch.forwarding._guarded_server import GuardedServer
 from crowwinch.forwarding._memory import MemoryPool
 from crowwinch.forwarding._messages import (
     AttemptHead,
@@ -28,6 +30,10 @@
 )
 from crowwinch.forwarding._server import CallerServer
 from crowwinch.forwarding._sharing_state import SharingState
+from crowwinch.forwarding._status_server import (
+    StatusServer,
+    max_status_connections,
+)
 from crowwinch.forwarding._stream_versions import (
     LocalStreamVersions,
     StreamVersions,
@@ -44,11 +50,13 @@
     "AttemptHead",
     "Call",
     "CallerServer",
+    "ConnectionGuard",
     "Engine",
     "EventSplitter",
     "Exchange",
     "Forwarder",
     "GatewaySettings",
+    "GuardedServer",
     "LocalStreamVersions",
     "MemoryPool",
     "PromptPart",
@@ -61,6 +69,7 @@
     "Service",
     "SharingState",
     "SocketAddress",
+    "StatusServer",
     "StreamVersionTable",
     "StreamVersions",
     "TakenUpStream",
@@ -71,4 +80,5 @@
     "TargetSet",
     "WireCodec",
     "Workspace",
+    "max_status_connections",
 ]
--- a/crowwinch/forwarding/_call.py
+++ b/crowwinch/forwarding/_call.py
@@ -13,6 +13,8 @@
 
 # Delay before a retry when the bodies of requests take too much memory.
 _MEMORY_RETRY_S = 0.5
+# Time in which the requests of connections that were closed to free memory end.
+_RECLAIM_S = 0.01
 
 
 class Call:
@@ -170,7 +172,7 @@
             `timeout_s`, or does not fit into memory.
     """
     size = request.content_length or 0
-    _check_size(size, limit, memory)
+    await _take_memory(size, limit, memory)
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         request.writer.output_size = 0
@@ -181,7 +183,7 @@
         async with asyncio.timeout(timeout_s):
             while data := await request.content.readany():
                 size = max(size, len(body) + len(data))
-                _check_size(size, limit, memory)
+                await _take_memory(size, limit, memory)
                 body += data
     except TimeoutError as error:
         raise RefusalError(
@@ -190,7 +192,7 @@
     return bytes(body)
 
 
-def _check_size(size: int, limit: int, memory: Allocation) -> None:
+async def _take_memory(size: int, limit: int, memory: Allocation) -> None:
     """Takes memory for a body.
 
     Raises:
@@ -198,9 +200,14 @@
     """
     if size > limit:
         raise RefusalError(RefusalReason.BODY_TOO_LARGE, f"over {limit} bytes")
-    if not memory.resize(size):
-        raise RefusalError(
-            RefusalReason.QUEUE_FULL,
-            "too many bodies in memory",
-            retry_after_s=_MEMORY_RETRY_S,
-        )
+    if memory.resize(size):
+        return
+    if memory.reclaim(size - memory.size_bytes):
+        await asyncio.sleep(_RECLAIM_S)
+        if memory.resize(size):
+            return
+    raise RefusalError(
+        RefusalReason.QUEUE_FULL,
+        "too many bodies in memory",
+        retry_after_s=_MEMORY_RETRY_S,
+    )
--- a/crowwinch/forwarding/_early_refusals.py
+++ b/crowwinch/forwarding/_early_refusals.py
@@ -54,6 +54,11 @@
         self._metrics = metrics
         self._lingering: dict[socket.socket, asyncio.TimerHandle] = {}
 
+    @property
+    def lingering(self) -> int:
+        """Number of refused connections that were not yet closed."""
+        return len(self._lingering)
+
     def refuse(self, connection: socket.socket, waited_s: float) -> bool:
         """Refuses the request that has arrived on a connection.
 
--- a/crowwinch/forwarding/_listener.py
+++ b/crowwinch/forwarding/_listener.py
@@ -87,6 +87,7 @@
         overload: OverloadDetector,
         metrics: Metrics,
         was_late: Callable[[], bool] = lambda: False,
+        has_room: Callable[[int], bool] = lambda pending: True,
     ) -> None:
         """Initializes the listener without opening the port.
 
@@ -99,6 +100,8 @@
             metrics: Counts accepted connections.
             was_late: Returns whether the process recently lacked processor
                 time.
+            has_room: Returns whether one more connection may be opened, beside
+                the given number that are accepted and not yet opened.
         """
         self._clock = clock
         self._address = address
@@ -107,6 +110,7 @@
         self._overload = overload
         self._metrics = metrics
         self._was_late = was_late
+        self._has_room = has_room
         self._waiting: deque[_Waiting] = deque()
         # Monotonic times of the last iteration and of the last opening.
         self._last_iteration_at = float("-inf")
@@ -166,7 +170,7 @@
             except OSError as error:
                 self._pause(error)
                 break
-            if self._is_alive(connection):
+            if self._is_alive(connection) and self._is_kept(connection):
                 connection.setblocking(False)
                 since = self._clock.monotonic()
                 self._waiting.append(_Waiting(connection, since))
@@ -193,6 +197,18 @@
         self._schedule_summary()
         return False
 
+    def _is_kept(self, connection: socket.socket) -> bool:
+        """Returns whether there is room; closes the socket if not."""
+        if self._has_room(
+            len(self._waiting) + len(self._openings) + self._refusals.lingering
+        ):
+            return True
+        connection.close()
+        self._closed += 1
+        self._metrics.count("connections", "outcome", "no_room")
+        self._schedule_summary()
+        return False
+
     def _schedule_summary(self) -> None:
         if self._summary is None:
             self._summary = asyncio.get_running_loop().call_later(
--- a/crowwinch/forwarding/_memory.py
+++ b/crowwinch/forwarding/_memory.py
@@ -1,5 +1,7 @@
 """Limits on the memory that callers and targets can make a router use."""
 
+from collections.abc import Callable
+
 
 class MemoryPool:
     """Counts the bytes that are kept for messages of one kind.
@@ -19,6 +21,12 @@
         self._capacity_bytes = capacity_bytes
         self._free_bytes = free_bytes
         self._used_bytes = 0
+        self._reclaim: Callable[[int], bool] | None = None
+
+    @property
+    def capacity_bytes(self) -> int:
+        """Maximum size of all allocations together."""
+        return self._capacity_bytes
 
     @property
     def used_bytes(self) -> int:
@@ -29,6 +37,32 @@
         """Returns an allocation of zero bytes."""
         return Allocation(self)
 
+    def set_reclaim(self, reclaim: Callable[[int], bool]) -> None:
+        """Sets what frees memory that clients hold without need.
+
+        Args:
+            reclaim: Gets a number of bytes; returns whether so many are free
+                now or will be shortly.
+        """
+        self._reclaim = reclaim
+
+    def reclaim(self, size_bytes: int) -> bool:
+        """Frees memory; returns whether so much is or will be free."""
+        return self._reclaim is not None and self._reclaim(size_bytes)
+
+    def add(self, size_bytes: int) -> bool:
+        """Counts bytes that are kept in any case.
+
+        Returns:
+            Whether they fit.
+        """
+        self._used_bytes += size_bytes
+        return self._used_bytes <= self._capacity_bytes
+
+    def subtract(self, size_bytes: int) -> None:
+        """Ends the count of bytes that were added."""
+        self._used_bytes -= size_bytes
+
     def resize(self, old_bytes: int, new_bytes: int) -> bool:
         """Changes the size of an allocation.
 
@@ -77,6 +111,17 @@
         self._size_bytes = size_bytes
         return True
 
+    def reclaim(self, size_bytes: int) -> bool:
+        """Frees memory of the pool that clients hold without need.
+
+        Args:
+            size_bytes: Memory that is needed.
+
+        Returns:
+            Whether so much is free now, or will be shortly.
+        """
+        return self._pool.reclaim(size_bytes)
+
     def release(self) -> None:
         """Returns all bytes to the pool."""
         self.resize(0)
--- a/crowwinch/forwarding/_server.py
+++ b/crowwinch/forwarding/_server.py
@@ -1,19 +1,18 @@
 """HTTP server for callers."""
 
-import asyncio
 import logging
 import random
 from collections.abc import Callable
-from typing import Any
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 
 from crowwinch.coordination import Clock
 from crowwinch.errors import RefusalError, RefusalReason
 from crowwinch.forwarding._call import Call, read_body
+from crowwinch.forwarding._connection_guard import ConnectionGuard
 from crowwinch.forwarding._early_refusals import EarlyRefusals
 from crowwinch.forwarding._forwarder import Forwarder
+from crowwinch.forwarding._guarded_server import GuardedServer
 from crowwinch.forwarding._listener import ConnectionListener
 from crowwinch.forwarding._memory import Allocation, MemoryPool
 from crowwinch.forwarding._messages import WireCodec
@@ -26,13 +25,11 @@
 
 # A body that takes longer than this is refused; its connection is likely dead.
 _BODY_TIMEOUT_S = 15.0
-# Idle connections stay open this much longer than callers may be idle.
-_IDLE_MARGIN_S = 2.0
 # On shutdown the HTTP library waits this long, twice, for pending requests. The
 # router has already waited for them before it stops the server.
 _SHUTDOWN_TIMEOUT_S = 0.02
-_MAX_HEADERS = 128
-# Maximum share of the process memory that request bodies may occupy.
+# Maximum share of the process memory that heads and bodies of requests, and
+# received bytes that were not parsed, may occupy.
 _BODY_MEMORY_SHARE = 0.2
 # Bodies up to this size are always kept.
 _FREE_BODY_BYTES = 8_192
@@ -41,85 +38,24 @@
 # this limit, many reconnecting callers exhausted the descriptors, and requests
 # were read seconds late.
 _KEEP_ALIVE_DESCRIPTOR_SHARE = 0.4
+# Maximum share of the file descriptors for connections of callers. Above it,
+# those are closed that have waited longest for their callers. The router needs
+# the others for targets, peers, the store and operators.
+_CONNECTION_DESCRIPTOR_SHARE = 0.6
+# Maximum share of the process memory for open connections, and the memory that
+# one takes: 7 to 8 KB without a complete head, and some more with a request.
+_CONNECTION_MEMORY_SHARE = 0.3
+_CONNECTION_BYTES = 12_000
+# Lower bound, for tests with few descriptors.
+_MIN_CONNECTIONS = 16
 # Status of a response that is never sent because the caller disconnected.
 _CALLER_GONE_STATUS = 499
 
 
-class _CallerProtocol(RequestHandler):
-    """Closes a connection when a request head takes too long to arrive.
-
-    The HTTP library limits only the time between two requests.
-    """
-
-    def __init__(
-        self,
-        factory: "_CallerProtocolFactory",
-        limits: RequestLimits,
-        **options: Any,
-    ) -> None:
-        super().__init__(factory, **options)
-        self._factory = factory
-        self._limits = limits
-        self._head_timer: asyncio.TimerHandle | None = None
-        self._is_in_head = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Starts the idle time-out for the first request."""
-        super().connection_made(transport)
-        self._factory.open_connections += 1
-        self._start_timer(self._limits.idle_timeout_s)
-
-    def data_received(self, data: bytes) -> None:
-        """Starts the header time-out when a head is incomplete."""
-        super().data_received(data)
-        if self._current_request is not None or self._messages:
-            self._stop_timer()
-            self._is_in_head = False
-        elif not self._is_in_head:
-            self._stop_timer()
-            self._is_in_head = True
-            self._start_timer(self._limits.header_timeout_s)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancels the time-out."""
-        self._factory.open_connections -= 1
-        self._stop_timer()
-        super().connection_lost(exc)
-
-    def _start_timer(self, timeout_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        self._head_timer = loop.call_later(timeout_s, self.force_close)
-
-    def _stop_timer(self) -> None:
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
-
-class _CallerProtocolFactory(web.Server):
-    """Creates protocols with the limits currently in force."""
-
-    def __init__(
-        self, handler: Any, limits: Callable[[], RequestLimits]
-    ) -> None:
-        super().__init__(handler, handler_cancellation=True)
-        self._limits = limits
-        self.open_connections = 0
-
-    def __call__(self) -> RequestHandler:
-        limits = self._limits()
-        return _CallerProtocol(
-            self,
-            limits,
-            loop=self._loop,
-            access_log=None,
-            keepalive_timeout=limits.idle_timeout_s + _IDLE_MARGIN_S,
-            max_line_size=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
-            max_headers=_MAX_HEADERS,
-            auto_decompress=False,
-            lingering_time=1.0,
-        )
+def _max_connections(memory_bytes: int, max_descriptors: int) -> int:
+    descriptors = int(max_descriptors * _CONNECTION_DESCRIPTOR_SHARE)
+    memory = int(memory_bytes * _CONNECTION_MEMORY_SHARE) // _CONNECTION_BYTES
+    return max(min(descriptors, memory), _MIN_CONNECTIONS)
 
 
 class CallerServer:
@@ -172,10 +108,14 @@
         metrics.gauge(
             "request_memory_bytes", lambda: self._body_memory.used_bytes
         )
+        self._guard = ConnectionGuard(
+            self._body_memory,
+            _max_connections(memory_bytes, max_descriptors),
+            metrics,
+        )
         self._active = 0
         self._is_draining = False
         self._refuses_requests = False
-        self._factory: _CallerProtocolFactory | None = None
         self._runner: web.ServerRunner | None = None
         self._listener: ConnectionListener | None = None
 
@@ -197,7 +137,7 @@
 
     @property
     def _open_connections(self) -> int:
-        return 0 if self._factory is None else self._factory.open_connections
+        return self._guard.open_connections
 
     async def start(self) -> None:
         """Starts listening; port 0 selects a free port.
@@ -205,8 +145,9 @@
         Raises:
             OSError: If the port is in use.
         """
-        factory = _CallerProtocolFactory(self._handle, self._limits)
-        self._factory = factory
+        factory = GuardedServer(
+            self._handle, self._guard, self._limits, handler_cancellation=True
+        )
         self._runner = web.ServerRunner(
             factory,
             handle_signals=False,
@@ -225,6 +166,7 @@
             self._overload,
             self._metrics,
             self._was_late,
+            self._guard.has_room,
         )
         await self._listener.start()
 
@@ -234,6 +176,7 @@
             await self._listener.stop()
         if self._runner is not None:
             await self._runner.cleanup()
+        self._guard.stop()
 
     def close_after_responses(self) -> None:
         """Closes each connection after its next response."""
@@ -290,6 +233,8 @@
                 request, self._limits().max_body_bytes, _BODY_TIMEOUT_S, memory
             )
         except RefusalError as refusal:
+            # What is left of the body is not read.
+            call = Call(request, head, b"", arrived, lambda: True)
             return await self._refuse(call, refusal)
         call = Call(request, head, body, arrived, self._closes_connection)
         # The shutdown may have gone on while the body arrived.
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -31,10 +31,12 @@
     RoutingTable,
     SharingState,
     SocketAddress,
+    StatusServer,
     Target,
     TargetClient,
     TargetLives,
     TargetSet,
+    max_status_connections,
 )
 from crowwinch.gateway._settings_file import SettingsFile
 from crowwinch.observability import Metrics
@@ -76,7 +78,6 @@
 _LAST_ANSWERS_S = 0.2
 # The settings file may change without a signal, so it is polled.
 _SETTINGS_POLL_S = 1.0
-_SHUTDOWN_TIMEOUT_S = 0.1
 # Maximum share of the process memory for bytes of targets that are kept before
 # they are relayed.
 _RESPONSE_MEMORY_SHARE = 0.15
@@ -190,7 +191,21 @@
             lambda: self._lag.was_late,
             lambda: self._lag.seconds,
         )
-        self._runners: list[web.ServerRunner] = []
+        self._status_servers = [
+            StatusServer(
+                address,
+                handler,
+                max_status_connections(settings.max_descriptors),
+                self._metrics,
+            )
+            for address, handler in (
+                (settings.readiness, self._handle_readiness),
+                (
+                    SocketAddress(settings.address, settings.metrics_port),
+                    self._handle_metrics,
+                ),
+            )
+        ]
         self._components: list[Component] = [
             TimerDriver(self._timers),
             self._lag,
@@ -254,11 +269,8 @@
     async def start(self) -> None:
         """Starts all components in order."""
         settings = self._settings
-        await self._serve_status(settings.readiness, self._handle_readiness)
-        await self._serve_status(
-            SocketAddress(settings.address, settings.metrics_port),
-            self._handle_metrics,
-        )
+        for server in self._status_servers:
+            await server.start()
         self._timers.call_every(
             _SETTINGS_POLL_S, self._settings_file.reload_if_changed
         )
@@ -280,8 +292,8 @@
             task.cancel()
         for component in reversed(self._components):
             await component.stop()
-        for runner in self._runners:
-            await runner.cleanup()
+        for server in self._status_servers:
+            await server.stop()
         await self._store.stop()
         _LOGGER.info("router stopped", extra={"router": self._settings.name})
 
@@ -393,18 +405,6 @@
         self._sharing.health.remove_target(target)
         self._sharing.loads.remove_target(target)
 
-    async def _serve_status(
-        self, address: SocketAddress, handler: object
-    ) -> None:
-        runner = web.ServerRunner(
-            web.Server(handler, access_log=None),
-            handle_signals=False,
-            shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
-        )
-        await runner.setup()
-        await web.TCPSite(runner, address.host, address.port).start()
-        self._runners.append(runner)
-
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
         del request
         if self.is_ready:
