--- a/crowwinch/errors.py
+++ b/crowwinch/errors.py
@@ -51,6 +51,7 @@
     STREAM_VERSION_UNKNOWN = 27
     EVACUATED = 28
     NO_HOME_TARGET = 29
+    HEAD_TOO_LARGE = 35
 
 
 class RetryReason(enum.IntEnum):
@@ -73,6 +74,7 @@
     RefusalReason.NOT_FOUND: 404,
     RefusalReason.MALFORMED_BODY: 400,
     RefusalReason.BODY_TOO_LARGE: 413,
+    RefusalReason.HEAD_TOO_LARGE: 431,
     RefusalReason.QUEUE_FULL: 429,
     RefusalReason.WORKSPACE_LIMIT: 429,
     RefusalReason.DEADLINE_UNREACHABLE: 503,
