Sharing: pace targets that have just started or recovered

Cause: a target that has just started, is no longer cold or answers again after failed connections looks empty, and counts of the requests of others are up to 0.45 s old, so all routers sent to it at once. Change: for services with ColdStartS, the requests in flight at such a target stay within a window over the whole fleet. It grows with first events in time and shrinks with refusals, failures and late first events. Each router uses a part of it by its demand; routers exchange the window, their growth and their demand (`paces`).

--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -23,11 +23,13 @@
 from crowwinch.fleet._stream_records import StreamRecords
 from crowwinch.fleet._update_codec import (
     decode_demand,
+    decode_paces,
     decode_rate_limits,
     decode_suspects,
     decode_sync,
     decode_versions,
     encode_demand,
+    encode_paces,
     encode_rate_limits,
     encode_suspects,
     encode_sync,
@@ -218,6 +220,10 @@
             str(self._settings.control), self._table.shared_by
         )
         sharing.rate_limits.refresh()
+        sharing.pace.set_fleet(
+            str(self._settings.control), self._table.shared_by
+        )
+        sharing.pace.refresh()
         sharing.admission.poll()
         self._log_membership_changes()
         self._update_reader_role()
@@ -378,6 +384,7 @@
             synced_ms=encode_sync(
                 self._state.synced_at, self._timers.clock.monotonic()
             ),
+            paces=encode_paces(sharing.pace.reports()),
         )
 
     def _live_peer_zones(self) -> dict[str, str]:
@@ -424,6 +431,7 @@
             decode_rate_limits(update.rate_limits),
             decode_demand(update.demand),
         )
+        sharing.pace.merge_peer(peer, decode_paces(update.paces))
         self._merge_directory_state(update)
         if update.era == self._state.era:
             self._state.merge_departures(
--- a/crowwinch/fleet/_update_codec.py
+++ b/crowwinch/fleet/_update_codec.py
@@ -8,10 +8,11 @@
     CrashReport,
     CrashTime,
     DemandReport,
+    PaceMessage,
     RateLimitMessage,
     VersionReport,
 )
-from crowwinch.sharing import RateLimitReport, SuspectReport
+from crowwinch.sharing import PaceReport, RateLimitReport, SuspectReport
 
 _MS_PER_S = 1000.0
 # Age in milliseconds of an answer or a request that there was not.
@@ -82,6 +83,40 @@
     ]
 
 
+def encode_paces(reports: Iterable[PaceReport]) -> list[PaceMessage]:
+    """Returns the messages about paces of targets."""
+    return [
+        PaceMessage(
+            report.target,
+            report.life,
+            report.epoch,
+            report.base,
+            report.is_first,
+            report.grown,
+            max(round(report.idle_s * _MS_PER_S), 0),
+            round(report.wanted_per_s, 2),
+        )
+        for report in reports
+    ]
+
+
+def decode_paces(reports: Iterable[PaceMessage]) -> list[PaceReport]:
+    """Returns what a peer knows of paces of targets."""
+    return [
+        PaceReport(
+            report.target,
+            report.life,
+            report.epoch,
+            report.base,
+            report.is_first,
+            report.grown,
+            report.idle_ms / _MS_PER_S,
+            report.wanted_per_s,
+        )
+        for report in reports
+    ]
+
+
 def encode_sync(synced_at: float, now: float) -> int:
     """Returns the age in ms of a directory, -1 without one."""
     return _encode_age(None if math.isinf(synced_at) else now - synced_at)
--- a/crowwinch/fleet/_update_size.py
+++ b/crowwinch/fleet/_update_size.py
@@ -16,6 +16,7 @@
     "workspaces",
     "targets",
     "crashes",
+    "paces",
     "rate_limits",
     "versions",
     "departures",
--- a/crowwinch/fleet/tests/test_large_fleets.py
+++ b/crowwinch/fleet/tests/test_large_fleets.py
@@ -89,6 +89,31 @@
 
         self._run_scenario(scenario)
 
+    def test_pace_of_a_target_reaches_all_routers(self):
+        """Guards against routers that send to a target as if it were well.
+
+        Only the first router sees that the target starts.
+        """
+        other = TargetView("other", 1, "llm", False, 32, cold_start_s=10.0)
+        view = TargetView("engine", 1, "llm", False, 32, cold_start_s=10.0)
+
+        async def scenario(fleet):
+            first, *others = fleet.routers
+            first.sharing.pace.observe_targets([other])
+            await fleet.run(4.0)
+            first.sharing.pace.record_demand("llm")
+            for router in fleet.routers:
+                router.sharing.pace.observe_targets([other, view])
+            first.sharing.pace.record_refusal("engine")
+            await fleet.run(1.0)
+            windows = {
+                router.sharing.pace.window("engine") for router in fleet.routers
+            }
+            self.assertEqual(len(windows), 1)
+            self.assertNotIn(None, windows)
+
+        self._run_scenario(scenario)
+
     def test_version_of_a_stream_is_held_by_two_peers(self):
         """Guards against records that are lost with the router of a stream."""
 
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -203,6 +203,7 @@
         )
         self._sharing.budget.record_request(work.service)
         self._sharing.rate_limits.record_demand(work.service)
+        self._sharing.pace.record_demand(work.service)
         self._sharing.shares.record_demand(work.workspace, work.cost)
         return RequestContext(
             call=call,
@@ -408,6 +409,8 @@
             self._sharing.health.record_response(
                 decision.target, response.status < 500
             )
+            if response.status >= 500:
+                self._sharing.pace.record_failure(decision.target)
             self._retry_policy.record_answer(context)
         except AttemptError as error:
             if error.is_connection_lost or error.is_unreachable:
@@ -498,15 +501,17 @@
         """
         if context.work.prompt_tokens:
             self._record_prefill(context, decision, seconds)
+        else:
+            self._sharing.pace.record_first_event(decision.target, 0.0)
         self.schedule_poll()
 
     def _record_prefill(
         self, context: RequestContext, decision: Decision, seconds: float
     ) -> None:
         self._log.record_first_event(seconds)
-        self._sharing.loads.record_first_event(
-            decision.target, seconds - decision.forecast_s
-        )
+        late_s = seconds - decision.forecast_s
+        self._sharing.loads.record_first_event(decision.target, late_s)
+        self._sharing.pace.record_first_event(decision.target, late_s, seconds)
         if decision.waiting_s < decision.reading_s * _MAX_QUEUED_PREFILL_RATIO:
             self._sharing.speeds.record_first_event(
                 context.work.service, decision.reading_s, seconds
--- a/crowwinch/forwarding/_retry_policy.py
+++ b/crowwinch/forwarding/_retry_policy.py
@@ -140,9 +140,13 @@
                     extra={"target": target, "cause": str(error)},
                 )
             health.record_connection_failure(target)
+            self._sharing.pace.record_connection_failure(target)
             self._crash_detector.record_unreachable(target)
-        elif not error.is_refusal:
+        elif error.is_refusal:
+            self._sharing.pace.record_refusal(target)
+        else:
             health.record_response(target, is_good=False)
+            self._sharing.pace.record_failure(target)
             if error.is_connection_lost and self._has_just_begun(context):
                 self._crash_detector.record_loss(
                     context.target, context.features
--- a/crowwinch/forwarding/_sharing_state.py
+++ b/crowwinch/forwarding/_sharing_state.py
@@ -11,6 +11,7 @@
     PrefixCacheTracker,
     Reservation,
     SlidingWindowRetryBudget,
+    StartPace,
     TargetHealth,
     TargetLimits,
     TargetLoads,
@@ -44,6 +45,7 @@
     health: TargetHealth
     limits: TargetLimits
     loads: TargetLoads
+    pace: StartPace
     prefixes: PrefixCacheTracker
     rate_limits: TargetRateLimits
     shares: WorkspaceShares
--- a/crowwinch/forwarding/_target_set.py
+++ b/crowwinch/forwarding/_target_set.py
@@ -1,7 +1,7 @@
 """Set of the targets in the directory that accept requests."""
 
 import dataclasses
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from crowwinch.forwarding._model import RoutingTable, SocketAddress
@@ -72,6 +72,10 @@
         """Returns the view of a target that placement decisions use."""
         return self._views.get(identifier)
 
+    def views(self) -> Collection[TargetView]:
+        """Returns the views of all targets."""
+        return self._views.values()
+
     def views_of_service(self, service: str) -> Sequence[TargetView]:
         """Returns the views of the targets of a service."""
         return self._by_service.get(service, ())
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -38,6 +38,7 @@
     Placer,
     PrefixCacheTracker,
     SlidingWindowRetryBudget,
+    StartPace,
     TargetHealth,
     TargetLimits,
     TargetLoads,
@@ -197,7 +198,8 @@
     prefixes, speeds = PrefixCacheTracker(clock), EngineSpeeds()
     shares = WorkspaceShares(clock, 4.0)
     rate_limits = TargetRateLimits(clock)
-    limits = TargetLimits([rate_limits])
+    pace = StartPace(clock, loads)
+    limits = TargetLimits([rate_limits, pace])
     return SharingState(
         admission=Admission(
             clock,
@@ -210,6 +212,7 @@
         crashes=CrashSuspects(clock),
         health=health,
         loads=loads,
+        pace=pace,
         prefixes=prefixes,
         limits=limits,
         rate_limits=rate_limits,
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -51,6 +51,7 @@
     Placer,
     PrefixCacheTracker,
     SlidingWindowRetryBudget,
+    StartPace,
     TargetHealth,
     TargetLimits,
     TargetLoads,
@@ -120,6 +121,9 @@
             settings.availability_zone, self._remove_target
         )
         self._sharing = self._build_sharing()
+        self._metrics.gauge(
+            "paced_targets", lambda: self._sharing.pace.paced_targets
+        )
         self._is_stopping = False
         self._stopped = asyncio.Event()
         self._background: set[asyncio.Task[None]] = set()
@@ -222,7 +226,8 @@
         speeds = EngineSpeeds()
         health = TargetHealth(self._clock)
         rate_limits = TargetRateLimits(self._clock, self._rng.random)
-        limits = TargetLimits([rate_limits])
+        pace = StartPace(self._clock, loads)
+        limits = TargetLimits([rate_limits, pace])
         shares = WorkspaceShares(
             self._clock, time_constant(settings.share_window_s)
         )
@@ -245,6 +250,7 @@
             health=health,
             limits=limits,
             loads=loads,
+            pace=pace,
             prefixes=prefixes,
             rate_limits=rate_limits,
             shares=shares,
@@ -387,6 +393,7 @@
             ),
             routing,
         )
+        self._sharing.pace.observe_targets(self._targets.views())
 
     def _remove_target(self, target: str) -> None:
         self._sharing.prefixes.remove_target(target)
--- a/crowwinch/sharing/__init__.py
+++ b/crowwinch/sharing/__init__.py
@@ -19,6 +19,7 @@
     Verdict,
     Work,
 )
+from crowwinch.sharing._pace_window import PaceReport
 from crowwinch.sharing._placer import Candidate, Placer
 from crowwinch.sharing._prefixes import PrefixCacheTracker
 from crowwinch.sharing._rate_limits import RateLimitReport, TargetRateLimits
@@ -30,6 +31,7 @@
     time_constant,
 )
 from crowwinch.sharing._speeds import EngineSpeeds
+from crowwinch.sharing._start_pace import StartPace
 from crowwinch.sharing._target_limits import (
     UNLIMITED,
     Allowance,
@@ -51,6 +53,7 @@
     "CrashSuspects",
     "Decision",
     "EngineSpeeds",
+    "PaceReport",
     "Placer",
     "PrefixCacheTracker",
     "PromptPart",
@@ -58,6 +61,7 @@
     "RequestFeatures",
     "Reservation",
     "SlidingWindowRetryBudget",
+    "StartPace",
     "SuspectReport",
     "TargetHealth",
     "TargetLoads",
