Sharing: let the cold limit alone decide while a target is cold

Cause: the pace of a target that starts cold limited it below what the cold limit grants, and grew while that limit kept requests away. Change: the pace limits nothing while the target is cold; a window from before then is not kept, unless a peer began it since. Evidence: three tests; the model of start-pace.md has no cold target.

--- a/crowwinch/sharing/_start_pace.py
+++ b/crowwinch/sharing/_start_pace.py
@@ -111,7 +111,8 @@
         self._loads = loads
         self._cold: ColdView = cold or NoColdTargets()
         self._targets: dict[str, TargetView] = {}
-        self._was_cold: set[str] = set()
+        # Time from which each cold target was seen to be cold.
+        self._cold_since: dict[str, float] = {}
         # Start of each target that was seen, the one seen last at the end.
         self._lives: OrderedDict[str, int] = OrderedDict()
         self._first_directory_at: float | None = None
@@ -174,7 +175,7 @@
         }
         for identifier in previous.keys() - self._targets.keys():
             self._forget(identifier)
-            self._was_cold.discard(identifier)
+            self._cold_since.pop(identifier, None)
         for identifier, target in self._targets.items():
             is_new = self._lives.get(identifier) != target.life
             self._lives[identifier] = target.life
@@ -197,10 +198,17 @@
         now = self._clock.monotonic()
         for identifier, target in self._targets.items():
             if self._cold.is_cold(target):
-                self._was_cold.add(identifier)
-            elif identifier in self._was_cold:
-                self._was_cold.discard(identifier)
-                self._begin(target, "no longer cold", now)
+                self._cold_since.setdefault(identifier, now)
+                continue
+            cold_since = self._cold_since.pop(identifier, None)
+            if cold_since is None:
+                continue
+            window = self._windows.get(identifier)
+            if window is not None and window.changed_at < cold_since:
+                # It grew while the cold limit kept requests away.
+                del self._windows[identifier]
+                self._ended[identifier] = (window, now)
+            self._begin(target, "no longer cold", now)
         for identifier, window in list(self._windows.items()):
             slots = self._targets[identifier].slots
             if window.size >= slots:
@@ -245,15 +253,18 @@
         """Returns whether the pace leaves room for a request of this router."""
         identifier = target.identifier
         window = self._windows.get(identifier)
+        if window is None and identifier not in self._failed:
+            return UNLIMITED
+        if self._cold.is_cold(target):
+            # The cold limit alone decides.
+            return UNLIMITED
         if window is not None and window.life == target.life:
             if self._has_room(identifier, window.size):
                 return UNLIMITED
             now = self._clock.monotonic()
             window.own_limited_at = window.limited_at = now
             return Allowance(_RECHECK_S, LimitReason.PACE)
-        failed_at = self._failed.get(identifier)
-        if failed_at is None:
-            return UNLIMITED
+        failed_at = self._failed.get(identifier, -math.inf)
         is_over = self._clock.monotonic() - failed_at >= _RETRY_S
         if is_over or self._has_room(identifier, INITIAL_WINDOW):
             return UNLIMITED
--- a/crowwinch/sharing/tests/test_start_pace.py
+++ b/crowwinch/sharing/tests/test_start_pace.py
@@ -6,6 +6,7 @@
 from crowwinch.coordination import ManualClock
 from crowwinch.sharing import (
     LimitReason,
+    PaceReport,
     StartPace,
     TargetLoads,
     TargetUse,
@@ -106,6 +107,37 @@
         self._advance(0.05)
         self.assertEqual(len(self._send_all()), 2)
 
+    def test_pace_does_not_limit_a_cold_target(self):
+        """Guards against two limits of which the lower one is a guess."""
+        self._start_target()
+        self.cold.names = {"t"}
+        self.assertEqual(len(self._send_all()), 50)
+
+    def test_window_from_before_a_target_was_cold_is_not_kept(self):
+        self._start_target()
+        for _ in range(4):
+            self._send_all()
+            self.pace.record_first_event("t", 0.0)
+        self._advance(0.05)
+        self.cold.names = {"t"}
+        self._advance(0.05)
+        self.loads = self.pace._loads = TargetLoads(self.clock)
+        self.cold.names = set()
+        self._advance(0.05)
+        self.assertEqual(self.pace.window("t"), 2.0)
+
+    def test_window_that_a_peer_began_after_the_cold_time_is_kept(self):
+        """Guards against each router starting the growth anew."""
+        self.cold.names = {"t"}
+        self._settle(_TARGET)
+        self._advance(0.05)
+        report = PaceReport("t", 1, 1, 2.0, True, 3.0, 0.0, 1.0)
+        self.pace.merge_peer("peer", [report])
+        self._advance(0.05)
+        self.cold.names = set()
+        self._advance(0.05)
+        self.assertEqual(self.pace.window("t"), 5.0)
+
     def test_unreachable_target_is_tried_with_few_requests(self):
         """Guards against all waiting requests going to a target at once."""
         self._settle(_TARGET)
