Sharing: divide the windows of paces in a class of its own

Change: the parts of the routers move to _pace_parts.py; only requests that come to this router count as traffic. Other routers report the paces that they begin.

--- a/crowwinch/sharing/_start_pace.py
+++ b/crowwinch/sharing/_start_pace.py
@@ -11,12 +11,12 @@
 import math
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
 from typing import Protocol
 
-from crowwinch.coordination import Clock, rank
+from crowwinch.coordination import Clock
 from crowwinch.sharing._loads import TargetLoads
 from crowwinch.sharing._model import TargetView
+from crowwinch.sharing._pace_parts import ROUNDING, PaceParts
 from crowwinch.sharing._pace_window import (
     INITIAL_WINDOW,
     PaceReport,
@@ -54,16 +54,9 @@
 # Routers that failed to connect and have no part of the window of a target that
 # comes back try again after this time without a failure.
 _RETRY_S = 3.0
-# Time constant of the measured demand. A part of the window that moves to
-# another router lets a request begin there while one still runs here.
-_DEMAND_TIME_CONSTANT_S = 8.0
-# Fraction of the mean demand that a router without requests counts as.
-_MIN_WEIGHT = 0.05
 # The end of a pace is reported for this time: two rounds of updates in a fleet
 # of 200 routers.
 _REPORT_S = 2.0
-# Sums of loads may be just off a whole number.
-_ROUNDING = 1e-6
 # Targets known by their last start; the oldest are forgotten first.
 _MAX_LIVES = 2_000
 
@@ -84,12 +77,6 @@
         return False
 
 
-@dataclass(slots=True)
-class _Demand:
-    count: float = 0.0
-    at: float = 0.0
-
-
 class StartPace:
     """Limits the requests in flight at targets that start or recover."""
 
@@ -122,12 +109,7 @@
         # Time of the last failed connection to targets that have not answered
         # since.
         self._failed: dict[str, float] = {}
-        self._demand: dict[str, _Demand] = {}
-        self._own_name = ""
-        self._members: tuple[str, ...] = ()
-        self._peer_demand: dict[tuple[str, str], float] = {}
-        self._ranks: dict[str, list[str]] = {}
-        self._parts: dict[str, tuple[float, float]] = {}
+        self._parts = PaceParts(clock)
 
     @property
     def paced_targets(self) -> int:
@@ -146,18 +128,11 @@
             own_name: Name of this router.
             members: Names of all routers, with or without this one.
         """
-        names = tuple(sorted({*members, own_name}))
-        if names != self._members or own_name != self._own_name:
-            self._own_name, self._members = own_name, names
-            self._ranks.clear()
-            self._parts.clear()
+        self._parts.set_fleet(own_name, members)
 
     def record_demand(self, service: str) -> None:
         """Counts a request for a service that arrived at this router."""
-        now = self._clock.monotonic()
-        demand = self._demand.setdefault(service, _Demand())
-        demand.count = self._decayed(demand, now) + 1.0
-        demand.at = now
+        self._parts.record_demand(service)
 
     def observe_targets(self, targets: Iterable[TargetView]) -> None:
         """Sets the targets in use; a pace begins for those that started.
@@ -182,7 +157,7 @@
             self._lives.move_to_end(identifier)
             if is_new:
                 self._forget(identifier)
-                if self._is_settled(now) and self._has_traffic(target, now):
+                if self._is_settled(now) and self._has_traffic(target):
                     self._begin(target, "start", now)
         while len(self._lives) > _MAX_LIVES:
             self._lives.popitem(last=False)
@@ -194,7 +169,7 @@
 
         The parts of this router are computed anew when they are next needed.
         """
-        self._parts.clear()
+        self._parts.refresh()
         now = self._clock.monotonic()
         for identifier, target in self._targets.items():
             if self._cold.is_cold(target):
@@ -234,7 +209,6 @@
             self._reduce(target, waited_s)
         elif late_s <= _IN_TIME_S:
             window.grow(self._loads.active(target))
-            self._parts.pop(target, None)
 
     def record_refusal(self, target: str) -> None:
         """Records that a target refused a request."""
@@ -259,14 +233,14 @@
             # The cold limit alone decides.
             return UNLIMITED
         if window is not None and window.life == target.life:
-            if self._has_room(identifier, window.size):
+            if self._has_room(target, window.size):
                 return UNLIMITED
             now = self._clock.monotonic()
             window.own_limited_at = window.limited_at = now
             return Allowance(_RECHECK_S, LimitReason.PACE)
         failed_at = self._failed.get(identifier, -math.inf)
         is_over = self._clock.monotonic() - failed_at >= _RETRY_S
-        if is_over or self._has_room(identifier, INITIAL_WINDOW):
+        if is_over or self._has_room(target, INITIAL_WINDOW):
             return UNLIMITED
         return Allowance(_RECHECK_S, LimitReason.PACE)
 
@@ -299,7 +273,7 @@
                 window.is_first,
                 window.grown,
                 min(now - window.own_limited_at, _IDLE_S + _REPORT_S),
-                self._wanted_per_s(self._targets[identifier].service, now),
+                self._parts.demand_per_s(self._targets[identifier].service),
             )
             for identifier, window in windows.items()
         ]
@@ -316,7 +290,9 @@
             target = self._targets.get(report.target)
             if target is None or target.life != report.life:
                 continue
-            self._peer_demand[peer, target.service] = report.wanted_per_s
+            self._parts.set_peer_demand(
+                peer, target.service, report.wanted_per_s
+            )
             window = self._windows.get(report.target)
             if window is None:
                 if report.epoch <= self._last_epoch(report.target):
@@ -326,7 +302,6 @@
                 self._log("begins", report.target, "peer")
             window.merge(peer, report, now)
             self._failed.pop(report.target, None)
-            self._parts.pop(report.target, None)
 
     def _begin(self, target: TargetView, cause: str, now: float) -> None:
         identifier = target.identifier
@@ -347,7 +322,6 @@
     ) -> PaceWindow:
         window = PaceWindow(target.life, epoch, base, now, now)
         self._windows[target.identifier] = window
-        self._parts.pop(target.identifier, None)
         return window
 
     def _end(self, identifier: str, cause: str) -> None:
@@ -393,75 +367,23 @@
         if window is None:
             return
         now = self._clock.monotonic()
-        rounds = -(-(len(self._members) - 1) // _FAN_OUT)
+        rounds = -(-(self._parts.routers - 1) // _FAN_OUT)
         settling_s = _MIN_SETTLING_S + rounds * _UPDATE_PERIOD_S
         settled_at = now - max(settling_s, waited_s)
         active = self._loads.active(identifier)
-        if window.reduce(active, now, settled_at):
-            self._parts.pop(identifier, None)
+        window.reduce(active, now, settled_at)
 
-    def _has_room(self, identifier: str, size: float) -> bool:
-        if self._loads.active(identifier) + 1.0 > size + _ROUNDING:
+    def _has_room(self, target: TargetView, size: float) -> bool:
+        active = self._loads.active(target.identifier)
+        if active + 1.0 > size + ROUNDING:
             return False
-        return self._loads.own_active(identifier) < self._part(identifier, size)
-
-    def _part(self, identifier: str, size: float) -> float:
-        """Returns the part of a window that this router may use.
-
-        The parts of all routers add up to the window, so that routers that
-        learn of each other's requests late do not exceed it together.
-        """
-        if len(self._members) <= 1:
-            return math.floor(size)
-        known = self._parts.get(identifier)
-        if known is not None and known[0] == size:
-            return known[1]
-        weights = self._weights(self._targets[identifier].service)
-        ranked = self._ranks.get(identifier)
-        if ranked is None:
-            ranked = self._ranks[identifier] = rank(identifier, self._members)
-        ideal = size * weights[self._own_name] / sum(weights.values())
-        # Rounding thresholds are spread evenly over the routers, and each keeps
-        # its own, so that a part does not move from router to router with
-        # every change of the weights.
-        position = ranked.index(self._own_name) + 1
-        part = math.floor(ideal + 1.0 - position / len(ranked) + _ROUNDING)
-        self._parts[identifier] = (size, part)
-        return part
-
-    def _weights(self, service: str) -> dict[str, float]:
-        """Returns the weight of each router, its demand for the service."""
-        now = self._clock.monotonic()
-        known = {self._own_name: self._wanted_per_s(service, now)}
-        for name in self._members:
-            wanted = self._peer_demand.get((name, service))
-            if wanted is not None and name != self._own_name:
-                known[name] = wanted
-        mean = max(sum(known.values()) / len(known), _MIN_TRAFFIC_PER_S)
-        least = mean * _MIN_WEIGHT
-        return {
-            name: max(known.get(name, mean), least) for name in self._members
-        }
+        own_active = self._loads.own_active(target.identifier)
+        return own_active < self._parts.part(target, size)
 
     def _is_settled(self, now: float) -> bool:
         first = self._first_directory_at
         return first is not None and now - first >= _SETTLED_S
 
-    def _has_traffic(self, target: TargetView, now: float) -> bool:
-        wanted = self._wanted_per_s(target.service, now)
-        return wanted > _MIN_TRAFFIC_PER_S or any(
-            service == target.service and peer_wanted > _MIN_TRAFFIC_PER_S
-            for (_, service), peer_wanted in self._peer_demand.items()
-        )
-
-    def _wanted_per_s(self, service: str, now: float) -> float:
-        demand = self._demand.get(service)
-        if demand is None:
-            return 0.0
-        return self._decayed(demand, now) / _DEMAND_TIME_CONSTANT_S
-
-    @staticmethod
-    def _decayed(demand: _Demand, now: float) -> float:
-        return demand.count * math.exp(
-            (demand.at - now) / _DEMAND_TIME_CONSTANT_S
-        )
+    def _has_traffic(self, target: TargetView) -> bool:
+        """Returns whether requests come here; others report their paces."""
+        return self._parts.demand_per_s(target.service) > _MIN_TRAFFIC_PER_S
