--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -24,12 +24,14 @@
 from crowwinch.fleet._update_codec import (
     decode_cold,
     decode_demand,
+    decode_paces,
     decode_rate_limits,
     decode_suspects,
     decode_sync,
     decode_versions,
     encode_cold,
     encode_demand,
+    encode_paces,
     encode_rate_limits,
     encode_suspects,
     encode_sync,
@@ -239,6 +241,10 @@
                 self._table.is_settled,
             )
             sharing.cold.refresh()
+        sharing.pace.set_fleet(
+            str(self._settings.control), self._table.shared_by
+        )
+        sharing.pace.refresh()
         sharing.admission.poll()
         self._log_membership_changes()
         self._update_reader_role()
@@ -402,6 +408,7 @@
                 self._state.synced_at, self._timers.clock.monotonic()
             ),
             cold=encode_cold(sharing.cold.reports()),
+            paces=encode_paces(sharing.pace.reports()),
         )
 
     def _live_peer_zones(self) -> dict[str, str]:
@@ -451,6 +458,7 @@
         )
         if update.cold:
             sharing.cold.merge_peer(peer, update.life, decode_cold(update.cold))
+        sharing.pace.merge_peer(peer, decode_paces(update.paces))
         self._merge_directory_state(update)
         if update.era == self._state.era:
             self._state.merge_departures(
--- a/crowwinch/forwarding/_call.py
+++ b/crowwinch/forwarding/_call.py
@@ -181,7 +181,7 @@
     if request.content.is_eof():
         # Most bodies arrive with their heads and need no time limit.
         data = request.content.read_nowait()
-        _check_size(len(data), limit, memory)
+        await _take_memory(max(size, len(data)), limit, memory)
         return data
     body = bytearray()
     try:
--- a/crowwinch/forwarding/_sharing_state.py
+++ b/crowwinch/forwarding/_sharing_state.py
@@ -12,6 +12,7 @@
     PrefixCacheTracker,
     Reservation,
     SlidingWindowRetryBudget,
+    StartPace,
     TargetHealth,
     TargetLimits,
     TargetLoads,
@@ -48,6 +49,7 @@
     health: TargetHealth
     limits: TargetLimits
     loads: TargetLoads
+    pace: StartPace
     prefixes: PrefixCacheTracker
     rate_limits: TargetRateLimits
     shares: WorkspaceShares
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -39,6 +39,7 @@
     Placer,
     PrefixCacheTracker,
     SlidingWindowRetryBudget,
+    StartPace,
     TargetHealth,
     TargetLimits,
     TargetLoads,
@@ -204,7 +205,8 @@
     shares = WorkspaceShares(clock, 4.0)
     rate_limits = TargetRateLimits(clock)
     cold = ColdTargets(clock, view)
-    limits = TargetLimits([rate_limits, cold])
+    pace = StartPace(clock, loads, cold)
+    limits = TargetLimits([rate_limits, cold, pace])
     return SharingState(
         admission=Admission(
             clock,
@@ -219,6 +221,7 @@
         crashes=CrashSuspects(clock),
         health=health,
         loads=loads,
+        pace=pace,
         prefixes=prefixes,
         limits=limits,
         rate_limits=rate_limits,
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -58,6 +58,7 @@
     Placer,
     PrefixCacheTracker,
     SlidingWindowRetryBudget,
+    StartPace,
     TargetHealth,
     TargetLimits,
     TargetLoads,
@@ -134,6 +135,9 @@
         )
         self._sharing = self._build_sharing()
         self._metrics.gauge("cold_targets", lambda: self._sharing.cold.count)
+        self._metrics.gauge(
+            "paced_targets", lambda: self._sharing.pace.paced_targets
+        )
         self._is_stopping = False
         self._stopped = asyncio.Event()
         self._background: set[asyncio.Task[None]] = set()
@@ -261,7 +265,8 @@
             settings.cold_slack,
             _log_cold_target,
         )
-        limits = TargetLimits([rate_limits, cold])
+        pace = StartPace(self._clock, loads, cold)
+        limits = TargetLimits([rate_limits, cold, pace])
         shares = WorkspaceShares(
             self._clock, time_constant(settings.share_window_s)
         )
@@ -286,6 +291,7 @@
             health=health,
             limits=limits,
             loads=loads,
+            pace=pace,
             prefixes=prefixes,
             rate_limits=rate_limits,
             shares=shares,
@@ -429,6 +435,7 @@
             map(self._to_target, self._state.evacuated_targets()),
         )
         observe_cold_entries(self._sharing.cold, entries, routing)
+        self._sharing.pace.observe_targets(self._targets.views)
 
     def _to_target(self, entry: TargetEntry) -> Target:
         return Target(
--- a/crowwinch/sharing/__init__.py
+++ b/crowwinch/sharing/__init__.py
@@ -22,6 +22,7 @@
     Verdict,
     Work,
 )
+from crowwinch.sharing._pace_window import PaceReport
 from crowwinch.sharing._placer import Placer
 from crowwinch.sharing._prefixes import PrefixCacheTracker
 from crowwinch.sharing._rate_limits import RateLimitReport, TargetRateLimits
@@ -33,6 +34,7 @@
     time_constant,
 )
 from crowwinch.sharing._speeds import EngineSpeeds
+from crowwinch.sharing._start_pace import StartPace
 from crowwinch.sharing._target_limits import (
     UNLIMITED,
     Allowance,
@@ -58,6 +60,7 @@
     "CrashSuspects",
     "Decision",
     "EngineSpeeds",
+    "PaceReport",
     "Placer",
     "PrefixCacheTracker",
     "PromptPart",
@@ -65,6 +68,7 @@
     "RequestFeatures",
     "Reservation",
     "SlidingWindowRetryBudget",
+    "StartPace",
     "SuspectReport",
     "TargetHealth",
     "TargetLoads",
