Sharing: fetch from the home of a prefix that is known for a shorter part

Cause: all prompts of a route begin with one short part, which every engine has. Change: the home counts as having all of the shared part, as in forecasts; engines that are known to have it come first.

--- a/crowwinch/sharing/_cache_sources.py
+++ b/crowwinch/sharing/_cache_sources.py
@@ -35,8 +35,8 @@
             work: The request.
             cached_tokens: Tokens of the prompt that engines have read recently.
             home: Engine to which all routers prefer to send the prompt. It
-                counts as having all of the shared part unless another engine
-                is known to have it.
+                counts as having all of the shared part, but engines that are
+                known to have it come first.
             statuses: State of the targets. Those in back-off are no sources.
         """
         # Only engines that can fetch need a source.
@@ -52,7 +52,8 @@
             if target in reachable
         }
         if home is not None and home in reachable:
-            known.setdefault(home, work.shared_tokens)
+            known.pop(home, None)
+            known[home] = work.shared_tokens
         # The engine with the second longest part serves the one with the
         # longest.
         self._prompt_tokens = work.prompt_tokens
