Soak: evacuate zones and take them back

Cause: the soak knew no evacuations, so nothing checked them together with kills, freezes and cuts. Change: routers and targets are spread over two zones; a zone is emptied for 5.5 to 7 s and taken back, and no target of it may get a request of a calm router from 5 s after the store had the item.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -145,10 +145,14 @@
         """Lets the store return from its copy."""
         call("POST", f"{self.store.url}/test/restore")
 
+    @property
+    def zones(self) -> Sequence[str]:
+        """Availability zones over which the fleet is spread."""
+        return list(self._zones) or [_ZONE]
+
     def zone(self, number: int) -> str:
         """Returns the availability zone of a router."""
-        zones = list(self._zones) or [_ZONE]
-        return zones[number % len(zones)]
+        return self.zones[number % len(self.zones)]
 
     def start_target(
         self, name: str, service: str, born: float = _STARTED_S
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -11,6 +11,8 @@
 
 # Time until a stopped router must have ended, as on the operators' platform.
 GRACE_S = 8.0
+# Time until an evacuation must be in force, as on the operators' platform.
+EVACUATE_S = 5.0
 _DRAIN_S = 2.0
 _SERVICES = {name: "desk" for name in DESKS} | {name: "llm" for name in ENGINES}
 
@@ -24,6 +26,15 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """An evacuated zone and when the store held its item, in Unix seconds."""
+
+    zone: str
+    since: float
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class Version:
     """A configuration and when the store had it, in Unix seconds."""
@@ -43,6 +54,7 @@
         self._version = 3
         self.versions: list[Version] = []
         self.leavings: list[Leaving] = []
+        self.evacuations: list[Evacuation] = []
         self.late_stops: list[str] = []
         self.journal: list[str] = []
         self._planned: tuple[Callable[[], Awaitable[None]], ...] = (
@@ -51,6 +63,7 @@
             self._reload_router,
             self._publish,
             self._drain_target,
+            self._evacuate_zone,
         )
         self._unplanned: tuple[Callable[[], Awaitable[None]], ...] = (
             self._kill_router,
@@ -228,6 +241,22 @@
         self._log(name, f"started, {version}")
         self._busy.discard(name)
 
+    async def _evacuate_zone(self) -> None:
+        """Empties a zone for longer than the bound, and takes it back."""
+        part = self._take(*(f"zone {zone}" for zone in self._fleet.zones))
+        if part is None:
+            return
+        zone = part.removeprefix("zone ")
+        key = f"op/evacuate/{zone}"
+        await asyncio.to_thread(self._fleet.put, key, b"{}")
+        since = time.time()
+        self._log(part, "evacuated")
+        await asyncio.sleep(EVACUATE_S + self._rng.uniform(0.5, 2.0))
+        self.evacuations.append(Evacuation(zone, since, time.time()))
+        await asyncio.to_thread(self._fleet.delete, key)
+        self._log(part, "taken back")
+        self._busy.discard(part)
+
     async def _restart_in_place(self) -> None:
         """Ends an engine; another version starts at its address."""
         name = self._take(*ENGINES)
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -11,6 +11,7 @@
 DESKS = ("i-desk-1", "i-desk-2")
 ENGINES = ("i-llm-1", "i-llm-2", "i-llm-3")
 VERSIONS = ("v1", "v2")
+_ZONES = {"hall-a": "midlands", "hall-b": "midlands"}
 # A part of the fleet counts as calm again this long after a disturbance, as on
 # the operators' smaller sites.
 CONTACT_S = 3.0
@@ -38,7 +39,7 @@
 
     def __init__(self, routers: int) -> None:
         """Starts the store and the relay."""
-        super().__init__(routers)
+        super().__init__(routers, _ZONES)
         self.run_log = self.path / "runs.log"
         self.run_log.touch()
         self.disturbances: list[Disturbance] = []
@@ -63,6 +64,7 @@
 
     def start(self) -> None:
         """Starts targets and routers and waits until they serve."""
+        self.target_zones[ENGINES[-1]] = self.zone(0)
         self.start_target(ENGINES[-1], "llm")
         super().start()
 
--- a/tests/soak/_promises.py
+++ b/tests/soak/_promises.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator, Sequence
 
 from tests.platform_fleet import WORDS
-from tests.soak._faults import GRACE_S, Faults
+from tests.soak._faults import EVACUATE_S, GRACE_S, Faults
 from tests.soak._fleet import CONTACT_S, SoakFleet
 from tests.soak._load import DEADLINE_S, KINDS, Record, Stream
 
@@ -63,6 +63,7 @@
             self._crowds_are_answered,
             self._streams_are_of_one_version,
             self._leaving_targets_get_nothing,
+            self._evacuated_zones_get_nothing,
             self._routers_end_as_told,
         )
         return [
@@ -167,6 +168,22 @@
                 ):
                     yield f"at {at:.2f}, after {leaving}: {record}"
 
+    def _evacuated_zones_get_nothing(self) -> Iterator[str]:
+        for evacuation in self._faults.evacuations:
+            first = evacuation.since + EVACUATE_S + _CLOCK_SLACK_S
+            for at, target, attempt in self._runs:
+                zone = self._fleet.target_zones[target]
+                is_late = first < at < evacuation.until
+                record = self._by_attempt.get(attempt)
+                if zone != evacuation.zone or not is_late or record is None:
+                    continue
+                parts = (f"router-{record.router}", "store")
+                if all(
+                    self._fleet.is_calm(part, evacuation.since, at)
+                    for part in parts
+                ):
+                    yield f"{target} at {at:.2f}, {evacuation}: {record}"
+
     def _routers_end_as_told(self) -> Iterator[str]:
         for name, code in self._fleet.ended_by_themselves:
             yield f"{name} ended by itself, exit code {code}"
