--- a/crowwinch/cli/_gateway.py
+++ b/crowwinch/cli/_gateway.py
@@ -6,6 +6,8 @@
 
 from crowwinch.errors import Finding, SettingsError
 
+_START_PACE_VARIABLE = "CROWWINCH_START_PACE"
+
 
 class GatewayCommand:
     """Runs a router on the operators' platform."""
@@ -32,6 +34,14 @@
             choices=("debug", "info", "warning", "error"),
             help="least severity that is logged, default info",
         )
+        parser.add_argument(
+            "--start-pace",
+            action="store_true",
+            default=os.environ.get(_START_PACE_VARIABLE) == "1",
+            help="limit the requests in flight at targets that have started "
+            "or recovered, in services with cold starts; "
+            f"{_START_PACE_VARIABLE}=1 does the same",
+        )
 
     def run(self, arguments: argparse.Namespace) -> int:
         """Runs until a graceful shutdown has finished.
@@ -50,5 +60,5 @@
                 [Finding("--settings", f"is required (or {SETTINGS_VARIABLE})")]
             )
         configure_bounded_logs(arguments.log_level)
-        run_gateway(path)
+        run_gateway(path, is_paced=arguments.start_pace)
         return 0
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -94,16 +94,18 @@
 class GatewayApplication(aiomisc.Service):
     """One router process on the operators' platform."""
 
-    def __init__(self, path: str) -> None:
+    def __init__(self, path: str, *, is_paced: bool = False) -> None:
         """Creates all components; none runs until `start` is called.
 
         Args:
             path: Path of the settings file of the platform.
+            is_paced: Whether targets that have started or recovered are paced.
 
         Raises:
             SettingsError: If settings are invalid, with a finding for each.
         """
         super().__init__()
+        self._is_paced = is_paced
         self._settings_file = SettingsFile(
             path, load_boot_settings, self._apply_settings
         )
@@ -266,7 +268,9 @@
             _log_cold_target,
         )
         pace = StartPace(self._clock, loads, cold)
-        limits = TargetLimits([rate_limits, cold, pace])
+        limits = TargetLimits(
+            [rate_limits, cold, *([pace] if self._is_paced else [])]
+        )
         shares = WorkspaceShares(
             self._clock, time_constant(settings.share_window_s)
         )
@@ -435,7 +439,9 @@
             map(self._to_target, self._state.evacuated_targets()),
         )
         observe_cold_entries(self._sharing.cold, entries, routing)
-        self._sharing.pace.observe_targets(self._targets.views)
+        # Without targets, no pace begins and nothing is told to peers.
+        if self._is_paced:
+            self._sharing.pace.observe_targets(self._targets.views)
 
     def _to_target(self, entry: TargetEntry) -> Target:
         return Target(
@@ -478,18 +484,19 @@
     )
 
 
-def run_gateway(path: str) -> None:
+def run_gateway(path: str, *, is_paced: bool = False) -> None:
     """Runs a router until a graceful shutdown has finished.
 
     Args:
         path: Path of the settings file of the platform.
+        is_paced: Whether targets that have started or recovered are paced.
 
     Raises:
         SettingsError: If settings are invalid, with a finding for each.
     """
 
     async def serve() -> None:
-        application = GatewayApplication(path)
+        application = GatewayApplication(path, is_paced=is_paced)
         await application.start()
         try:
             await application.wait_stopped()
--- a/crowwinch/gateway/tests/test_cold_entries.py
+++ b/crowwinch/gateway/tests/test_cold_entries.py
@@ -60,7 +60,8 @@
         self.addCleanup(directory.cleanup)
         path = pathlib.Path(directory.name) / "boot.toml"
         path.write_text(_SETTINGS)
-        self.application = GatewayApplication(str(path))
+        self.path = str(path)
+        self.application = GatewayApplication(self.path)
         self.cold = self.application._sharing.cold
         self.revision = 1
 
@@ -121,3 +122,20 @@
         self._list(_configuration(), a=_entry("llm", 1, 2_900))
         self.assertEqual(self.cold.count, 0)
         self.assertFalse(self.cold.is_active)
+
+    async def test_targets_are_paced_only_on_request(self):
+        """Guards against reports between routers that nobody asked for."""
+        for is_paced in (False, True):
+            with self.subTest(is_paced):
+                self.application = GatewayApplication(
+                    self.path, is_paced=is_paced
+                )
+                self._list(
+                    _configuration(ColdStartS=3.0, ColdPerS=12.0),
+                    a=_entry("llm", 1, 0),
+                )
+                pace = self.application._sharing.pace
+                pace.record_connection_failure("a")
+                pace.record_first_event("a", 0.0)
+                self.assertEqual(pace.paced_targets, int(is_paced))
+                self.assertEqual(len(pace.reports()), int(is_paced))
