Soak: test the promise on evacuated zones

Cause: the stand-ins of test_platform_soak had no evacuations, so 13 of its 16 tests ended with an error after the soak had learned them. Change: they have the new fields; one more test plays a run in an evacuated zone, in another zone, within the bound and while the store is disturbed. Evidence: tests.test_platform_soak.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -7,7 +7,7 @@
 import unittest
 
 from tests.platform_fleet import WORDS
-from tests.soak._faults import Leaving
+from tests.soak._faults import Evacuation, Leaving
 from tests.soak._fleet import Disturbance, SoakFleet
 from tests.soak._load import Record, Stream
 from tests.soak._promises import Promises
@@ -64,9 +64,12 @@
             run_log=pathlib.Path(folder.name) / "runs.log",
             disturbances=[],
             ended_by_themselves=[],
+            target_zones={"i-desk-1": "hall-a"},
         )
         self.fleet.is_calm = lambda *args: SoakFleet.is_calm(self.fleet, *args)
-        self.faults = types.SimpleNamespace(leavings=[], late_stops=[])
+        self.faults = types.SimpleNamespace(
+            leavings=[], evacuations=[], late_stops=[]
+        )
         self.records = []
         self.runs = []
         self._numbers = itertools.count(1)
@@ -185,6 +188,16 @@
         self._disturb("store", 97.0, 98.0, "frozen")
         self.assertEqual(self._broken(), set())
 
+    def test_a_run_in_an_evacuated_zone(self):
+        self._ask()
+        self.faults.evacuations.append(Evacuation("hall-b", 90.0, 105.0))
+        self.faults.evacuations.append(Evacuation("hall-a", 95.0, 105.0))
+        self.assertEqual(self._broken(), set())
+        self.faults.evacuations.append(Evacuation("hall-a", 94.5, 105.0))
+        self.assertEqual(self._broken(), {"evacuated_zones_get_nothing"})
+        self._disturb("store", 95.0, 96.0, "frozen")
+        self.assertEqual(self._broken(), set())
+
     def test_a_router_that_ends_by_itself(self):
         self.fleet.ended_by_themselves.append(("router-1", 1))
         self.assertEqual(self._broken(), {"routers_end_as_told"})
