--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -23,9 +23,12 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "ficu95.example"
 KEY = "key-of-tenant-1"
+OTHER_KEY = "key-of-tenant-2"
 HEARTBEAT_S = 1.2
+CONTACT_S = 3.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 _READY_S = 20.0
+_ZONES = ("bne-north", "bne-south", "gc-hall", "ipswich-hall")
 _STARTED = time.monotonic()
 
 Headers = dict[str, str]
@@ -408,7 +411,10 @@
             "IdleTimeoutMs": 15000,
             "TokensPerS": 170000,
         },
-        "Tenants": [{"Name": "tenant-1", "ApiKeys": [KEY], "Priority": 1}],
+        "Tenants": [
+            {"Name": "tenant-1", "ApiKeys": [KEY], "Priority": 1},
+            {"Name": "tenant-2", "ApiKeys": [OTHER_KEY], "Priority": 1},
+        ],
     } | changes
 
 
@@ -420,7 +426,10 @@
     ) -> None:
         """Writes its settings."""
         self._fleet, self._ports = fleet, ports
-        self.name = f"edge-bne-north-{number}"
+        self.zone = _ZONES[(number - 1) % len(_ZONES)]
+        self.name = f"edge-{self.zone}-{number}"
+        # Times of its last start, and of its last signal that disturbs it.
+        self.disturbed_at = float("-inf")
         self.address = f"127.0.1.{number}"
         self.process: subprocess.Popen[bytes] | None = None
         self._settings = fleet.folder / f"{self.name}.toml"
@@ -434,15 +443,16 @@
         self._settings.write_text(
             f'NodeName = "{self.name}"\nRole = "router"\n'
             'MachineClass = "edge"\nServes = ["edge","control_plane"]\n'
-            f'Ip = "{address}"\nZone = "bne-north"\nRegion = "qld-south"\n'
+            f'Ip = "{address}"\nZone = "{self.zone}"\nRegion = "qld-south"\n'
             f"PortRange = [{ports['first']},{ports['last']}]\n"
             f"Seeds = {json.dumps(seeds)}\nBootstrap = true\n"
             'LossCounts = false\nDiscovery = "platform"\nEntry = "vip"\n'
             f"HeartbeatMs = {int(HEARTBEAT_S * 1000)}\n"
             'Contracts = ["base","drain","config","cost","retry","recover",'
             '"engine","stream","tenants","platform"]\n'
-            '[Zones]\nbne-north = "qld-south"\nbne-south = "qld-south"\n'
-            f'[Listen]\nFrontend = "{address}:{ports["front"]}"\n'
+            "[Zones]\n"
+            + "".join(f'{zone} = "qld-south"\n' for zone in _ZONES)
+            + f'[Listen]\nFrontend = "{address}:{ports["front"]}"\n'
             f'Readiness = "{address}:{ports["ready"]}"\n'
             f'Control = "{address}:{ports["control"]}"\n'
             "[Limits]\nCpuShare = 0.537\nCores = 2\nMemoryMb = 150\n"
@@ -462,6 +472,7 @@
 
     def start(self) -> None:
         """Starts the process."""
+        self.disturbed_at = time.monotonic()
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 ("python3", "-m", "crowwinch", "gateway"),
@@ -481,6 +492,12 @@
             "router", self.name, "starts as process", self.process.pid
         )
 
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether nothing has disturbed it for `ContactMs`."""
+        calm_s = time.monotonic() - self.disturbed_at
+        return calm_s > CONTACT_S and self.exit_code is None
+
     @property
     def exit_code(self) -> int | None:
         """Exit code of the process, None while it runs."""
@@ -490,6 +507,7 @@
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
         assert self.process is not None
+        self.disturbed_at = time.monotonic()
         self._fleet.record("router", self.name, "gets", number.name)
         self.process.send_signal(number)
 
@@ -535,6 +553,7 @@
     *lines: str,
     method: str = "POST",
     deadline_ms: int = 12000,
+    key: str = KEY,
 ) -> bytes:
     """Returns a request as the requesters of the pages send it."""
     head = "\r\n".join(
@@ -543,7 +562,7 @@
             f"Host: {HOST}",
             f"X-Crowwinch-Attempt-Id: {attempt}",
             f"X-Crowwinch-Deadline-Ms: {deadline_ms}",
-            f"X-Api-Key: {KEY}",
+            f"X-Api-Key: {key}",
             f"Content-Length: {len(body)}",
             *lines,
             "",
@@ -592,13 +611,17 @@
         Raises:
             TimeoutError: If they are not in time.
         """
+        await self.start_platform(*workers)
+        for router in self.routers:
+            router.start()
+        await self.wait_ready()
+
+    async def start_platform(self, *workers: Worker) -> None:
+        """Writes the configuration and starts workers."""
         self.store.put("op/config", configuration())
         self.workers.extend(workers)
         for worker in workers:
             await worker.start()
-        for router in self.routers:
-            router.start()
-        await self.wait_ready()
 
     async def wait_ready(self) -> None:
         """Waits until all routers are ready.
