--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -28,6 +28,9 @@
 CONTACT_S = 3.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 _READY_S = 20.0
+# Size of a page of the store: "about 500 items or 1 MB".
+_PAGE_ITEMS = 500
+_PAGE_BYTES = 1_000_000
 _ZONES = ("bne-north", "bne-south", "gc-hall", "ipswich-hall")
 _STARTED = time.monotonic()
 
@@ -101,6 +104,8 @@
         self._items: dict[str, dict[str, object]] = {}
         self._events: list[dict[str, object]] = []
         self._revision = 1
+        # The history holds the changes after this revision.
+        self._kept_after = 0
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.address = ""
@@ -115,10 +120,14 @@
 
     def put(self, key: str, value: object) -> None:
         """Writes an item as JSON."""
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key: str, value: bytes) -> None:
+        """Writes an item."""
         self._revision += 1
         item = {
             "Key": key,
-            "Value": base64.b64encode(json.dumps(value).encode()).decode(),
+            "Value": base64.b64encode(value).decode(),
             "Revision": self._revision,
             "Created": self._revision,
             "Lease": 0,
@@ -132,6 +141,13 @@
         self._revision += 1
         self._note({"Key": key, "Revision": self._revision, "Deleted": True})
 
+    def compact(self) -> None:
+        """Discards the history and cuts the watches that wait."""
+        self._kept_after = self._revision
+        self._events.clear()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _note(self, event: dict[str, object]) -> None:
         self._events.append(event)
         self._changed.set()
@@ -143,16 +159,19 @@
         with contextlib.suppress(EOFError, OSError, asyncio.CancelledError):
             while True:
                 first, _ = await read_head(reader)
-                body = json.dumps(await self._answer(first.split()[1])).encode()
+                answer = await self._answer(first.split()[1])
+                status = b"410 Gone" if answer is None else b"200 OK"
+                body = json.dumps(answer).encode()
                 writer.write(
-                    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                    b"HTTP/1.1 %b\r\nContent-Type: application/json\r\n"
                     b"Store-Era: 1\r\n"
-                    b"Content-Length: %d\r\n\r\n" % len(body) + body
+                    b"Content-Length: %d\r\n\r\n" % (status, len(body)) + body
                 )
                 await writer.drain()
         writer.close()
 
-    async def _answer(self, target: str) -> dict[str, object]:
+    async def _answer(self, target: str) -> dict[str, object] | None:
+        """Returns the body of an answer, None if the history is lost."""
         path, _, query = target.partition("?")
         given = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         prefix = given.get("Prefix", "")
@@ -162,14 +181,20 @@
                 for key, item in sorted(self._items.items())
                 if key.startswith(prefix) and key > given.get("After", "")
             ]
+            count, size = 0, 0
+            while count < min(len(items), _PAGE_ITEMS) and size < _PAGE_BYTES:
+                size += len(str(items[count]["Value"]))
+                count += 1
             return {
-                "Items": items,
-                "Truncated": False,
+                "Items": items[:count],
+                "Truncated": count < len(items),
                 "CurrentRev": self._revision,
             }
         end = time.monotonic() + int(given["WaitMs"]) / 1000
         while True:
             changed = self._changed
+            if int(given["After"]) < self._kept_after:
+                return None
             events = [
                 event
                 for event in self._events
