--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -614,7 +614,8 @@
         """Starts the store and writes the settings of the routers."""
         await self.store.start()
         names = ("front", "ready", "control", "first", "last")
-        ports = dict(zip(names, free_ports(len(names)), strict=True))
+        free = free_ports(len(names), "127.0.1.1")
+        ports = dict(zip(names, free, strict=True))
         self.routers = [
             Router(self, number + 1, ports) for number in range(self._count)
         ]
