Stream records: hand over when a router stops, ask peers that stop

Callers saw: in a roll of all routers, one a second, while two software versions serve, streams that the stops broke off could not be taken up.

Cause: the record of which version began a stream is sent once, to two peers that are up at that moment. In a roll both have ended, or are stopping, when the router of the stream breaks it off. Peers that stop still hold records but were not asked, and peers that have just started took their place in the order of the hash and answered that they hold nothing.

Change: a router that stops copies all records that it holds to the next two peers that stay, until they confirm them, and again when one of them leaves, restarts or is the first to come up. Its stop waits for confirmations while the grace period lasts. Queries also go to peers that are stopping. A peer that is younger than the stream does not count among the six that are asked (12 at most). Records keep their age, so a handover does not prolong them.

--- a/crowwinch/fleet/_endpoint.py
+++ b/crowwinch/fleet/_endpoint.py
@@ -10,14 +10,23 @@
 
 from crowwinch.errors import DECODE_ERRORS, PeerRejection
 from crowwinch.fleet._update_size import shorten_update
-from crowwinch.generated.fleet_messages import FleetUpdate, StreamMessage
+from crowwinch.generated.fleet_messages import (
+    FleetUpdate,
+    HandoverReceipt,
+    StreamHandover,
+    StreamMessage,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
 # First byte of each datagram: the kind and version of the wire format, changed
 # with each incompatible format.
 _UPDATE_FORMAT = b"\x02"
-_STREAM_FORMAT = b"\x03"
+_STREAM_FORMATS: Mapping[type, bytes] = {
+    StreamMessage: b"\x03",
+    StreamHandover: b"\x04",
+    HandoverReceipt: b"\x05",
+}
 _MAX_UPDATE_BYTES = 60_000
 # Largest UDP payload, rounded up to a power of two.
 _RECEIVE_BUFFER_BYTES = 65_536
@@ -29,8 +38,13 @@
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODERS = {
     _UPDATE_FORMAT: msgspec.msgpack.Decoder(FleetUpdate),
-    _STREAM_FORMAT: msgspec.msgpack.Decoder(StreamMessage),
+    **{
+        number: msgspec.msgpack.Decoder(kind)
+        for kind, number in _STREAM_FORMATS.items()
+    },
 }
+# What routers tell each other about streams.
+StreamDatagram = StreamMessage | StreamHandover | HandoverReceipt
 
 
 class FleetEndpoint:
@@ -47,7 +61,7 @@
         port: int,
         receive: Callable[[FleetUpdate], None],
         count_rejection: Callable[[PeerRejection], None],
-        receive_stream: Callable[[StreamMessage], None] = lambda message: None,
+        receive_stream: Callable[[StreamDatagram], None] = lambda message: None,
     ) -> None:
         """Creates an endpoint; the socket is opened by `start`.
 
@@ -135,9 +149,12 @@
             self._log_shortened(size, left_out)
         self._send_datagram(datagram, hosts)
 
-    def send_stream(self, message: StreamMessage, hosts: Sequence[str]) -> None:
-        """Sends a message about a stream to the peer port of each host."""
-        self._send_datagram(_STREAM_FORMAT + _ENCODER.encode(message), hosts)
+    def send_stream(
+        self, message: StreamDatagram, hosts: Sequence[str]
+    ) -> None:
+        """Sends a message about streams to the peer port of each host."""
+        datagram = _STREAM_FORMATS[type(message)] + _ENCODER.encode(message)
+        self._send_datagram(datagram, hosts)
 
     def handle_datagram(self, datagram: bytes) -> None:
         """Decodes and dispatches a datagram; counts and drops invalid ones."""
@@ -150,10 +167,10 @@
         except DECODE_ERRORS:
             self._count_rejection(PeerRejection.MALFORMED)
             return
-        if isinstance(message, StreamMessage):
-            self._receive_stream(message)
-        else:
+        if isinstance(message, FleetUpdate):
             self._receive(message)
+        else:
+            self._receive_stream(message)
 
     def _log_shortened(self, size: int, left_out: Mapping[str, int]) -> None:
         now = time.monotonic()
--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -59,6 +59,21 @@
 _SHARES_PERIOD_S = 0.2
 
 
+@dataclass(frozen=True, slots=True)
+class PeerStatus:
+    """What a peer last said of itself.
+
+    Attributes:
+        control: Its control address.
+        life: Unix time of its start in milliseconds.
+        is_leaving: Whether it is shutting down.
+    """
+
+    control: str
+    life: int
+    is_leaving: bool
+
+
 @dataclass(slots=True)
 class _Peer:
     control: str
@@ -120,6 +135,16 @@
             ]
         return self._live
 
+    @property
+    def reachable(self) -> list[PeerStatus]:
+        """Peers heard within the liveness timeout, also those that leave."""
+        oldest = self._clock.monotonic() - _LIVENESS_TIMEOUT_S
+        return [
+            PeerStatus(peer.control, peer.incarnation, peer.is_leaving)
+            for peer in self._peers.values()
+            if peer.last_heard_s >= oldest
+        ]
+
     @property
     def shared_by(self) -> Sequence[str]:
         """Control addresses of the peers with which capacity is shared.
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -17,10 +17,10 @@
 from crowwinch.errors import PeerRejection
 from crowwinch.fleet._directory_exchange import DirectoryExchange
 from crowwinch.fleet._directory_pull import DirectoryPull
-from crowwinch.fleet._endpoint import FleetEndpoint
+from crowwinch.fleet._endpoint import FleetEndpoint, StreamDatagram
 from crowwinch.fleet._peer_directories import PeerDirectories
 from crowwinch.fleet._peer_table import PeerTable
-from crowwinch.fleet._stream_records import StreamRecords
+from crowwinch.fleet._stream_records import RecordPeer, StreamRecords
 from crowwinch.fleet._update_codec import (
     decode_cold,
     decode_demand,
@@ -47,7 +47,6 @@
     DepartureReport,
     FleetUpdate,
     PrefixReport,
-    StreamMessage,
     TargetReport,
     WorkspaceReport,
 )
@@ -129,7 +128,7 @@
         self._streams = StreamRecords(
             timers.clock,
             str(settings.control),
-            self._live_peer_zones,
+            self._record_peers,
             lambda message, controls: self._endpoint.send_stream(
                 message, _hosts(controls)
             ),
@@ -246,6 +245,8 @@
         )
         sharing.pace.refresh()
         sharing.admission.poll()
+        if self._is_leaving():
+            self._streams.refresh_handover()
         self._log_membership_changes()
         self._update_reader_role()
         self._send_update()
@@ -411,14 +412,16 @@
             paces=encode_paces(sharing.pace.reports()),
         )
 
-    def _live_peer_zones(self) -> dict[str, str]:
+    def _record_peers(self) -> dict[str, RecordPeer]:
         return {
-            peer: self._peer_zones[peer]
-            for peer in self._table.live
-            if peer in self._peer_zones
+            peer.control: RecordPeer(
+                self._peer_zones[peer.control], peer.life, peer.is_leaving
+            )
+            for peer in self._table.reachable
+            if peer.control in self._peer_zones
         }
 
-    def _receive_stream(self, message: StreamMessage) -> None:
+    def _receive_stream(self, message: StreamDatagram) -> None:
         if message.control != str(self._settings.control):
             self._streams.receive(message)
 
--- a/crowwinch/fleet/_stream_origins.py
+++ b/crowwinch/fleet/_stream_origins.py
@@ -68,7 +68,9 @@
         asked_at = self._clock.monotonic()
         version = None
         if stream.attempt_id is not None:
-            version = await self._records.find(stream.attempt_id)
+            version = await self._records.find(
+                stream.attempt_id, stream.max_age_s
+            )
         if version is None:
             version = await self._find_only_version(stream, asked_at)
         return version
--- a/crowwinch/fleet/_stream_records.py
+++ b/crowwinch/fleet/_stream_records.py
@@ -2,29 +2,59 @@
 
 A caller takes up a broken stream at any router, also when the one that served
 it is gone. Each record is therefore sent to routers that a hash of the attempt
-selects, and looked up there.
+selects, and looked up there. A router that shuts down hands its records over.
 """
 
 import asyncio
+import functools
+import logging
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 
 import xxhash
 
 from crowwinch.coordination import Clock, rank
+from crowwinch.fleet._endpoint import StreamDatagram
+from crowwinch.fleet._record_handover import RecordHandover
 from crowwinch.forwarding import StreamVersionTable
-from crowwinch.generated.fleet_messages import StreamMessage
+from crowwinch.generated.fleet_messages import (
+    HandoverReceipt,
+    StreamHandover,
+    StreamMessage,
+)
+
+_LOGGER = logging.getLogger(__name__)
 
 # Peers that hold a record besides the router that serves the stream.
 _HOLDERS = 2
 # Peers that are asked. The live peers may have changed since the record was
 # sent, and the router that served the stream did not count itself.
 _ASKED = 6
+# Peers that are asked at most, with those that started after the stream.
+_MAX_ASKED = 12
+_MS_PER_S = 1000.0
 # Datagrams are lost now and then, and in a large fleet they are read once per
 # update period of 0.05 s.
 _ANSWER_TIMEOUT_S = 0.15
 _MAX_QUERIES = 3
 
 
+@dataclass(frozen=True, slots=True)
+class RecordPeer:
+    """A peer that may hold records.
+
+    Attributes:
+        zone: Its availability zone.
+        life: Unix time of its start in milliseconds.
+        is_leaving: Whether it is shutting down. It answers queries until it
+            ends, and takes no records.
+    """
+
+    zone: str
+    life: int = 0
+    is_leaving: bool = False
+
+
 class StreamRecords:
     """Sends, holds and finds records of streams."""
 
@@ -32,22 +62,24 @@
         self,
         clock: Clock,
         own_control: str,
-        peer_zones: Callable[[], Mapping[str, str]],
-        send: Callable[[StreamMessage, Sequence[str]], None],
+        peers: Callable[[], Mapping[str, RecordPeer]],
+        send: Callable[[StreamDatagram, Sequence[str]], None],
     ) -> None:
         """Creates an instance without records.
 
         Args:
             clock: Monotonic time.
             own_control: Control address of this router.
-            peer_zones: Returns the availability zone of each live peer by its
-                control address.
+            peers: Returns the peers that are up by their control addresses.
             send: Sends a message to control addresses of peers.
         """
+        self._clock = clock
         self._own_control = own_control
-        self._peer_zones = peer_zones
+        self._peers = peers
         self._send = send
         self._table = StreamVersionTable(clock)
+        # Set when this router shuts down.
+        self._handover: RecordHandover | None = None
         # Lookups that wait for answers, by attempt.
         self._lookups: dict[str, _Lookup] = {}
 
@@ -56,6 +88,35 @@
         """Number of records that were dropped for lack of room."""
         return self._table.evictions
 
+    @property
+    def is_handing_over(self) -> bool:
+        """Whether peers do not have all records of this router yet."""
+        return self._handover is not None and self._handover.is_pending
+
+    @property
+    def unconfirmed(self) -> int:
+        """Number of records that peers have yet to take over."""
+        return 0 if self._handover is None else self._handover.unconfirmed
+
+    def refresh_handover(self) -> None:
+        """Hands records over; called periodically while this router stops."""
+        if self._handover is None:
+            self._handover = RecordHandover(
+                self._clock,
+                self._own_control,
+                self._table,
+                self._select_holders,
+                self._send,
+            )
+            self._handover.add(self._table)
+            _LOGGER.info(
+                "handing over stream records",
+                extra={"records": len(self._table)},
+            )
+        self._handover.refresh(
+            {control: peer.life for control, peer in self._staying().items()}
+        )
+
     def holds(self, attempt_id: str) -> bool:
         """Returns whether this router itself has the record of a stream."""
         return self._table.get(_digest(attempt_id)) is not None
@@ -63,14 +124,19 @@
     def record(self, attempt_id: str, version: str) -> None:
         """Records the version that began a stream, here and at peers."""
         key = _digest(attempt_id)
-        self._table.record(key, version)
+        self._store(key, version)
         self._send(
             StreamMessage("record", self._own_control, key, version),
-            self._select_peers(key, _HOLDERS),
+            self._select_holders(key),
         )
 
-    async def find(self, attempt_id: str) -> str | None:
-        """Returns the version that began a stream, None if nobody knows it."""
+    async def find(self, attempt_id: str, max_age_s: float) -> str | None:
+        """Returns the version that began a stream, None if nobody knows it.
+
+        Args:
+            attempt_id: Attempt that brought the first event.
+            max_age_s: Maximum time in seconds since the stream began.
+        """
         key = _digest(attempt_id)
         version = self._table.get(key)
         if version is not None:
@@ -80,14 +146,23 @@
             lookup = self._lookups[key] = _Lookup()
         lookup.waiters += 1
         try:
-            return await self._ask(key, lookup)
+            return await self._ask(key, lookup, max_age_s)
         finally:
             lookup.waiters -= 1
             if not lookup.waiters:
                 self._lookups.pop(key, None)
 
-    def receive(self, message: StreamMessage) -> None:
-        """Applies a message of a peer."""
+    @functools.singledispatchmethod
+    def receive(self, message: StreamDatagram) -> None:
+        """Applies a message of a peer.
+
+        Raises:
+            TypeError: If the message is of another kind.
+        """
+        raise TypeError(f"unexpected message: {type(message).__name__}")
+
+    @receive.register
+    def _(self, message: StreamMessage) -> None:
         key = message.stream
         if message.kind == "query":
             self._send(
@@ -98,16 +173,39 @@
             )
             return
         if message.version is not None:
-            self._table.record(key, message.version)
+            self._store(key, message.version)
         lookup = self._lookups.get(key)
         if lookup is not None:
             lookup.add_answer(message.control, message.version)
 
-    async def _ask(self, key: str, lookup: "_Lookup") -> str | None:
+    @receive.register
+    def _(self, message: StreamHandover) -> None:
+        for record in message.records:
+            self._store(
+                record.stream, record.version, record.age_ms / _MS_PER_S
+            )
+        self._send(
+            HandoverReceipt(self._own_control, message.number),
+            [message.control],
+        )
+
+    @receive.register
+    def _(self, message: HandoverReceipt) -> None:
+        if self._handover is not None:
+            self._handover.confirm(message)
+
+    def _store(self, key: str, version: str, age_s: float = 0.0) -> None:
+        self._table.record(key, version, age_s)
+        if self._handover is not None:
+            self._handover.add([key])
+
+    async def _ask(
+        self, key: str, lookup: "_Lookup", max_age_s: float
+    ) -> str | None:
         for _ in range(_MAX_QUERIES):
             silent = [
                 peer
-                for peer in self._select_peers(key, _ASKED)
+                for peer in self._select_asked(key, max_age_s)
                 if peer not in lookup.answered
             ]
             if not silent:
@@ -124,19 +222,49 @@
             break
         return self._table.get(key)
 
-    def _select_peers(self, key: str, count: int) -> list[str]:
-        """Returns live peers in the order of a hash, from different zones.
+    def _staying(self) -> dict[str, RecordPeer]:
+        """Returns the peers that are not shutting down."""
+        return {
+            control: peer
+            for control, peer in self._peers().items()
+            if not peer.is_leaving
+        }
+
+    def _select_holders(self, key: str) -> list[str]:
+        return _order(key, self._staying())[:_HOLDERS]
 
-        The first two are in different availability zones, so that the loss of
-        one leaves a record.
+    def _select_asked(self, key: str, max_age_s: float) -> list[str]:
+        """Returns the peers that may hold a record.
+
+        Those that are shutting down have records that others lack. Those that
+        started after the stream precede holders in the order without having
+        its record, so they don't count.
         """
-        zones = self._peer_zones()
-        ordered = rank(key, zones)
-        if not ordered:
-            return []
-        first, *others = ordered
-        others.sort(key=lambda peer: zones[peer] == zones[first])
-        return [first, *others][:count]
+        peers = self._peers()
+        began_ms = (self._clock.time() - max_age_s) * _MS_PER_S
+        asked: list[str] = []
+        older = 0
+        for control in _order(key, peers)[:_MAX_ASKED]:
+            if older == _ASKED:
+                break
+            asked.append(control)
+            older += peers[control].life <= began_ms
+        return asked
+
+
+def _order(key: str, peers: Mapping[str, RecordPeer]) -> list[str]:
+    """Returns peers in the order of a hash, from different zones.
+
+    The first two are in different availability zones, so that the loss of one
+    leaves a record.
+    """
+    ordered = rank(key, peers)
+    if not ordered:
+        return []
+    first, *others = ordered
+    zone = peers[first].zone
+    others.sort(key=lambda peer: peers[peer].zone == zone)
+    return [first, *others]
 
 
 class _Lookup:
--- a/crowwinch/fleet/tests/support.py
+++ b/crowwinch/fleet/tests/support.py
@@ -35,7 +35,7 @@
     SocketAddress,
 )
 from crowwinch.forwarding.tests.support import make_sharing_state
-from crowwinch.generated.fleet_messages import StreamMessage
+from crowwinch.generated.fleet_messages import FleetUpdate
 
 _STEP_S = 0.05
 ZONES = 5
@@ -279,9 +279,9 @@
         ):
             self._host = host
             network.endpoints[host] = lambda message: (
-                receive_stream(message)
-                if isinstance(message, StreamMessage)
-                else receive(message)
+                receive(message)
+                if isinstance(message, FleetUpdate)
+                else receive_stream(message)
             )
 
         async def start(self):
@@ -362,13 +362,14 @@
         self.state = DirectoryState(clock, _Decoder())
         self.sharing = make_sharing_state(clock)
         self.readers = StoreReaderSelector(clock, str(settings.control))
+        self.is_leaving = False
         self.service = FleetService(
             self.timers,
             settings,
             self.state,
             self.readers,
             self.sharing,
-            lambda: False,
+            lambda: self.is_leaving,
             lambda reason: None,
         )
         self.watcher = DirectoryWatcher(
--- a/crowwinch/fleet/tests/test_stream_records.py
+++ b/crowwinch/fleet/tests/test_stream_records.py
@@ -1,24 +1,30 @@
 """Tests of records of streams that several routers hold."""
 
 import asyncio
+import collections
 import random
 import unittest
 
 from crowwinch.coordination import ManualClock
 from crowwinch.fleet import StreamRecords
+from crowwinch.fleet._stream_records import RecordPeer
 from crowwinch.forwarding import StreamVersionTable
 
 _ZONES = 3
+# Maximum age of the streams that are looked up.
+_AGE_S = 10.0
 
 
 class _Network:
     """Routers that exchange messages about streams."""
 
     def __init__(self, size, loss=0.0):
-        self.clock = ManualClock()
+        self.clock = ManualClock(unix_start=1_000_000.0)
         self.rng = random.Random(1)
         self.loss = loss
         self.messages = 0
+        # Unix time in milliseconds at which each router started.
+        self.lives = collections.Counter()
         self.zones = {f"10.0.0.{n}:1": f"az-{n % _ZONES}" for n in range(size)}
         self.routers = {}
         for control in self.zones:
@@ -30,7 +36,7 @@
             self.clock,
             control,
             lambda: {
-                peer: self.zones[peer]
+                peer: RecordPeer(self.zones[peer], self.lives[peer])
                 for peer in self.routers
                 if peer != control
             },
@@ -60,7 +66,9 @@
                 await asyncio.sleep(0)
                 network.kill(first)
                 for control in others:
-                    found = await network.routers[control].find("attempt")
+                    found = await network.routers[control].find(
+                        "attempt", _AGE_S
+                    )
                     self.assertEqual(found, "v1")
 
     async def test_records_survive_the_loss_of_a_zone(self):
@@ -79,7 +87,7 @@
                 if network.zones[control] != lost and control != first
             }
             asker = next(iter(network.routers.values()))
-            found = [await asker.find(name) for name in names]
+            found = [await asker.find(name, _AGE_S) for name in names]
             self.assertEqual(found, ["v1"] * len(names))
             network.routers = routers
 
@@ -97,7 +105,7 @@
         network.kill(first)
         network.loss = 0.3
         found = await asyncio.gather(
-            *(network.routers[last].find(name) for name in names)
+            *(network.routers[last].find(name, _AGE_S) for name in names)
         )
         self.assertGreaterEqual(found.count("v1"), 0.95 * len(names))
 
@@ -106,14 +114,14 @@
         network = _Network(8)
         router = next(iter(network.routers.values()))
         async with asyncio.timeout(0.1):
-            self.assertIsNone(await router.find("attempt"))
+            self.assertIsNone(await router.find("attempt", _AGE_S))
 
     async def test_router_without_peers_knows_its_own_records(self):
         network = _Network(1)
         (router,) = network.routers.values()
         router.record("attempt", "v1")
-        self.assertEqual(await router.find("attempt"), "v1")
-        self.assertIsNone(await router.find("other"))
+        self.assertEqual(await router.find("attempt", _AGE_S), "v1")
+        self.assertIsNone(await router.find("other", _AGE_S))
 
     async def test_few_peers_hold_and_are_asked(self):
         """Guards against messages that grow with the fleet."""
@@ -121,15 +129,39 @@
         first, second, *_ = network.routers
         network.routers[first].record("attempt", "v1")
         self.assertEqual(network.messages, 2)
-        await network.routers[second].find("unknown")
+        await network.routers[second].find("unknown", _AGE_S)
         self.assertLessEqual(network.messages, 2 + 2 * 6)
 
+    async def test_routers_younger_than_the_stream_do_not_hide_holders(self):
+        """Guards against routers that have just started and take all queries.
+
+        They come first in the order of the hash and have no records.
+        """
+        network = _Network(41)
+        first, asker, *others = network.routers
+        records = {control: network.routers.pop(control) for control in others}
+        older = others[::4]
+        network.routers |= {control: records[control] for control in older}
+        names = [f"attempt-{number}" for number in range(60)]
+        for name in names:
+            network.routers[first].record(name, "v1")
+        await asyncio.sleep(0)
+        network.kill(first)
+        network.clock.move_to(_AGE_S + 1.0)
+        for control in set(others) - set(older):
+            network.lives[control] = int(network.clock.time() * 1000)
+            network.start(control)
+        found = [
+            await network.routers[asker].find(name, _AGE_S) for name in names
+        ]
+        self.assertGreaterEqual(found.count("v1"), 0.95 * len(names))
+
     async def test_identifier_that_is_not_text(self):
         """Guards against a request that fails for its identifier."""
         network = _Network(2)
         router = next(iter(network.routers.values()))
         router.record("\udcff" * 9, "v1")
-        self.assertEqual(await router.find("\udcff" * 9), "v1")
+        self.assertEqual(await router.find("\udcff" * 9, _AGE_S), "v1")
 
 
 class StreamVersionTableTest(unittest.TestCase):
--- a/crowwinch/forwarding/_stream_versions.py
+++ b/crowwinch/forwarding/_stream_versions.py
@@ -1,6 +1,7 @@
 """Software versions of the targets that began streams."""
 
 from collections import OrderedDict
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -22,7 +23,8 @@
             clock: Monotonic time.
         """
         self._clock = clock
-        # Version and time of each record, the oldest first.
+        # Version and time of last use of each record, the oldest first. Those
+        # that peers handed over are older than their place.
         self._records: OrderedDict[str, tuple[str, float]] = OrderedDict()
         self._evictions = 0
 
@@ -35,11 +37,22 @@
         """Number of records that were dropped for lack of room."""
         return self._evictions
 
-    def record(self, attempt_id: str, version: str) -> None:
-        """Records the version that began a stream; the first record counts."""
+    def __iter__(self) -> Iterator[str]:
+        """Iterates over the attempts."""
+        return iter(self._records)
+
+    def record(self, attempt_id: str, version: str, age_s: float = 0.0) -> None:
+        """Records the version that began a stream; the first record counts.
+
+        Args:
+            attempt_id: Attempt that brought the first event.
+            version: Software version of its target.
+            age_s: Time in seconds since the record was last used.
+        """
         now = self._clock.monotonic()
-        known, _ = self._records.pop(attempt_id, (version, now))
-        self._records[attempt_id] = (known, now)
+        used_at = now - age_s
+        known, known_at = self._records.pop(attempt_id, (version, used_at))
+        self._records[attempt_id] = (known, max(known_at, used_at))
         if len(self._records) > _MAX_RECORDS:
             self._records.popitem(last=False)
             self._evictions += 1
@@ -50,6 +63,14 @@
         record = self._records.get(attempt_id)
         return None if record is None else record[0]
 
+    def age_s(self, attempt_id: str) -> float:
+        """Returns the seconds since a record was last used.
+
+        Raises:
+            KeyError: If the attempt is not known.
+        """
+        return self._clock.monotonic() - self._records[attempt_id][1]
+
     def _expire(self, now: float) -> None:
         while self._records:
             _, at = next(iter(self._records.values()))
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -373,13 +373,21 @@
             self._callers.set_shutdown_deadline(end)
             if now >= started + _OUT_OF_ROTATION_S:
                 self._callers.refuse_new_requests()
-                if not self._callers.active:
+                if not (
+                    self._callers.active or self._fleet.streams.is_handing_over
+                ):
                     break
             if now >= end:
                 await self._end_requests()
                 break
             await asyncio.sleep(_DRAIN_POLL_S)
-        _LOGGER.info("shutdown finished", extra={"cut": self._callers.active})
+        _LOGGER.info(
+            "shutdown finished",
+            extra={
+                "cut": self._callers.active,
+                "records_left": self._fleet.streams.unconfirmed,
+            },
+        )
         self._stopped.set()
 
     async def _end_requests(self) -> None:
