Crash suspects: find the part that explains the crashes

Cause: a crash was charged to every part of the lost request. Three crashes without an answer in between refused each of them, and a part with few requests gets no answer between two crashes. What had been answered before the first crash was not known.

Change: routers remember which parts were answered in the last 600 s. A part whose crashes another part explains may be harmless: requests with the first and without the second are admitted one at a time at each router, the sooner if the part was answered before. One answer clears it, two crashes refuse it for good. A part that was never answered is not excused by one that was, so a bad part stays refused. When all other parts were answered, the next trial of the bad one is after 60 s instead of 20 s, as nothing sound is refused for it any more. A router that knows an answer which the report of a peer lacks reports it.

--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -73,15 +73,17 @@
     def features(self) -> RequestFeatures:
         """What the request has in common with others."""
         if self._features is None:
-            self._features = RequestFeatures(
-                self.digest(),
-                tuple(
-                    xxhash.xxh3_64_hexdigest(part.identifier.encode())
-                    for part in self.work.parts[:-1]
-                ),
-            )
+            self._features = RequestFeatures(self.digest(), self.shared_parts)
         return self._features
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Digests of the parts of the prompt that other requests may share."""
+        return tuple(
+            xxhash.xxh3_64_hexdigest(part.identifier.encode())
+            for part in self.work.parts[:-1]
+        )
+
     @property
     def may_have_run(self) -> bool:
         """Whether a target may have run the request."""
--- a/crowwinch/forwarding/_retry_policy.py
+++ b/crowwinch/forwarding/_retry_policy.py
@@ -126,8 +126,11 @@
     def record_answer(self, context: RequestContext) -> None:
         """Records that a target answered a request completely."""
         crashes = self._sharing.crashes
-        if not crashes.is_empty:
-            crashes.record_answer(context.features, self._clock.monotonic())
+        now = self._clock.monotonic()
+        if crashes.is_empty:
+            crashes.record_answered_parts(context.shared_parts, now)
+        else:
+            crashes.record_answer(context.features, now)
 
     def _record_failure(
         self, context: RequestContext, target: str, error: AttemptError
--- a/crowwinch/sharing/_crash_suspects.py
+++ b/crowwinch/sharing/_crash_suspects.py
@@ -6,27 +6,43 @@
 requests that are lost with a target are sound.
 """
 
+import logging
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Mapping,
+    Sequence,
+)
+from dataclasses import dataclass
 
 from crowwinch.coordination import Clock
-
-# Crashes, without an answer since, from which requests are refused.
-_CRASH_LIMIT = 3
-# Crashes within this time count once for a part of the prompt: when targets
-# fail together, many requests with the same part are lost at several of them.
-_SAME_CAUSE_S = 0.25
-# Time after the last crash at which one request is admitted to find out whether
-# targets still crash. It doubles with each such request.
-_FIRST_TRIAL_S = 20.0
+from crowwinch.sharing._answered_parts import AnsweredParts
+from crowwinch.sharing._crash_evidence import NEVER, CrashEvidence
+
+_LOGGER = logging.getLogger(__name__)
+
+# Crashes that no other feature explains, and crashes by requests that tested a
+# feature, from which on it is refused whatever else may be the cause. One may
+# have another reason.
+_PROOF_LIMIT = 2
+# Time after which each router admits a request to find out whether a feature is
+# harmless. Less for one that was answered before.
+_TEST_S = 4.0
+_TEST_OF_ANSWERED_S = 1.0
+# Minimum time between two such requests at one router.
+_TEST_INTERVAL_S = 0.25
+# Factor by which trials are rarer once all other parts of the lost requests
+# were answered.
+_PROVEN_TRIAL_FACTOR = 3.0
 _EXPIRY_S = 600.0
 _CAPACITY = 4096
+_MAX_CRASHES = 512
 # What a router observes is reported to peers for this time, which covers two
 # rounds of updates in a fleet of 200 routers.
 _REPORT_S = 2.0
 _MAX_REPORTS = 32
-_NEVER = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,72 +76,14 @@
     answer_age_s: float | None
 
 
-@dataclass(slots=True)
-class _Evidence:
-    """Crashes at which requests with a feature were lost.
-
-    Attributes:
-        is_part: Whether the feature is a part of the prompt.
-        crashes: Monotonic time of each crash after the last answer.
-        last_answer: Time at which the latest answer was complete.
-        changed: Time of the last change.
-        observed: Time of the last change that this router observed itself.
-        last_trial: Time at which a refused request was last admitted.
-        trial_s: Seconds without a crash until the next one is.
-        limit_reached: Time of the crash from which on requests with the feature
-            are refused, None before.
-    """
-
-    is_part: bool
-    crashes: dict[str, float] = field(default_factory=dict)
-    last_answer: float = _NEVER
-    changed: float = _NEVER
-    observed: float = _NEVER
-    last_trial: float = _NEVER
-    trial_s: float = _FIRST_TRIAL_S
-    limit_reached: float | None = None
-
-    @property
-    def last_crash(self) -> float:
-        return max(self.crashes.values(), default=_NEVER)
-
-    def add_crash(self, crash: str, at: float) -> bool:
-        """Adds a crash; returns whether it is new and after the last answer."""
-        if crash in self.crashes or at <= self.last_answer:
-            return False
-        self.crashes[crash] = at
-        self.limit_reached = self._find_limit()
-        return True
-
-    def add_answer(self, at: float) -> bool:
-        """Drops the crashes before an answer; returns whether any were."""
-        self.last_answer = max(self.last_answer, at)
-        remaining = {
-            crash: time for crash, time in self.crashes.items() if time > at
-        }
-        is_changed = len(remaining) < len(self.crashes)
-        self.crashes = remaining
-        self.limit_reached = self._find_limit()
-        return is_changed
-
-    def _find_limit(self) -> float | None:
-        """Returns the time at which the crashes have had enough causes."""
-        min_gap_s = _SAME_CAUSE_S if self.is_part else 0.0
-        count, counted_at = 0, _NEVER
-        for at in sorted(self.crashes.values()):
-            if at - counted_at >= min_gap_s:
-                count, counted_at = count + 1, at
-                if count == _CRASH_LIMIT:
-                    return at
-        return None
-
-
 class CrashSuspects:
     """Crashes of targets by the features of the requests that were lost.
 
     Requests are refused if a target crashed each time that one with the same
-    feature was sent. An answer shows that a feature is harmless, so what sound
-    requests share with those that crash targets is not refused.
+    feature was sent. An answer shows that a feature is harmless. One whose
+    crashes another feature explains may be harmless as well: requests with the
+    first and without the second are admitted one at a time until one is
+    answered or enough of them crash targets.
 
     Crashes have identifiers, and peers report all that they know, so a crash
     counts once however many routers saw it or report it.
@@ -149,9 +107,13 @@
         self._random = random
         self._fleet_size = fleet_size
         # The feature with the oldest change first.
-        self._evidence: OrderedDict[str, _Evidence] = OrderedDict()
+        self._evidence: OrderedDict[str, CrashEvidence] = OrderedDict()
+        # Features of the requests that were lost in each crash, the oldest
+        # crash first.
+        self._lost_features: OrderedDict[str, set[str]] = OrderedDict()
+        self._answered_parts = AnsweredParts(clock)
         # Time of the latest answer to any request with a prompt.
-        self._last_prompt_answer = _NEVER
+        self._last_prompt_answer = NEVER
 
     @property
     def is_empty(self) -> bool:
@@ -181,13 +143,23 @@
             features: Features of the request.
             at: Monotonic time at which the answer was complete.
         """
-        if features.parts:
-            self._note_prompt_answer(at)
+        self.record_answered_parts(features.parts, at)
         now = self._clock.monotonic()
         for feature in (features.content, *features.parts):
             if self._add_answer(feature, at):
                 self._evidence[feature].observed = now
 
+    def record_answered_parts(self, parts: Sequence[str], at: float) -> None:
+        """Records that a request was answered while no crashes are known.
+
+        Args:
+            parts: Digests of the parts of its prompt that others may share.
+            at: Monotonic time at which the answer was complete.
+        """
+        if parts:
+            self._note_prompt_answer(at)
+            self._answered_parts.record(parts, at)
+
     def refused_feature(self, features: RequestFeatures) -> str | None:
         """Returns the feature for which a request is refused, None without one.
 
@@ -196,13 +168,33 @@
         if not self._evidence:
             return None
         self._expire()
-        for feature in (features.content, *features.parts):
-            evidence = self._evidence.get(feature)
-            if evidence is None or not self._is_refused(evidence):
-                continue
-            if not self._takes_trial(evidence):
-                return feature
-        return None
+        suspects = {
+            feature: evidence
+            for feature in (features.content, *features.parts)
+            if (evidence := self._evidence.get(feature)) is not None
+            and self._is_refused(evidence)
+        }
+        if not suspects:
+            return None
+        causes = {
+            feature: evidence
+            for feature, evidence in suspects.items()
+            if not self._is_explained(evidence, suspects)
+        }
+        if causes:
+            refused = (
+                feature
+                for feature, evidence in causes.items()
+                if not self._takes_trial(feature, evidence)
+            )
+            return next(refused, None)
+        if self._takes_test(suspects.values()):
+            _LOGGER.info(
+                "request admitted to test parts that others explain",
+                extra={"features": list(suspects)},
+            )
+            return None
+        return next(iter(suspects))
 
     def reports(self) -> list[SuspectReport]:
         """Returns what peers must hear.
@@ -224,7 +216,7 @@
                 evidence.is_part,
                 {crash: now - at for crash, at in evidence.crashes.items()},
                 None
-                if evidence.last_answer == _NEVER
+                if evidence.last_answer == NEVER
                 else now - evidence.last_answer,
             )
             for feature, evidence in due[:_MAX_REPORTS]
@@ -242,6 +234,13 @@
                 if report.is_part:
                     self._note_prompt_answer(now - report.answer_age_s)
                 self._add_answer(report.feature, now - report.answer_age_s)
+            evidence = self._evidence.get(report.feature)
+            if evidence is not None and any(
+                now - age_s <= evidence.last_answer
+                for age_s in report.crash_ages_s.values()
+            ):
+                # The peer does not know of the answer.
+                evidence.observed = now
 
     def _add_crash(
         self, feature: str, is_part: bool, crash: str, at: float
@@ -252,13 +251,17 @@
             return False
         evidence = self._evidence.get(feature)
         if evidence is None:
-            evidence = self._evidence[feature] = _Evidence(is_part)
+            evidence = self._evidence[feature] = CrashEvidence(
+                is_part, last_answer=self._answered_parts.last_answer(feature)
+            )
         is_new = evidence.add_crash(crash, at)
+        self._lost_features.setdefault(crash, set()).add(feature)
         if is_new:
-            evidence.changed = now
-            self._evidence.move_to_end(feature)
+            self._note_change(feature, evidence)
         if len(self._evidence) > _CAPACITY:
             self._evidence.popitem(last=False)
+        if len(self._lost_features) > _MAX_CRASHES:
+            self._lost_features.popitem(last=False)
         return is_new
 
     def _add_answer(self, feature: str, at: float) -> bool:
@@ -266,14 +269,17 @@
         evidence = self._evidence.get(feature)
         if evidence is None or not evidence.add_answer(at):
             return False
+        self._note_change(feature, evidence)
+        return True
+
+    def _note_change(self, feature: str, evidence: CrashEvidence) -> None:
         evidence.changed = self._clock.monotonic()
         self._evidence.move_to_end(feature)
-        return True
 
     def _note_prompt_answer(self, at: float) -> None:
         self._last_prompt_answer = max(self._last_prompt_answer, at)
 
-    def _is_refused(self, evidence: _Evidence) -> bool:
+    def _is_refused(self, evidence: CrashEvidence) -> bool:
         """Returns whether requests with a feature are refused.
 
         While no request at all is answered, the targets have failed for another
@@ -284,13 +290,75 @@
             return False
         return not evidence.is_part or self._last_prompt_answer > reached
 
-    def _takes_trial(self, evidence: _Evidence) -> bool:
+    def _is_explained(
+        self, evidence: CrashEvidence, present: Collection[str]
+    ) -> bool:
+        """Returns whether the crashes have a cause that a request lacks.
+
+        Args:
+            evidence: Crashes of a feature of the request.
+            present: All suspected features of the request.
+        """
+        if evidence.failed_tests >= _PROOF_LIMIT:
+            return False
+        unexplained = sum(
+            not any(
+                self._explains(feature, crash, evidence)
+                for feature in self._lost_features.get(crash, ())
+                if feature not in present
+            )
+            for crash in evidence.crashes
+        )
+        return unexplained < min(_PROOF_LIMIT, len(evidence.crashes))
+
+    def _explains(self, feature: str, crash: str, other: CrashEvidence) -> bool:
+        evidence = self._evidence.get(feature)
+        return evidence is not None and evidence.explains(crash, other)
+
+    def _takes_test(self, suspects: Collection[CrashEvidence]) -> bool:
+        """Returns whether a request is admitted although it has suspects.
+
+        Few routers admit one at the same time, and each one the sooner, the
+        longer it has admitted none.
+        """
+        now = self._clock.monotonic()
+        chance = min(self._test_chance(evidence, now) for evidence in suspects)
+        if chance == 0.0 or self._random() >= chance:
+            return False
+        for evidence in suspects:
+            evidence.last_test = now
+        return True
+
+    def _test_chance(self, evidence: CrashEvidence, now: float) -> float:
+        """Returns the chance that a request tests a feature."""
+        if now - evidence.last_test < _TEST_INTERVAL_S:
+            return 0.0
+        quiet_s = now - max(evidence.limit_reached or now, evidence.last_test)
+        certain_s = _TEST_OF_ANSWERED_S if evidence.was_answered else _TEST_S
+        return max(quiet_s / certain_s, 1.0 / self._fleet_size())
+
+    def _is_proven(self, feature: str, evidence: CrashEvidence) -> bool:
+        """Returns whether all other parts of the lost requests are harmless."""
+        others = [
+            other
+            for crash in evidence.crashes
+            for name in self._lost_features.get(crash, ())
+            if name != feature
+            and (other := self._evidence.get(name)) is not None
+            and other.is_part
+        ]
+        return bool(others) and all(
+            other.crashes.keys().isdisjoint(evidence.crashes)
+            for other in others
+        )
+
+    def _takes_trial(self, feature: str, evidence: CrashEvidence) -> bool:
         now = self._clock.monotonic()
         quiet_s = now - max(evidence.last_crash, evidence.last_trial)
-        if (
-            quiet_s < evidence.trial_s
-            or self._random() * self._fleet_size() >= 1.0
-        ):
+        trial_s = evidence.trial_s
+        if quiet_s >= trial_s and self._is_proven(feature, evidence):
+            trial_s *= _PROVEN_TRIAL_FACTOR
+        if quiet_s < trial_s or self._random() * self._fleet_size() >= 1.0:
             return False
         evidence.last_trial = now
         evidence.trial_s *= 2
