Targets: a body without a length that a reset cuts is not complete

Reported from systems like this one: a target answers a long upload at once with a 200 without a length, sends part of the body and resets the connection while the upload is still being written. The caller got that part as a whole answer.

Cause: the HTTP library takes the end of a connection for the end of such a body, also after a reset. The client for targets behind the platform's balancer fails the body then; the client of `crowwinch router` did not.

Change: both use StrictResponseHandler, which fails the last body of a connection that is reset, also one that nobody has begun to read.

--- a/crowwinch/forwarding/_target_client.py
+++ b/crowwinch/forwarding/_target_client.py
@@ -11,11 +11,12 @@
 import aiohttp
 from aiohttp import ClientRequest
 from aiohttp.client_exceptions import ClientOSError
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from multidict import CIMultiDict
 from yarl import URL
 
+from crowwinch.response_handler import StrictResponseHandler
+
 # Targets accept connections within a few milliseconds; unreachable ones never
 # do.
 _CONNECT_TIMEOUT_S = 0.4
@@ -49,7 +50,7 @@
     """A target sent more than a router reads before the expected response."""
 
 
-class _TargetProtocol(ResponseHandler):
+class _TargetProtocol(StrictResponseHandler):
     """Returns only responses that match the last request of the connection.
 
     A faulty target may send a second response or other bytes after a complete
@@ -65,7 +66,6 @@
         self._expected_attempt_id = ""
         self._idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
         self._idle_close: asyncio.TimerHandle | None = None
-        self._response_payload: Any = None
         self._has_responded = False
         # Interim responses to the last request.
         self._interim_responses = 0
@@ -140,7 +140,6 @@
                     continue
                 self._has_responded = True
                 self._update_idle_timeout(message.headers)
-                self._response_payload = payload
                 payload.on_eof(self._schedule_idle_close)
             return message, payload
         raise self._fail(f"more than {_MAX_EXTRA_RESPONSES} extra responses")
@@ -175,14 +174,7 @@
         return error
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fails a response that is interrupted by a reset.
-
-        A response without a length ends when its connection is closed, so it
-        would otherwise be taken as complete.
-        """
-        payload = self._response_payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientOSError(*exc.args))
+        """Counts the connection as closed."""
         if self._idle_close is not None:
             self._idle_close.cancel()
         self.open_connections[self._address] -= 1
--- a/crowwinch/targets/_client.py
+++ b/crowwinch/targets/_client.py
@@ -17,6 +17,7 @@
 import yarl
 
 from crowwinch.errors import CrowwinchError
+from crowwinch.response_handler import StrictResponseHandler
 
 _CONNECT_TIMEOUT_S = 1.0
 _CANCEL_TIMEOUT_S = 2.0
@@ -299,12 +300,15 @@
             return
 
     def _create_session(self, force_close: bool) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            ssl=self._ssl if self._ssl else True,
+            force_close=force_close,
+        )
+        loop = asyncio.get_running_loop()
+        connector._factory = lambda: StrictResponseHandler(loop)
         return aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                ssl=self._ssl if self._ssl else True,
-                force_close=force_close,
-            ),
+            connector=connector,
             # A shared cookie jar would send cookies of one workspace with
             # requests of another.
             cookie_jar=aiohttp.DummyCookieJar(),
