--- a/crowwinch/forwarding/tests/test_faulty_targets.py
+++ b/crowwinch/forwarding/tests/test_faulty_targets.py
@@ -41,6 +41,15 @@
         "no seal": write_response(
             lambda request: make_response(request, seal=False)
         ),
+        "status 000": write_response(
+            lambda request: make_response(request, status="000 None")
+        ),
+        "status 101": write_response(
+            lambda request: make_response(request, status="101 Switching")
+        ),
+        "status 600": write_response(
+            lambda request: make_response(request, status="600 Other")
+        ),
         "broken chunk": write_response(
             lambda request: stream_head(request) + b"zz\r\n"
         ),
