Log once a second what each workspace asked for and got

Change: each router logs one line a second with what its eight busiest workspaces asked for, what began, was late or refused by reason, their use over the fleet and their lead, and how old the counts of peers are. share_report uses these lines if there are any.

--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -127,6 +127,10 @@
         """Limits the requests that are taken while the router stops."""
         return self._shutdown
 
+    def log_workspaces(self) -> None:
+        """Logs what each workspace asked for and got since the last call."""
+        self._log.write_workspaces()
+
     def schedule_poll(self) -> None:
         """Schedules a decision on the waiting requests.
 
@@ -151,6 +155,7 @@
         context: RequestContext | None = None
         try:
             context = self._resolve_request(call)
+            self._log.record_request(context)
             self._shutdown.refuse_if_too_late(context)
             if self._was_late():
                 await _process_socket_events()
@@ -569,7 +574,7 @@
     def _record_prefill(
         self, context: RequestContext, decision: Decision, seconds: float
     ) -> None:
-        self._log.record_first_event(seconds)
+        self._log.record_first_event(context, seconds)
         late_s = seconds - decision.forecast_s
         self._sharing.loads.record_first_event(decision.target, late_s)
         self._sharing.pace.record_first_event(decision.target, late_s, seconds)
--- a/crowwinch/forwarding/_request_log.py
+++ b/crowwinch/forwarding/_request_log.py
@@ -8,6 +8,7 @@
 from crowwinch.errors import RefusalReason, RetryReason
 from crowwinch.forwarding._call import Call
 from crowwinch.forwarding._request_context import RequestContext
+from crowwinch.forwarding._workspace_log import WorkspaceLog
 from crowwinch.observability import Metrics
 from crowwinch.sharing import WorkspaceShares
 
@@ -42,6 +43,17 @@
         self._metrics = metrics
         self._shares = shares
         self._describe_state = describe_state
+        self._workspaces = WorkspaceLog(shares)
+
+    def write_workspaces(self) -> None:
+        """Logs what each workspace asked for and got since the last call."""
+        self._workspaces.write()
+
+    def record_request(self, context: RequestContext) -> None:
+        """Records a request that was routed."""
+        work = context.work
+        if work.prompt_tokens:
+            self._workspaces.record_request(work.workspace, work.cost)
 
     def describe_directory(self) -> dict[str, object]:
         """Returns how current the directory is that a decision relies on."""
@@ -70,9 +82,26 @@
         """Counts a response with more bytes than are kept."""
         self._metrics.count("oversized_target_responses")
 
-    def record_first_event(self, seconds: float) -> None:
-        """Records the time to the first event, in seconds."""
+    def record_first_event(
+        self, context: RequestContext, seconds: float
+    ) -> None:
+        """Records the first event of a response.
+
+        Args:
+            context: State of the request.
+            seconds: Time in seconds from the start of the attempt.
+        """
         self._metrics.observe("first_event", seconds)
+        if context.call.is_started:
+            # Another target goes on with the stream.
+            return
+        work = context.work
+        elapsed_s = self._clock.monotonic() - context.call.arrived
+        self._workspaces.record_first_event(
+            work.workspace,
+            work.cost,
+            is_late=0.0 < work.target_latency_s < elapsed_s,
+        )
 
     def record_end(
         self, call: Call, context: RequestContext | None, code: str
@@ -95,6 +124,8 @@
             "elapsed_s": round(elapsed, 4),
         }
         if context is not None:
+            if context.work.prompt_tokens:
+                self._workspaces.record_end(context.work.workspace, code)
             entry |= {
                 "route": context.route.name,
                 "workspace": context.workspace,
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -298,31 +298,32 @@
         self.response_memory = MemoryPool(RESPONSE_MEMORY_BYTES, 8_192)
         codec = HeaderCodec()
         self.client = TargetClient(codec.attempt_header)
-        self.server = CallerServer(
+        self.forwarder = Forwarder(
             self.clock,
-            SocketAddress("127.0.0.1", 0),
+            lambda: self.routing,
+            self.target_set,
+            self.sharing,
+            self.client,
             codec,
-            Forwarder(
+            self.metrics,
+            random.Random(1).random,
+            self.streams,
+            TargetLives(
                 self.clock,
-                lambda: self.routing,
-                self.target_set,
-                self.sharing,
                 self.client,
                 codec,
-                self.metrics,
-                random.Random(1).random,
-                self.streams,
-                TargetLives(
-                    self.clock,
-                    self.client,
-                    codec,
-                    self.target_set,
-                    lambda: self.synced_at(),
-                    self.sharing.cold,
-                ),
-                self.response_memory,
-                was_late=lambda: was_late,
+                self.target_set,
+                lambda: self.synced_at(),
+                self.sharing.cold,
             ),
+            self.response_memory,
+            was_late=lambda: was_late,
+        )
+        self.server = CallerServer(
+            self.clock,
+            SocketAddress("127.0.0.1", 0),
+            codec,
+            self.forwarder,
             lambda: self.routing.limits if self.routing else RequestLimits(),
             self.metrics,
             100_000_000,
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -84,6 +84,7 @@
 _LAST_ANSWERS_S = 0.2
 # The settings file may change without a signal, so it is polled.
 _SETTINGS_POLL_S = 1.0
+_WORKSPACE_LOG_PERIOD_S = 1.0
 # Maximum share of the process memory for bytes of targets that are kept before
 # they are relayed.
 _RESPONSE_MEMORY_SHARE = 0.15
@@ -172,40 +173,41 @@
         )
         codec = HeaderCodec()
         self._client = TargetClient(codec.attempt_header)
-        self._callers = CallerServer(
+        self._forwarder = Forwarder(
             self._clock,
-            settings.caller,
+            lambda: self._state.routing,
+            self._targets,
+            self._sharing,
+            self._client,
             codec,
-            Forwarder(
+            self._metrics,
+            self._rng.random,
+            StreamOrigins(
+                self._clock,
+                self._fleet.streams,
+                self._state,
+                self._store,
+                sync,
+                settings.store_history_s,
+                settings.heartbeat_s,
+            ),
+            TargetLives(
                 self._clock,
-                lambda: self._state.routing,
-                self._targets,
-                self._sharing,
                 self._client,
                 codec,
-                self._metrics,
-                self._rng.random,
-                StreamOrigins(
-                    self._clock,
-                    self._fleet.streams,
-                    self._state,
-                    self._store,
-                    sync,
-                    settings.store_history_s,
-                    settings.heartbeat_s,
-                ),
-                TargetLives(
-                    self._clock,
-                    self._client,
-                    codec,
-                    self._targets,
-                    lambda: self._state.synced_at,
-                    self._sharing.cold,
-                ),
-                response_memory,
-                self._describe_state,
-                lambda: self._lag.was_late,
+                self._targets,
+                lambda: self._state.synced_at,
+                self._sharing.cold,
             ),
+            response_memory,
+            self._describe_state,
+            lambda: self._lag.was_late,
+        )
+        self._callers = CallerServer(
+            self._clock,
+            settings.caller,
+            codec,
+            self._forwarder,
             self._limits,
             self._metrics,
             settings.memory_bytes,
@@ -322,6 +324,9 @@
         self._timers.call_every(
             _SETTINGS_POLL_S, self._settings_file.reload_if_changed
         )
+        self._timers.call_every(
+            _WORKSPACE_LOG_PERIOD_S, self._forwarder.log_workspaces
+        )
         for component in self._components:
             await component.start()
         loop = asyncio.get_running_loop()
--- a/crowwinch/sharing/_shares.py
+++ b/crowwinch/sharing/_shares.py
@@ -110,6 +110,17 @@
         """Units per second that all workspaces get."""
         return self._served_per_s
 
+    @property
+    def oldest_report_s(self) -> float:
+        """Age in seconds of the oldest report of a peer, 0 without one."""
+        arrived_at = min(
+            (arrived_at for arrived_at, _ in self._peers.values()),
+            default=None,
+        )
+        if arrived_at is None:
+            return 0.0
+        return self._clock.monotonic() - arrived_at
+
     @property
     def time_constant_s(self) -> float:
         """Time constant of all counts in seconds."""
--- a/measurements/share_report.py
+++ b/measurements/share_report.py
@@ -4,6 +4,9 @@
 of several seconds, a workspace is compared, second by second, with the less of
 what it asked for and what the workspace served best got. Service units count
 when a request arrives (asked) and when its first event is answered (served).
+
+Routers drop lines of requests above a rate, so their counts of each workspace
+are used if the output has them.
 """
 
 import argparse
@@ -12,7 +15,11 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from measurements.day_report import LoggedRequest, read_requests
+from measurements.day_report import (
+    LoggedRequest,
+    read_entries,
+    read_requests,
+)
 
 _WINDOW_S = 6
 # Fraction of its entitlement below which a workspace is short.
@@ -20,6 +27,9 @@
 # Largest requests that a workspace may lack, since they do not fit a window.
 _SPARED_REQUESTS = 3
 _MAX_ROWS = 10
+_COUNTS_MESSAGE = "requests of workspaces"
+# Outcomes that delay nobody.
+_ANSWERED = frozenset(("served", "caller_gone"))
 
 
 @dataclass(slots=True)
@@ -30,12 +40,14 @@
         asked: Service units that arrived.
         served: Service units whose first event was answered.
         delayed: Requests that arrived and were refused or answered late.
+        largest: Service units of the largest requests that arrived.
         outcomes: Number of requests that arrived, by code.
     """
 
     asked: float = 0.0
     served: float = 0.0
     delayed: int = 0
+    largest: list[float] = field(default_factory=list)
     outcomes: collections.Counter[str] = field(
         default_factory=collections.Counter
     )
@@ -72,12 +84,17 @@
         return (self.served + self.spared) / owed if owed else float("inf")
 
 
-def find_shortages(requests: Iterable[LoggedRequest]) -> list[Shortage]:
-    """Returns all windows with a delay in each second, the shortest first."""
-    seconds: dict[str, dict[int, Second]] = collections.defaultdict(
-        lambda: collections.defaultdict(Second)
-    )
-    sizes: dict[str, list[tuple[int, float]]] = collections.defaultdict(list)
+# The seconds of each workspace.
+Activity = Mapping[str, Mapping[int, Second]]
+
+
+def _new_activity() -> dict[str, dict[int, Second]]:
+    return collections.defaultdict(lambda: collections.defaultdict(Second))
+
+
+def read_activity(requests: Iterable[LoggedRequest]) -> Activity:
+    """Returns what workspaces asked for and got, from lines of requests."""
+    seconds = _new_activity()
     for request in requests:
         entry = request.entry
         workspace, cost = str(entry["workspace"]), float(entry["cost"])
@@ -87,13 +104,40 @@
         second.asked += cost
         second.outcomes[str(entry["code"])] += 1
         second.delayed += request.outcome not in ("in time", "caller left")
-        sizes[workspace].append((int(arrived), cost))
+        second.largest.append(cost)
         first_event_s = entry.get("first_event_s")
         if first_event_s is not None:
             began = int(arrived + float(first_event_s))
             seconds[workspace][began].served += cost
+    return seconds
+
+
+def read_counts(lines: Iterable[LoggedRequest]) -> Activity:
+    """Returns the same from the counts that routers log once a second."""
+    seconds = _new_activity()
+    for line in lines:
+        if line.entry.get("message") != _COUNTS_MESSAGE:
+            continue
+        # A line counts the second before it.
+        at = int(line.time - 0.5)
+        for workspace, counts in line.entry["workspaces"].items():
+            second = seconds[workspace][at]
+            second.asked += counts["asked"]
+            second.served += counts["begun"]
+            second.outcomes.update(counts["codes"])
+            second.delayed += counts["late"] + sum(
+                number
+                for code, number in counts["codes"].items()
+                if code not in _ANSWERED
+            )
+            second.largest += counts["largest"]
+    return seconds
+
+
+def find_shortages(seconds: Activity) -> list[Shortage]:
+    """Returns all windows with a delay in each second, the shortest first."""
     shortages = [
-        _measure(workspace, start, seconds, sizes[workspace])
+        _measure(workspace, start, seconds)
         for workspace, own in seconds.items()
         for start in range(min(own), max(own) - _WINDOW_S + 2)
         if all(
@@ -107,8 +151,7 @@
 def _measure(
     workspace: str,
     start: int,
-    seconds: Mapping[str, Mapping[int, Second]],
-    sizes: Sequence[tuple[int, float]],
+    seconds: Activity,
 ) -> Shortage:
     window = range(start, start + _WINDOW_S)
     own = [seconds[workspace][at] for at in window]
@@ -116,7 +159,9 @@
         max(each[at].served for each in seconds.values() if at in each)
         for at in window
     ]
-    largest = sorted((cost for at, cost in sizes if at in window), reverse=True)
+    largest = sorted(
+        (cost for second in own for cost in second.largest), reverse=True
+    )
     return Shortage(
         start=start,
         workspace=workspace,
@@ -163,15 +208,16 @@
     parser.add_argument("log", type=argparse.FileType())
     parser.add_argument("--rows", type=int, default=_MAX_ROWS)
     arguments = parser.parse_args()
-    requests = [
+    lines = arguments.log.readlines()
+    activity = read_counts(read_entries(lines)) or read_activity(
         request
-        for request in read_requests(arguments.log)
+        for request in read_requests(lines)
         if request.entry.get("prompt_tokens")
-    ]
-    if not requests:
+    )
+    if not activity:
         print("no requests of engines in this log", file=sys.stderr)
         return 1
-    print(render(find_shortages(requests), arguments.rows))
+    print(render(find_shortages(activity), arguments.rows))
     return 0
 
 
--- a/measurements/tests/test_share_report.py
+++ b/measurements/tests/test_share_report.py
@@ -5,7 +5,11 @@
 
 from measurements.day_report import read_entries, read_requests
 from measurements.leaving_report import find_departures
-from measurements.share_report import find_shortages
+from measurements.share_report import (
+    find_shortages,
+    read_activity,
+    read_counts,
+)
 
 
 def _line(time, router="edge-a-1", **entry):
@@ -39,14 +43,47 @@
                 yield _line(at, workspace="large", first_event_s=0.0)
 
     def test_ratio_of_service_to_half_of_what_is_owed(self):
-        (worst, *_) = find_shortages(read_requests(self._day(4)))
+        activity = read_activity(read_requests(self._day(4)))
+        (worst, *_) = find_shortages(activity)
         self.assertEqual(worst.workspace, "small")
         self.assertEqual((worst.asked, worst.served), (12_000, 2_400))
         self.assertEqual((worst.owed, worst.spared), (12_000, 300))
         self.assertAlmostEqual(worst.ratio, 0.45)
 
     def test_a_workspace_without_delays_is_not_short(self):
-        self.assertEqual(find_shortages(read_requests(self._day(20))), [])
+        activity = read_activity(read_requests(self._day(20)))
+        self.assertEqual(find_shortages(activity), [])
+
+    def test_counts_of_routers(self):
+        """Guards against a report on the lines that were not dropped."""
+        counts = {
+            "small": {
+                "asked": 2_000,
+                "begun": 400,
+                "late": 0,
+                "codes": {"served": 4, "deadline_unreachable": 16},
+                "largest": [100, 100, 100],
+            },
+            "large": {
+                "asked": 2_000,
+                "begun": 2_000,
+                "late": 0,
+                "codes": {"served": 20},
+                "largest": [100],
+            },
+        }
+        lines = [
+            _line(
+                second + 1.2,
+                message="requests of workspaces",
+                workspaces=counts,
+            )
+            for second in range(6)
+        ]
+        (worst,) = find_shortages(read_counts(read_entries(lines)))
+        self.assertEqual(worst.workspace, "small")
+        self.assertEqual((worst.asked, worst.served), (12_000, 2_400))
+        self.assertAlmostEqual(worst.ratio, 0.45)
 
 
 class LeavingReportTest(unittest.TestCase):
