Shares: report use so that peers do not count it as less than it is

Cause: a report of shares reaches a peer every 1.6 s in a fleet of 89 routers, and decays there with a time constant of 2 s as if nothing were used meanwhile. Use at peers counts 0.70 of what it is in the mean, use at the router itself 1.0. A workspace with callers at many routers seems to use less than one at a single router and is let ahead of it.

Change: a router raises the counts that it reports by what they lose in the mean until its next report, if use goes on as before. In a fleet of 13 routers that is a factor of 1.05.

--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -199,6 +199,11 @@
         """Update periods needed to send one update to each live peer."""
         return max(-(-len(self.live) // _FAN_OUT), 1)
 
+    @property
+    def shares_period_s(self) -> float:
+        """Time in seconds between two reports of shares to a peer."""
+        return _SHARES_PERIOD_S * self.periods_per_round
+
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Replaces the seeds and keeps all known peers."""
         self._seeds = frozenset(seeds) - {self._own_control}
@@ -297,7 +302,7 @@
     def take_due_for_shares(self, destinations: Iterable[str]) -> list[str]:
         """Returns the destinations due for shares and marks them as sent."""
         now = self._clock.monotonic()
-        period = _SHARES_PERIOD_S * self.periods_per_round
+        period = self.shares_period_s
         due = []
         for control in destinations:
             peer = self._peers[control]
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -341,7 +341,7 @@
     def _workspace_reports(self) -> list[WorkspaceReport]:
         return [
             WorkspaceReport(use.workspace, round(use.asked), round(use.served))
-            for use in self._sharing.shares.own_use()
+            for use in self._sharing.shares.own_use(self._table.shares_period_s)
         ]
 
     def _prefix_reports(self, sequence: int) -> list[PrefixReport]:
--- a/crowwinch/fleet/tests/test_large_fleets.py
+++ b/crowwinch/fleet/tests/test_large_fleets.py
@@ -72,6 +72,32 @@
 
         self._run_scenario(scenario)
 
+    def test_steady_use_is_known_everywhere(self):
+        """Guards against use that seems less, the larger the fleet is.
+
+        Peers let a report decay until the next one.
+        """
+
+        async def scenario(fleet):
+            first, *others = fleet.routers
+            await fleet.run(
+                6.0, on_step=lambda: first.sharing.shares.record_usage("w", 100)
+            )
+            seen = []
+
+            def sample():
+                first.sharing.shares.record_usage("w", 100)
+                true = first.sharing.shares.served("w")
+                seen.extend(
+                    router.sharing.shares.served("w") / true
+                    for router in others
+                )
+
+            await fleet.run(3.2, on_step=sample)
+            self.assertAlmostEqual(sum(seen) / len(seen), 1.0, delta=0.1)
+
+        self._run_scenario(scenario)
+
     def test_rate_limit_of_a_target_reaches_all_routers(self):
         """Guards against routers that learn of a limit only by exceeding it."""
         view = TargetView("engine", 1, "llm", False, 32, is_engine=True)
--- a/crowwinch/sharing/_shares.py
+++ b/crowwinch/sharing/_shares.py
@@ -172,10 +172,21 @@
         """Reverts the count of a request that did not run."""
         self.record_usage(workspace, -units)
 
-    def own_use(self) -> list[WorkspaceUse]:
-        """Returns the counts of this router to report to peers."""
+    def own_use(self, interval_s: float = 0.0) -> list[WorkspaceUse]:
+        """Returns the counts of this router to report to peers.
+
+        A peer lets them decay until the next report. They are raised so that
+        they are right in the mean until then if the use goes on as before.
+        Otherwise workspaces with callers at many routers count as using less
+        than those with callers at one.
+
+        Args:
+            interval_s: Time in seconds until the next report.
+        """
         scale = self._scale(self._clock.monotonic())
         _drop_negligible(self._own, scale)
+        decay = interval_s / self._time_constant_s
+        scale *= -math.expm1(-decay) / decay if decay else 1.0
         return [
             WorkspaceUse(workspace, asked / scale, max(served / scale, 0.0))
             for workspace, (asked, served) in self._own.items()
--- a/crowwinch/sharing/tests/test_shares.py
+++ b/crowwinch/sharing/tests/test_shares.py
@@ -78,6 +78,34 @@
         self.shares.refresh()
         self.assertAlmostEqual(self.shares.served("a"), 10.0)
 
+    def test_steady_use_at_peers_counts_like_steady_use_here(self):
+        """Guards against workspaces that seem to use less at many routers.
+
+        Their callers got half as much again as those of a workspace at one
+        router in a fleet of 89, which reports every 1.6 s.
+        """
+        for interval_s in (0.2, 0.8, 1.6, 3.2):
+            with self.subTest(interval_s=interval_s):
+                clock = ManualClock(100.0)
+                here = WorkspaceShares(clock, 2.0)
+                peer = WorkspaceShares(clock, 2.0)
+                ratios = []
+                for step in range(640):
+                    clock.move_to(clock.monotonic() + 0.05)
+                    here.record_usage("here", 100.0)
+                    peer.record_usage("there", 100.0)
+                    if step % round(interval_s / 0.05) == 0:
+                        here.replace_peer_report(
+                            "peer", peer.own_use(interval_s)
+                        )
+                    here.refresh()
+                    if step >= 320:
+                        ratios.append(
+                            here.served("there") / here.served("here")
+                        )
+                mean = sum(ratios) / len(ratios)
+                self.assertAlmostEqual(mean, 1.0, delta=0.05)
+
     def test_use_decays(self):
         self.shares.record_usage("a", 400.0)
         self.clock.move_to(100.0 + 3 * _WINDOW_S)
