Crash suspects: no test by a request that holds the likely cause

Cause: what explains the crashes of a part must be something that a request lacks, but only its refused parts were left out. Where two parts crash targets beside a common one, a request with one of them could be admitted to test the common part before it had reached the limit itself. Evidence created by a report that an answer refutes also expired at once.

Change: all features of the request are left out; new evidence starts with the current time.

Evidence: test_request_with_the_likely_cause_is_no_test, which got the request admitted before. The stories of test_crash_causes still hold.

--- a/crowwinch/sharing/_crash_suspects.py
+++ b/crowwinch/sharing/_crash_suspects.py
@@ -168,9 +168,10 @@
         if not self._evidence:
             return None
         self._expire()
+        own = (features.content, *features.parts)
         suspects = {
             feature: evidence
-            for feature in (features.content, *features.parts)
+            for feature in own
             if (evidence := self._evidence.get(feature)) is not None
             and self._is_refused(evidence)
         }
@@ -179,7 +180,7 @@
         causes = {
             feature: evidence
             for feature, evidence in suspects.items()
-            if not self._is_explained(evidence, suspects)
+            if not self._is_explained(evidence, own)
         }
         if causes:
             refused = (
@@ -252,7 +253,9 @@
         evidence = self._evidence.get(feature)
         if evidence is None:
             evidence = self._evidence[feature] = CrashEvidence(
-                is_part, last_answer=self._answered_parts.last_answer(feature)
+                is_part,
+                last_answer=self._answered_parts.last_answer(feature),
+                changed=now,
             )
         is_new = evidence.add_crash(crash, at)
         self._lost_features.setdefault(crash, set()).add(feature)
@@ -297,7 +300,7 @@
 
         Args:
             evidence: Crashes of a feature of the request.
-            present: All suspected features of the request.
+            present: All features of the request.
         """
         if evidence.failed_tests >= _PROOF_LIMIT:
             return False
--- a/crowwinch/sharing/tests/test_crash_causes.py
+++ b/crowwinch/sharing/tests/test_crash_causes.py
@@ -230,6 +230,27 @@
                 clock.move_to(last + first_s)
                 self.assertIsNone(router.refused_feature(bad))
 
+    def test_request_with_the_likely_cause_is_no_test(self):
+        """Guards against a test by a part that has crashed targets twice.
+
+        The first part alone has reached the limit, as two parts crash targets.
+        """
+        clock = ManualClock(100.0)
+        router = CrashSuspects(clock)
+        router.record_answer(RequestFeatures("x", ("first",)), 99.0)
+        for number, part in enumerate(("bad", "worse", "bad")):
+            lost = RequestFeatures(f"{number}", ("first", part))
+            router.record_crash(f"{number}", lost, clock.monotonic())
+            clock.move_to(clock.monotonic() + 0.5)
+        router.record_answer(
+            RequestFeatures("other", ("other",)), clock.monotonic()
+        )
+        clock.move_to(clock.monotonic() + 1.0)
+        bad = RequestFeatures("new", ("first", "bad"))
+        self.assertEqual(router.refused_feature(bad), "first")
+        sound = RequestFeatures("sound", ("first", "second"))
+        self.assertIsNone(router.refused_feature(sound))
+
     def test_tests_come_one_at_a_time(self):
         """Guards against a burst of requests that test the same part."""
         clock = ManualClock(100.0)
