Workspace log: tell returned callers and the level of what is served

Change: each workspace has `returned` (units of callers who had waited for their target latency before) and `fleet_asked`, each line `even_use`.

Evidence: test_requests_of_refused_callers_are_told_apart and test_level_of_what_is_served, which fail before. No decision changes.

--- a/crowwinch/forwarding/_request_log.py
+++ b/crowwinch/forwarding/_request_log.py
@@ -53,7 +53,11 @@
         """Records a request that was routed."""
         work = context.work
         if work.prompt_tokens:
-            self._workspaces.record_request(work.workspace, work.cost)
+            self._workspaces.record_request(
+                work.workspace,
+                work.cost,
+                is_late=0.0 < work.target_latency_s <= context.prior_wait_s,
+            )
 
     def describe_directory(self) -> dict[str, object]:
         """Returns how current the directory is that a decision relies on."""
--- a/crowwinch/forwarding/_workspace_log.py
+++ b/crowwinch/forwarding/_workspace_log.py
@@ -25,6 +25,8 @@
 
     Attributes:
         asked: Service units of the requests that arrived.
+        returned: Those among them of callers who had waited for their target
+            latency before, mostly after a refusal.
         begun: Service units of the requests whose first event came.
         late: Number of first events after the target latency.
         codes: Number of requests that ended, by outcome.
@@ -32,6 +34,7 @@
     """
 
     asked: int = 0
+    returned: int = 0
     begun: int = 0
     late: int = 0
     codes: Counter[str] = field(default_factory=Counter)
@@ -50,10 +53,20 @@
         self._shares = shares
         self._activities: dict[str, _Activity] = {}
 
-    def record_request(self, workspace: str, units: int) -> None:
-        """Records a request that arrived."""
+    def record_request(
+        self, workspace: str, units: int, *, is_late: bool = False
+    ) -> None:
+        """Records a request that arrived.
+
+        Args:
+            workspace: Name of the workspace.
+            units: Service units of the request.
+            is_late: Whether its caller had waited for the target latency
+                before.
+        """
         activity = self._activity(workspace)
         activity.asked += units
+        activity.returned += units if is_late else 0
         activity.largest = heapq.nlargest(
             _LARGEST_REQUESTS, [*activity.largest, units]
         )
@@ -86,19 +99,20 @@
                 "workspaces": {
                     workspace: {
                         "asked": activity.asked,
+                        "returned": activity.returned,
                         "begun": activity.begun,
                         "late": activity.late,
                         "codes": dict(activity.codes),
                         "largest": activity.largest,
+                        "fleet_asked": round(shares.asked(workspace)),
                         "fleet_served": round(shares.served(workspace)),
                         "lead": round(shares.lead(workspace), 2),
                     }
                     for workspace, activity in shown
                 },
                 "left_out": len(self._activities) - len(shown),
-                "share_level": (
-                    None if math.isinf(shares.level) else round(shares.level)
-                ),
+                "share_level": _finite(shares.level),
+                "even_use": _finite(shares.even_use),
                 "asked_per_s": round(shares.asked_per_s),
                 "served_per_s": round(shares.served_per_s),
                 "oldest_report_s": round(shares.oldest_report_s, 2),
@@ -111,3 +125,8 @@
         if activity is None:
             activity = self._activities[workspace] = _Activity()
         return activity
+
+
+def _finite(units: float) -> int | None:
+    """Returns rounded units, None if there is no limit."""
+    return None if math.isinf(units) else round(units)
--- a/crowwinch/forwarding/tests/test_workspace_log.py
+++ b/crowwinch/forwarding/tests/test_workspace_log.py
@@ -44,6 +44,27 @@
         with self.assertNoLogs(_LOGGER):
             self.log.write()
 
+    def test_requests_of_refused_callers_are_told_apart(self):
+        """Guards against counts that hide why a workspace gets little.
+
+        Callers who return after a refusal are refused again, which looks like
+        a workspace that is not let in.
+        """
+        self.log.record_request("a", 30)
+        self.log.record_request("a", 10, is_late=True)
+        counts = self._write().workspaces["a"]
+        self.assertEqual((counts["asked"], counts["returned"]), (40, 10))
+
+    def test_level_of_what_is_served(self):
+        """Guards against lines that show the configured level only."""
+        self.shares.record_demand("a", 400)
+        self.shares.record_usage("a", 100)
+        self.shares.refresh()
+        self.log.record_request("a", 400)
+        record = self._write()
+        self.assertEqual((record.share_level, record.even_use), (None, 100))
+        self.assertEqual(record.workspaces["a"]["fleet_asked"], 400)
+
     def test_line_has_few_workspaces(self):
         """Guards against lines that grow with the number of workspaces."""
         for number in range(100):
--- a/crowwinch/sharing/_shares.py
+++ b/crowwinch/sharing/_shares.py
@@ -96,6 +96,7 @@
         self._level = math.inf
         self._even_use = math.inf
         self._totals: dict[str, float] = {}
+        self._asked: dict[str, float] = {}
         self._mean = 0.0
         self._asked_per_s = 0.0
         self._served_per_s = 0.0
@@ -131,6 +132,14 @@
         """Units that a workspace may use in a window, inf without a limit."""
         return self._level
 
+    @property
+    def even_use(self) -> float:
+        """Units that a workspace gets in a window if all served is even.
+
+        It is inf unless less is served than asked for.
+        """
+        return self._even_use
+
     def set_time_constant(self, time_constant_s: float) -> None:
         """Changes the time constant of all counts."""
         now = self._clock.monotonic()
@@ -162,6 +171,7 @@
     def record_demand(self, workspace: str, units: float) -> None:
         """Counts a request that arrived at this router."""
         self._add(workspace, units, 0.0)
+        self._asked[workspace] = self._asked.get(workspace, 0.0) + units
 
     def record_usage(self, workspace: str, units: float) -> None:
         """Counts a request that was sent to a target."""
@@ -215,6 +225,7 @@
         scale = self._scale(now)
         _drop_negligible(self._remote, scale)
         asked: dict[str, float] = {}
+        self._asked = asked
         self._totals = {}
         for counts in (self._remote, self._own):
             for workspace, (asked_units, served_units) in counts.items():
@@ -257,6 +268,10 @@
         """
         return self.served(workspace) / max(self._even_use, 1.0)
 
+    def asked(self, workspace: str) -> float:
+        """Returns the units that a workspace asked for in the window."""
+        return self._asked.get(workspace, 0.0)
+
     def served(self, workspace: str) -> float:
         """Returns the units served to a workspace in the window."""
         return self._totals.get(workspace, 0.0)
