Retries: an attempt that reached no target needs no retry budget

Cause: each router finds out by itself which targets accept no connection, and each such attempt took from the retry budget and from the four attempts of a request, as if a target had received it. The class: a limit on load that counts what causes none.

Change: an attempt whose connection was not accepted takes neither; a request may meet up to eight of them. One that a target answers with 421 still does.

Evidence: test_request_goes_on_to_a_sound_target, 503 before on four kinds of routes.

--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -26,7 +26,9 @@
         prior_wait_s: Estimated time in seconds that the caller has waited
             before the request arrived.
         possible_runs: Number of targets that may have run the request.
-        attempt_count: Number of attempts, including those that were refused.
+        attempt_count: Number of attempts that may have reached a target,
+            including those that were refused.
+        unreachable_count: Number of attempts that no target has received.
         last_event_id: Id of the event after which a stream resumes.
         relayed_event_id: Id of the last event that the caller got, None without
             one.
@@ -55,6 +57,7 @@
     prior_wait_s: float = 0.0
     possible_runs: int = 0
     attempt_count: int = 0
+    unreachable_count: int = 0
     last_event_id: str | None = None
     relayed_event_id: str | None = None
     software_version: str | None = None
--- a/crowwinch/forwarding/_retry_policy.py
+++ b/crowwinch/forwarding/_retry_policy.py
@@ -15,6 +15,8 @@
 
 # Includes attempts that the target refused without running the request.
 _MAX_ATTEMPTS = 4
+# Targets that may accept no connection for one request.
+_MAX_UNREACHABLE = 8
 # A target that crashes when it begins to answer may have sent the first event.
 _FIRST_EVENT_S = 0.3
 _CRASH_RETRY_S = 5.0
@@ -99,11 +101,7 @@
         may_retry = not context.may_have_run or context.route.kind.allows_retry
         if context.call.is_started and not context.can_resume:
             may_retry = False
-        if (
-            may_retry
-            and self._is_within_limits(context)
-            and self._sharing.budget.try_spend(context.work.service)
-        ):
+        if may_retry and self._take_attempt(context, error):
             return _retry_reason(context, error)
         if context.may_have_run:
             raise RefusalError(
@@ -116,6 +114,19 @@
             _REFUSED_RETRY_S,
         )
 
+    def _take_attempt(
+        self, context: RequestContext, error: AttemptError
+    ) -> bool:
+        """Returns whether the limits allow another attempt, and counts it."""
+        if error.is_unreachable and not error.is_refusal:
+            # No target has received the last attempt.
+            context.attempt_count -= 1
+            context.unreachable_count += 1
+            return context.unreachable_count <= _MAX_UNREACHABLE
+        return self._is_within_limits(
+            context
+        ) and self._sharing.budget.try_spend(context.work.service)
+
     def _is_within_limits(self, context: RequestContext) -> bool:
         return (
             context.possible_runs < context.route.max_attempts
