Reproduce a workspace that is starved while others turn hot

The windows of plays that come near the bound have workspaces that turn hot for seconds, at all routers, at one, or moving.

--- a/measurements/_sharing_policies.py
+++ b/measurements/_sharing_policies.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Callable, Mapping
 
+from crowwinch.sharing import WorkspaceUse
 from measurements._sharing_world import PERIOD_S, Load, Node, SharingWorld
 from standins.engine_model import Job
 
 # Updates of a router in one period; larger fleets are served in turn.
 _FAN_OUT = 12
+# Time between two reports of shares to a peer, as a multiple of the number of
+# periods in which each peer gets an update.
+_SHARES_PERIOD_S = 0.2
 # Routers of one service are a hop of this time apart.
 _HOP_S = 0.001
 # Delay of each message of a router that lags.
@@ -77,6 +81,7 @@
         super().__init__(load, seed)
         self.nodes = [self.make_node() for _ in range(load.routers)]
         self._turns = [0] * load.routers
+        self._updates = [0] * load.routers
         # A fifth of the routers has the fault.
         self._faulty = set(range(0, load.routers, 5))
 
@@ -124,7 +129,7 @@
             (rounds, read) for read in node.prefixes.take_unsent_prefills()
         ]
         loads = node.loads.own_use()
-        shares = node.shares.own_use()
+        shares = self._take_shares(index, node, rounds)
         reads = [read for _, read in node.reads]
         lag_s = _LAG_S if self._is_out(index, "lagging") else _HOP_S
         for step in range(min(_FAN_OUT, others)):
@@ -137,12 +142,32 @@
 
             def deliver(receiver: Node = self.nodes[peer]) -> None:
                 receiver.loads.replace_peer_report(str(index), loads)
-                receiver.shares.replace_peer_report(str(index), shares)
+                if shares is not None:
+                    receiver.shares.replace_peer_report(str(index), shares)
                 receiver.prefixes.merge_peer_prefills(reads)
 
             self.events.at(self.clock.monotonic() + lag_s, deliver)
         self._turns[index] = (self._turns[index] + _FAN_OUT) % others
 
+    def _take_shares(
+        self, index: int, node: Node, rounds: int
+    ) -> list[WorkspaceUse] | None:
+        """Returns the shares to report with this update, None if not due.
+
+        Each peer gets an update in a round of several periods.
+
+        Args:
+            index: Number of the router.
+            node: The router.
+            rounds: Number of periods.
+        """
+        interval_s = _shares_period_s(rounds)
+        between = max(round(interval_s / (PERIOD_S * rounds)), 1)
+        # Routers were started at different times, so they are not in step.
+        number = self._updates[index] // rounds + index
+        self._updates[index] += 1
+        return None if number % between else node.shares.own_use(interval_s)
+
 
 class LocalPlacing(LocalDecisions):
     """(c) As (b), but a scheduler orders the starts under overload."""
@@ -188,6 +213,15 @@
 }
 
 
+def _shares_period_s(rounds: int) -> float:
+    """Returns the time between two reports of shares to a peer in seconds.
+
+    Args:
+        rounds: Periods in which each peer gets an update.
+    """
+    return _SHARES_PERIOD_S * rounds
+
+
 def _has_no_scheduler(load: Load, now: float) -> bool:
     """Returns whether a lost scheduler has no successor yet."""
     since = now - load.fault_start_s
--- a/measurements/_sharing_world.py
+++ b/measurements/_sharing_world.py
@@ -6,6 +6,7 @@
 
 import abc
 import contextlib
+import math
 import random
 import time
 from collections.abc import Iterator, Mapping, Sequence
@@ -52,6 +53,8 @@
         fault: `none`, `frozen`, `cut` or `lagging`.
         routers_by_workspace: Number of routers that the callers of a workspace
             use; those of other workspaces use all.
+        stay_s: Time in seconds after which the callers of a workspace move on
+            to the next routers; those of other workspaces stay.
     """
 
     routers: int
@@ -63,6 +66,7 @@
     seconds: float
     fault: str = "none"
     routers_by_workspace: Mapping[str, int] = field(default_factory=dict)
+    stay_s: Mapping[str, float] = field(default_factory=dict)
 
     @property
     def fault_start_s(self) -> float:
@@ -143,11 +147,7 @@
     def play(self) -> list[Job]:
         """Plays the load and returns all requests."""
         for at, work in self.load.arrivals:
-            router = self.rng.randrange(
-                self.load.routers_by_workspace.get(
-                    work.workspace, self.load.routers
-                )
-            )
+            router = self._choose_router(work.workspace, at)
             self.events.at(
                 at,
                 lambda work=work, router=router: self._arrive(work, router),
@@ -215,6 +215,13 @@
         with node.timed():
             node.admission.submit(ticket)
 
+    def _choose_router(self, workspace: str, at: float) -> int:
+        """Returns the router that a request arrives at."""
+        load = self.load
+        count = load.routers_by_workspace.get(workspace, load.routers)
+        moves = int(at / load.stay_s.get(workspace, math.inf))
+        return (moves * count + self.rng.randrange(count)) % load.routers
+
     def _arrive(self, work: Work, router: int) -> None:
         now = self.clock.monotonic()
         job = Job(work, now, now + DEADLINE_S)
