Shares: report them with each update in large fleets

Cause: a router reports shares to a peer every 0.2 s for each period of a round of updates, so every 1.6 s in a fleet of 89. Until then the others do not know what a workspace takes elsewhere, and decide by what it took before. The class: a period that grows with the fleet twice, since the round itself grows already.

Change: a report goes to a peer every 0.2 s, or with each update where a round takes longer: every 0.4 s among 89 routers.

--- a/crowwinch/fleet/_peer_table.py
+++ b/crowwinch/fleet/_peer_table.py
@@ -36,6 +36,9 @@
 # After this time, a router that said that it leaves is gone, and one that only
 # peers have named is not there.
 _GONE_S = 5.0
+# Period in which updates are sent. Routers that choose a target within the same
+# period do not see each other's choice.
+UPDATE_PERIOD_S = 0.05
 # Updates sent per period; in larger fleets, peers are served round-robin.
 _FAN_OUT = 12
 # Member addresses in one update.
@@ -55,8 +58,9 @@
 _CATCH_UP_S = 2.0
 # Update timers fire slightly earlier or later than scheduled.
 _TIMER_JITTER_S = 0.02
-# Shares are measured over seconds, so not every update needs to carry them.
-_SHARES_PERIOD_S = 0.2
+# Shares are measured over seconds, so in small fleets not every update needs to
+# carry them.
+_MIN_SHARES_PERIOD_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,7 +206,9 @@
     @property
     def shares_period_s(self) -> float:
         """Time in seconds between two reports of shares to a peer."""
-        return _SHARES_PERIOD_S * self.periods_per_round
+        return max(
+            _MIN_SHARES_PERIOD_S, UPDATE_PERIOD_S * self.periods_per_round
+        )
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Replaces the seeds and keeps all known peers."""
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -19,7 +19,7 @@
 from crowwinch.fleet._directory_pull import DirectoryPull
 from crowwinch.fleet._endpoint import FleetEndpoint, StreamDatagram
 from crowwinch.fleet._peer_directories import PeerDirectories
-from crowwinch.fleet._peer_table import PeerTable
+from crowwinch.fleet._peer_table import UPDATE_PERIOD_S, PeerTable
 from crowwinch.fleet._stream_records import RecordPeer, StreamRecords
 from crowwinch.fleet._update_codec import (
     decode_cold,
@@ -57,9 +57,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Routers that choose a target within the same period do not see each other's
-# choice.
-_UPDATE_PERIOD_S = 0.05
 # A long prompt triggers an update outside the period. The delay lets one update
 # cover all requests that are routed together.
 _LONG_PROMPT_DELAY_S = 0.002
@@ -202,7 +199,7 @@
         await self._exchange.start()
         await self._endpoint.start()
         self._subscription = self._timers.call_every(
-            _UPDATE_PERIOD_S, self._tick
+            UPDATE_PERIOD_S, self._tick
         )
         self._sharing.loads.subscribe_long_prompts(self._schedule_extra_update)
         self._tick()
@@ -257,7 +254,7 @@
         self._zone_peers.remove_silent(_ZONE_PEER_EXPIRY_S)
         timeout_periods = _READER_TIMEOUT_ROUNDS * self._table.periods_per_round
         self._reader_timeout_s = max(
-            _MIN_READER_TIMEOUT_S, timeout_periods * _UPDATE_PERIOD_S
+            _MIN_READER_TIMEOUT_S, timeout_periods * UPDATE_PERIOD_S
         )
         was_reading = self._readers.is_reading
         is_reading = self._readers.decide(self._reader_timeout_s)
--- a/crowwinch/fleet/tests/test_large_fleets.py
+++ b/crowwinch/fleet/tests/test_large_fleets.py
@@ -1,6 +1,7 @@
 """Tests of state exchange in fleets with round-robin updates."""
 
 import asyncio
+import math
 import unittest
 
 from crowwinch.directory import VersionAge
@@ -63,7 +64,7 @@
         async def scenario(fleet):
             first, *others = fleet.routers
             first.sharing.shares.record_usage("workspace", 1_000)
-            # Among 90 routers, shares go to each peer every 8 periods of 0.2 s.
+            # Among 90 routers, each peer gets shares every 8 periods of 0.05 s.
             await fleet.run(2.0)
             served = [
                 router.sharing.shares.served("workspace") for router in others
@@ -72,6 +73,28 @@
 
         self._run_scenario(scenario)
 
+    def test_rising_use_is_known_everywhere_within_a_second(self):
+        """Guards against workspaces that take more than their share unnoticed.
+
+        A workspace with callers at all routers turns hot. In a fleet of 90
+        routers, part of the reports came after 1.6 s only.
+        """
+
+        async def scenario(fleet):
+            first_shares = fleet.routers[0].sharing.shares
+            for router in fleet.routers:
+                router.sharing.shares.record_usage("w", 1_000)
+            await fleet.run(0.9)
+            served = [
+                router.sharing.shares.served("w") for router in fleet.routers
+            ]
+            time_constant_s = first_shares.time_constant_s
+            decay = math.exp(-0.9 / time_constant_s)
+            expected = 1_000 * len(fleet.routers) * decay
+            self.assertGreater(min(served) / expected, 0.8)
+
+        self._run_scenario(scenario)
+
     def test_steady_use_is_known_everywhere(self):
         """Guards against use that seems less, the larger the fleet is.
 
--- a/measurements/_sharing_policies.py
+++ b/measurements/_sharing_policies.py
@@ -8,8 +8,8 @@
 
 # Updates of a router in one period; larger fleets are served in turn.
 _FAN_OUT = 12
-# Time between two reports of shares to a peer, as a multiple of the number of
-# periods in which each peer gets an update.
+# Time between two reports of shares to a peer in a small fleet. In a large one
+# each update has them.
 _SHARES_PERIOD_S = 0.2
 # Routers of one service are a hop of this time apart.
 _HOP_S = 0.001
@@ -219,7 +219,7 @@
     Args:
         rounds: Periods in which each peer gets an update.
     """
-    return _SHARES_PERIOD_S * rounds
+    return max(_SHARES_PERIOD_S, PERIOD_S * rounds)
 
 
 def _has_no_scheduler(load: Load, now: float) -> bool:
