Shares: forget use sooner

What callers saw: a workspace whose callers were served alone, or that turned hot a second before another, is refused for 1.4 s once the other one turns hot, and then the other way round.

Cause: counts of use decay with a time constant of 2 s, half of the window in which workspaces are owed their shares. All that is served goes to the workspace with the lower count until both are even. The class: a regulator whose memory is longer than the time in which it has to settle.

Change: a third of the window instead of half.

--- a/crowwinch/sharing/_shares.py
+++ b/crowwinch/sharing/_shares.py
@@ -22,13 +22,16 @@
 
 
 def time_constant(window_s: float) -> float:
-    """Returns the time constant of a decaying count equal to a sliding window.
+    """Returns the time constant of the counts of a share window in seconds.
 
-    The average age of entries is half the window in a sliding window, and the
-    time constant in a decaying count. A time constant of a whole window
-    penalised workspaces long after a burst.
+    It is less than half of the window, with which entries have the mean age of
+    those in a sliding window: a workspace that has used all capacity alone
+    waits, when another one turns hot, until its count is down to an even use.
+
+    Args:
+        window_s: Time in seconds in which workspaces are owed their shares.
     """
-    return window_s / 2
+    return window_s / 3
 
 
 @dataclass(frozen=True, slots=True)
--- a/crowwinch/sharing/tests/test_shares.py
+++ b/crowwinch/sharing/tests/test_shares.py
@@ -112,6 +112,27 @@
         self.shares.refresh()
         self.assertLess(self.shares.served("a"), 400.0 * 0.06)
 
+    def test_workspace_is_held_back_briefly_after_a_burst(self):
+        """Guards against a workspace that gets nothing after it was alone.
+
+        Another one turns hot and takes all that is served until their counts
+        are even, which must be within a quarter of the window.
+        """
+        shares = WorkspaceShares(self.clock, time_constant(_WINDOW_S))
+        step_s = 0.05
+        for step in range(400):
+            alone = step < 320
+            self.clock.move_to(self.clock.monotonic() + step_s)
+            shares.record_demand("a", 100.0)
+            shares.record_usage("a" if alone else "b", 50.0)
+            if not alone:
+                shares.record_demand("b", 100.0)
+            shares.refresh()
+            if not alone and shares.lead("a") <= 1.0:
+                break
+        waited_s = (step - 320 + 1) * step_s
+        self.assertLessEqual(waited_s, _WINDOW_S / 4)
+
     def test_burst_decays_within_window(self):
         """Guards against refusing a workspace because of an old burst.
 
@@ -124,7 +145,7 @@
         for workspace in ("a", "b"):
             shares.record_demand(workspace, 400.0)
         shares.refresh()
-        self.assertEqual(shares.level, 100.0)
+        self.assertEqual(shares.level, 100.0 * time_constant(_WINDOW_S) / 2)
         self.assertLess(shares.served("a") / 400.0, 0.2)
 
     def test_first_request_counts_before_refresh(self):
