--- a/measurements/tests/test_fair_shares.py
+++ b/measurements/tests/test_fair_shares.py
@@ -5,7 +5,7 @@
 
 from measurements._sharing_policies import LocalDecisions
 from measurements._sharing_world import Load
-from standins.engine_model import PromptMix, make_work
+from standins.engine_model import PromptMix, workspace_arrivals
 
 _ROUTERS = 30
 _ENGINES = 6
@@ -32,10 +32,9 @@
     mix = PromptMix(4 * _ENGINES, 3_000, 7.0, 400)
     arrivals = []
     for workspace, per_engine in _RATES.items():
-        time = rng.expovariate(per_engine * _ENGINES)
-        while time < _SECONDS:
-            arrivals.append((time, make_work(rng, workspace, mix)))
-            time += rng.expovariate(per_engine * _ENGINES)
+        arrivals += workspace_arrivals(
+            rng, workspace, per_engine * _ENGINES, (0.0, _SECONDS), mix
+        )
     return Load(
         routers=_ROUTERS,
         engines=_ENGINES,
--- a/measurements/tests/test_hot_workspaces.py
+++ b/measurements/tests/test_hot_workspaces.py
@@ -7,7 +7,7 @@
 from measurements._sharing_policies import LocalDecisions
 from measurements._sharing_world import Load
 from measurements.share_report import Second, find_shortages
-from standins.engine_model import PromptMix, make_work
+from standins.engine_model import PromptMix, workspace_arrivals
 
 _ROUTERS = 89
 _ENGINES = 24
@@ -40,11 +40,10 @@
     per_s = _ENGINES * _UNITS_PER_ENGINE / _UNITS_PER_REQUEST
     arrivals = []
     for workspace, (part, spans) in _HOT.items():
-        for start, end in spans:
-            time = start + rng.expovariate(part * per_s)
-            while time < end:
-                arrivals.append((time, make_work(rng, workspace, mix)))
-                time += rng.expovariate(part * per_s)
+        for span in spans:
+            arrivals += workspace_arrivals(
+                rng, workspace, part * per_s, span, mix
+            )
     return Load(
         routers=_ROUTERS,
         engines=_ENGINES,
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -165,15 +165,37 @@
 ) -> list[tuple[float, Work]]:
     """Returns requests of workspaces at the given rates a second."""
     rng = random.Random(seed)
-    load = []
+    load: list[tuple[float, Work]] = []
     for workspace, rate in rates.items():
-        time = rng.expovariate(rate)
-        while time < seconds:
-            load.append((time, make_work(rng, workspace, _MIX)))
-            time += rng.expovariate(rate)
+        load += workspace_arrivals(rng, workspace, rate, (0.0, seconds), _MIX)
     return sorted(load, key=lambda entry: entry[0])
 
 
+def workspace_arrivals(
+    rng: random.Random,
+    workspace: str,
+    per_s: float,
+    span: tuple[float, float],
+    mix: PromptMix,
+) -> list[tuple[float, Work]]:
+    """Returns requests of a workspace that arrive at random.
+
+    Args:
+        rng: Source of times and sizes.
+        workspace: Name of the workspace.
+        per_s: Mean rate in requests per second.
+        span: Start and end in seconds.
+        mix: Sizes of the requests.
+    """
+    start, end = span
+    load = []
+    time = start + rng.expovariate(per_s)
+    while time < end:
+        load.append((time, make_work(rng, workspace, mix)))
+        time += rng.expovariate(per_s)
+    return load
+
+
 def make_work(rng: random.Random, workspace: str, mix: PromptMix) -> Work:
     """Returns a request of a workspace."""
     own = int(min(rng.lognormvariate(mix.own_log_mean, 1.0), 40_000))
