Admission: a workspace that is behind is not held back by its share

Cause: two levels. Whether a request is over the share, so that it waits briefly, finds little room and is refused unseen once eight others wait, goes by the configured capacity, which is half of what is served. How far a workspace is ahead goes by what is served, but only holds back those ahead. What is served beyond the configured capacity is raced for: a workspace at 89 routers has 89 pictures of the targets, one of which shows a free one, and one at a single router has one. The class: an estimate that is corrected on one side only.

Evidence: test_workspace_that_is_behind_is_not_refused_unseen and test_workspace_that_is_behind_is_not_held_back_by_its_share, which fail before.

--- a/crowwinch/sharing/_admission.py
+++ b/crowwinch/sharing/_admission.py
@@ -17,6 +17,7 @@
 from crowwinch.sharing._claim import Claim
 from crowwinch.sharing._forecasts import Candidate, TargetStatus
 from crowwinch.sharing._headroom import has_room, use_limit
+from crowwinch.sharing._leads import Leads
 from crowwinch.sharing._model import Decision, TargetView, Verdict, Work
 from crowwinch.sharing._observed_targets import ObservedTargets
 from crowwinch.sharing._placer import Placer
@@ -40,6 +41,10 @@
 # the same home regions. They would find the same targets full, and under load
 # there are hundreds of them.
 _MAX_UNDECIDED = 8
+# The same for a workspace that gets clearly less than others. Its requests fit
+# different targets, and those of one with callers at a single router are looked
+# at by no other.
+_MAX_UNDECIDED_BEHIND = 16
 _NEGLIGIBLE_RATE = 1e-6
 
 
@@ -203,7 +208,8 @@
     ) -> None:
         undecided: Counter[frozenset[str] | None] = Counter()
         for ticket in tickets:
-            if undecided[ticket.home_regions] >= _MAX_UNDECIDED:
+            most = self._max_undecided(ticket.work.workspace)
+            if undecided[ticket.home_regions] >= most:
                 continue
             decision = self._decide(ticket, targets, now)
             if decision is None:
@@ -330,10 +336,15 @@
         """
         return (
             not is_taken_up
-            and len(queue) >= _MAX_UNDECIDED
+            and len(queue) >= self._max_undecided(work.workspace)
             and self._shares.use_of_share(work.workspace, work.cost) > 1.0
         )
 
+    def _max_undecided(self, workspace: str) -> int:
+        """Returns the requests of a workspace after which a poll stops."""
+        is_behind = Leads.is_behind(self._shares.lead(workspace))
+        return _MAX_UNDECIDED_BEHIND if is_behind else _MAX_UNDECIDED
+
     def _refuse_over_share(self, deadline: float, now: float) -> Decision:
         return Decision(
             Verdict.REFUSE_OVER_SHARE,
--- a/crowwinch/sharing/_headroom.py
+++ b/crowwinch/sharing/_headroom.py
@@ -41,10 +41,9 @@
 
     It bounds what `has_room` decides without a forecast for any target.
     """
-    lead_fraction = Leads.limit_fraction(claim)
     if claim.is_within:
-        return min(lead_fraction, 1.0)
-    factor = claim.share_use**-_OVER_SHARE_EXPONENT * lead_fraction
+        return min(Leads.limit_fraction(claim), 1.0)
+    factor = _over_share_factor(claim)
     fraction = max(
         _OVER_SHARE_BATCH_FRACTION, LateAnswers.batch_fraction(claim)
     )
@@ -71,7 +70,7 @@
     if claim.is_large and LateAnswers.is_late(candidate, claim):
         fraction = LateAnswers.batch_fraction(claim)
         return has_short_queue and candidate.use < fraction
-    if claim.relative_use > 1.0 and not Leads.is_behind(claim):
+    if claim.relative_use > 1.0 and not Leads.is_behind(claim.lead):
         factor = claim.relative_use**-_OVER_SHARE_EXPONENT
         latency *= _ABOVE_AVERAGE_LATENCY_FRACTION * factor
     total_s = claim.total_wait_s + candidate.expected_s
@@ -81,9 +80,7 @@
 def _has_room_over_share(candidate: Candidate, claim: Claim) -> bool:
     if candidate.recompute_tokens and candidate.use > _MAX_RECOMPUTE_USE:
         return False
-    factor = claim.share_use**-_OVER_SHARE_EXPONENT * Leads.limit_fraction(
-        claim
-    )
+    factor = _over_share_factor(claim)
     own_s = candidate.expected_s - candidate.queue_s
     expected_s = candidate.queue_s + min(
         own_s, claim.latency_s * _MAX_PREFILL_FRACTION
@@ -96,3 +93,15 @@
         candidate.use < _OVER_SHARE_BATCH_FRACTION * factor
         and expected_s + claim.waited_s <= limit
     )
+
+
+def _over_share_factor(claim: Claim) -> float:
+    """Returns the fraction of its limits that a request over its share gets.
+
+    Targets may serve more than the configured capacity, of which shares are
+    computed. A workspace that gets clearly less than others of what is served
+    is not held back by its share.
+    """
+    if Leads.is_behind(claim.lead):
+        return 1.0
+    return claim.share_use**-_OVER_SHARE_EXPONENT * Leads.limit_fraction(claim)
--- a/crowwinch/sharing/_leads.py
+++ b/crowwinch/sharing/_leads.py
@@ -26,6 +26,11 @@
         return max(claim.lead / _MAX_LEAD, 1.0) ** -_LEAD_EXPONENT
 
     @staticmethod
-    def is_behind(claim: Claim) -> bool:
-        """Returns whether a workspace gets clearly less than others."""
-        return 0.0 < claim.lead < _BEHIND_LEAD
+    def is_behind(lead: float) -> bool:
+        """Returns whether a workspace gets clearly less than others.
+
+        Args:
+            lead: Its use divided by an even use of all that is served, 0 if no
+                workspace waits.
+        """
+        return 0.0 < lead < _BEHIND_LEAD
--- a/crowwinch/sharing/tests/test_certain_refusals.py
+++ b/crowwinch/sharing/tests/test_certain_refusals.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from crowwinch.sharing import Ticket, Verdict, Work
+from crowwinch.sharing import Ticket, Verdict, Work, WorkspaceUse
 from crowwinch.sharing.tests.support import SLOTS, Simulation
 
 _WAITING = 8
@@ -70,6 +70,39 @@
                     self.assertIs(early.verdict, decisions[0].verdict)
                     self.assertGreater(early.retry_after_s, 0.0)
 
+    def test_workspace_that_is_behind_is_not_refused_unseen(self):
+        """Guards against refusals by a capacity that is configured too low.
+
+        All callers of a workspace come to this router. It is over its share of
+        the configured capacity, but another one gets four times as much.
+        """
+        simulation = self._simulate(_WAITING, is_over_share=True)
+        simulation.shares.replace_peer_report(
+            "peer", [WorkspaceUse("spread", 1e6, 4e5)]
+        )
+        simulation.shares.refresh()
+        self.assertGreater(simulation.shares.use_of_share("large", 1), 1.0)
+        decisions = []
+        for _ in range(2):
+            admission = simulation.admission
+            self.assertIsNone(
+                admission.certain_refusal(_work(), 15.0, is_taken_up=False)
+            )
+            admission.submit(Ticket(_work(), 0.0, 15.0, decisions.append))
+        self.assertEqual(decisions, [])
+
+    def test_number_of_waiting_requests_is_limited(self):
+        """Guards against a poll that looks at hundreds of requests."""
+        simulation = self._simulate(4 * _WAITING, is_over_share=True)
+        simulation.shares.replace_peer_report(
+            "peer", [WorkspaceUse("spread", 1e6, 4e5)]
+        )
+        simulation.shares.refresh()
+        refusal = simulation.admission.certain_refusal(
+            _work(), 15.0, is_taken_up=False
+        )
+        self.assertIsNotNone(refusal)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/crowwinch/sharing/tests/test_headroom.py
+++ b/crowwinch/sharing/tests/test_headroom.py
@@ -4,7 +4,7 @@
 
 from crowwinch.sharing import Candidate, TargetView
 from crowwinch.sharing._claim import Claim
-from crowwinch.sharing._headroom import has_room
+from crowwinch.sharing._headroom import has_room, use_limit
 
 _ENGINE = TargetView("e", 0, "llm", False, 32, is_engine=True)
 
@@ -64,6 +64,15 @@
                 claim = _claim(0.5, relative_use=3.0, lead=lead)
                 self.assertIs(has_room(candidate, claim), expected)
 
+    def test_workspace_that_is_behind_is_not_held_back_by_its_share(self):
+        """Guards against a configured capacity of half of what is served."""
+        candidate = _candidate(queue_s=0.3, use=0.8)
+        for lead, expected in ((0.8, True), (0.0, False), (1.0, False)):
+            with self.subTest(lead=lead):
+                claim = _claim(2.3, relative_use=3.0, lead=lead)
+                self.assertIs(has_room(candidate, claim), expected)
+                self.assertIs(use_limit(claim) > candidate.use, expected)
+
 
 class ReturningCallerTest(unittest.TestCase):
     """Guards against refusing callers whose answers can still be in time.
