--- a/crowwinch/forwarding/_retry_policy.py
+++ b/crowwinch/forwarding/_retry_policy.py
@@ -15,7 +15,7 @@
 
 # Includes attempts that the target refused without running the request.
 _MAX_ATTEMPTS = 4
-# Targets that may accept no connection for one request.
+# Targets that one request may find unreachable before it is refused.
 _MAX_UNREACHABLE = 8
 # A target that crashes when it begins to answer may have sent the first event.
 _FIRST_EVENT_S = 0.3
