--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -30,6 +30,8 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 _READY_TIMEOUT_S = 20.0
 _MAX_BODY_BYTES = 4_194_304
+_MAX_PAGE_ITEMS = 500
+_MAX_PAGE_BYTES = 1_000_000
 
 
 class NotRunError(Exception):
@@ -231,10 +233,7 @@
     ) -> bool:
         """Answers a list or a watch."""
         if request.path == "/kv-range":
-            document: dict[str, object] = {
-                "Items": [self._items[key] for key in sorted(self._items)],
-                "Truncated": False,
-            }
+            document = self._range(request)
         else:
             document = {"events": await self._watch(request)}
         document["CurrentRev"] = self._revision
@@ -245,6 +244,20 @@
         )
         return True
 
+    def _range(self, request: Request) -> dict[str, object]:
+        """Returns a page of at most 500 items or about 1 MB."""
+        after = request.query.get("After", "")
+        items: list[dict[str, object]] = []
+        size = 0
+        for key in sorted(self._items):
+            if key <= after:
+                continue
+            if len(items) == _MAX_PAGE_ITEMS or size > _MAX_PAGE_BYTES:
+                return {"Items": items, "Truncated": True}
+            items.append(self._items[key])
+            size += len(str(self._items[key]["Value"]))
+        return {"Items": items, "Truncated": False}
+
     async def _watch(self, request: Request) -> list[dict[str, object]]:
         after = int(request.query["After"])
         end = time.monotonic() + int(request.query["WaitMs"]) / 1000
@@ -637,15 +650,19 @@
         routes: Sequence[Mapping[str, object]],
         services: Sequence[Mapping[str, object]],
         version: int = 3,
+        keys: Sequence[str] = (KEY,),
     ) -> None:
-        """Writes a configuration."""
+        """Writes a configuration with one tenant for each key."""
         self.store.put(
             "op/config",
             {
                 "Version": version,
                 "Routes": routes,
                 "Services": services,
-                "Tenants": [{"Name": "tenant-1", "ApiKeys": [KEY]}],
+                "Tenants": [
+                    {"Name": f"tenant-{number}", "ApiKeys": [key]}
+                    for number, key in enumerate(keys, 1)
+                ],
                 "Limits": {
                     "MaxHeaderBytes": 16384,
                     "MaxBodyBytes": _MAX_BODY_BYTES,
