--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,8 +1,9 @@
-"""Streams go on at a worker that has started again with other software."""
+"""Streams are taken up after most routers were killed, during a release."""
 
 import asyncio
 import pathlib
 import re
+import signal
 import sys
 
 _FOLDER = pathlib.Path(__file__).resolve().parent
@@ -12,60 +13,75 @@
     BROKEN,
     HELD,
     Answer,
+    Connection,
     Deployment,
     Engine,
-    NotRunError,
     Record,
+    Router,
     route,
     run_case,
 )
 
-_ROUTERS = 3
-_STREAMS = 6
+_ROUTERS = 8
+# "share (.6) are killed at once"
+_KILLED = 5
+_STREAMS_PER_ROUTER = 6
 # "More than two streams hold events from workers of two software versions"
 _MAX_MIXED = 2
-# Worker processes are replaced one after the other, in place.
-_DOWN_S = 0.8
-_REPLACE_INTERVAL_S = 0.4
-# Short requests of the same service before, one after the other.
-_SHORT_REQUESTS = 30
-_OUTAGE_S = 4.5
-_HEADERS = {
-    "X-Crowwinch-Model": "m",
-    "X-Crowwinch-Token-Count": "826,294",
-    "X-Crowwinch-Prefix-Hash": "5c1e07a2:198,91bd3f06:628",
-}
+_DEADLINE_MS = 15_000
+_TIMEOUT_MS = 8_000
+# Times after the first stream.
+_RELEASED_AT_S = 0.8
+_KILLED_AT_S = 6.0
+_TAKE_UP_DELAY_S = 0.3
 _VERSION = re.compile(rb"data: \d+ of (v\d)")
+_ID = re.compile(rb"^id: (\d+)\n", re.M)
 
 
-def _versions(answer: Answer) -> list[str]:
+def _versions(body: bytes) -> list[str]:
     """Returns the versions whose events a stream holds, in their order."""
-    found: list[str] = []
-    for match in _VERSION.findall(answer.body):
-        if match.decode() not in found:
-            found.append(match.decode())
-    return found
+    return list(dict.fromkeys(m.decode() for m in _VERSION.findall(body)))
 
 
-async def _roll(
-    deployment: Deployment, engines: list[Engine], has_outage: bool
-) -> None:
-    """Replaces workers in place while the store is away."""
-    for engine in engines:
-        await asyncio.sleep(_REPLACE_INTERVAL_S)
-        await engine.restart(_DOWN_S, "v2")
-        if not has_outage:
-            deployment.register(engine)
+def _key(router: Router) -> str:
+    """Returns the key of the tenant whose requesters come to a router."""
+    return f"key-{router.index}"
+
+
+async def _use(
+    deployment: Deployment, router: Router, survivor: Router
+) -> tuple[Answer, Answer | None]:
+    """Asks for a stream, and takes it up at another router if it breaks."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    connection = Connection(deployment, router)
+    headers = {"X-Api-Key": _key(router)}
+    first = await connection.ask(
+        "/chat/a", "first", deadline_ms=_DEADLINE_MS, headers=headers
+    )
+    if first.is_whole or not first.body:
+        return first, None
+    await asyncio.sleep(_TAKE_UP_DELAY_S)
+    left_ms = _DEADLINE_MS - int((loop.time() - began) * 1000)
+    again = await Connection(deployment, survivor).ask(
+        "/chat/a",
+        "again",
+        deadline_ms=left_ms,
+        headers=headers
+        | {
+            "Last-Event-Id": _ID.findall(first.body)[-1].decode(),
+            "Resumes": first.attempt,
+        },
+    )
+    return first, again
 
 
 async def case(record: Record, has_trouble: bool) -> int:
     """Plays the case."""
     deployment = Deployment(record, _ROUTERS)
     try:
-        for number in range(2):
-            deployment.add_worker(
-                Engine, f"i-llm-{number}", "triage-llm", slots=64
-            )
+        old = deployment.add_worker(Engine, "i-old", "triage-llm", slots=64)
+        old.events, old.event_s = 40, 0.18
         deployment.configure(
             [
                 route(
@@ -73,9 +89,8 @@
                     "streaming",
                     "triage-llm",
                     StreamResume=True,
-                    SessionAffinity=True,
-                ),
-                route("tag", "streaming", "triage-llm", SessionAffinity=True),
+                    TimeoutMs=_TIMEOUT_MS,
+                )
             ],
             [
                 {
@@ -84,53 +99,47 @@
                     "Engine": {"Slots": 64, "KvCapacity": 431002},
                 }
             ],
+            keys=[_key(router) for router in deployment.routers],
         )
         await deployment.start()
-        router = deployment.routers[0]
-        for _ in range(_SHORT_REQUESTS):
-            await deployment.ask(router, "/tag/a", "tag", headers=_HEADERS)
-        for worker in deployment.workers:
-            worker.runs.clear()
-        streams = []
-        for _ in range(_STREAMS):
-            streams.append(
-                asyncio.ensure_future(
-                    deployment.ask(router, "/chat/a", "chat", headers=_HEADERS)
-                )
+        # The routers have followed the store for longer than a stream lasts.
+        await asyncio.sleep(12.0)
+        victims = deployment.routers[:_KILLED]
+        survivors = deployment.routers[_KILLED:]
+        streams = [
+            asyncio.ensure_future(
+                _use(deployment, router, survivors[number % len(survivors)])
             )
-            await asyncio.sleep(0.15)
-        used = [each for each in deployment.workers if each.runs]
-        if len(used) != 1:
-            raise NotRunError("the streams did not begin at one worker")
-        others = [each for each in deployment.workers if each not in used]
-        # Both have the same software when the store goes away.
-        deployment.register(used[0])
-        await asyncio.sleep(0.2)
-        if has_trouble:
-            record.write("the store goes away")
-            await deployment.store.stop()
-        rolling = asyncio.ensure_future(
-            _roll(deployment, [*others, *used], has_trouble)
-        )
-        await asyncio.sleep(_OUTAGE_S)
-        await rolling
+            for router in victims
+            for number in range(_STREAMS_PER_ROUTER)
+        ]
+        began = record.now()
+        await asyncio.sleep(_RELEASED_AT_S)
+        new = deployment.add_worker(Engine, "i-new", "triage-llm", slots=64)
+        new.version, new.events, new.event_s = "v2", 40, 0.1
+        await new.start()
+        deployment.register(new)
+        await asyncio.sleep(0.3)
+        old.extra_headers["Server-Leaving"] = "1"
+        deployment.store.delete("servers/i-old")
+        record.write("worker i-new serves, the entry of i-old is removed")
+        await asyncio.sleep(began + _KILLED_AT_S - record.now())
         if has_trouble:
-            await deployment.store.start()
-            record.write("the store is back")
-            for worker in deployment.workers:
-                deployment.register(worker)
-        answers = await asyncio.gather(*streams)
-        mixed = [each for each in answers if len(_versions(each)) > 1]
-        for each in answers:
+            record.write(f"{len(victims)} routers are killed")
+            for router in victims:
+                router.signal(signal.SIGKILL)
+        mixed = 0
+        for first, again in await asyncio.gather(*streams):
+            body = first.body + (again.body if again is not None else b"")
+            is_mixed = len(_versions(body)) > 1
+            mixed += is_mixed
             record.write(
-                f"{each.attempt}: status {each.status}, "
-                f"{'whole' if each.is_whole else 'cut'}, {_versions(each)}"
+                f"{first.attempt}: taken up: "
+                f"{again.status if again is not None else 'no'}, "
+                f"{_versions(body)}"
             )
-        record.write(
-            f"result: streams with events of two versions: "
-            f"{len(mixed)} of {len(answers)}"
-        )
-        return BROKEN if len(mixed) > _MAX_MIXED else HELD
+        record.write(f"result: streams with events of two versions: {mixed}")
+        return BROKEN if mixed > _MAX_MIXED else HELD
     finally:
         await deployment.stop()
 
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Streams are taken up after most routers were killed, during a release."""
+"""Streams of a route that is split over services are taken up after a kill."""
 
 import asyncio
 import pathlib
@@ -16,6 +16,7 @@
     Connection,
     Deployment,
     Engine,
+    NotRunError,
     Record,
     Router,
     route,
@@ -23,123 +24,122 @@
 )
 
 _ROUTERS = 8
-# "share (.6) are killed at once"
-_KILLED = 5
-_STREAMS_PER_ROUTER = 6
-# "More than two streams hold events from workers of two software versions"
-_MAX_MIXED = 2
-_DEADLINE_MS = 15_000
-_TIMEOUT_MS = 8_000
-# Times after the first stream.
-_RELEASED_AT_S = 0.8
-_KILLED_AT_S = 6.0
+# The route is split evenly over services, each with software of its own.
+_SERVICES = {"triage-a": "v4", "triage-b": "v7", "triage-c": "v12"}
+_WORKERS_EACH = 2
+_STREAMS = 72
+_MIN_TAKEN_UP = 12
+# "the share that goes on is under half of the share of new streams that begin"
+_MIN_SHARE = 0.5
+_DEADLINE_MS = 12_000
+_KILLED_AT_S = 2.0
 _TAKE_UP_DELAY_S = 0.3
-_VERSION = re.compile(rb"data: \d+ of (v\d)")
-_ID = re.compile(rb"^id: (\d+)\n", re.M)
-
-
-def _versions(body: bytes) -> list[str]:
-    """Returns the versions whose events a stream holds, in their order."""
-    return list(dict.fromkeys(m.decode() for m in _VERSION.findall(body)))
-
-
-def _key(router: Router) -> str:
-    """Returns the key of the tenant whose requesters come to a router."""
-    return f"key-{router.index}"
+_LAST_ID = re.compile(rb"^id: (\d+)\n", re.M)
 
 
 async def _use(
-    deployment: Deployment, router: Router, survivor: Router
+    deployment: Deployment, router: Router, other: Router
 ) -> tuple[Answer, Answer | None]:
     """Asks for a stream, and takes it up at another router if it breaks."""
     loop = asyncio.get_running_loop()
     began = loop.time()
-    connection = Connection(deployment, router)
-    headers = {"X-Api-Key": _key(router)}
-    first = await connection.ask(
-        "/chat/a", "first", deadline_ms=_DEADLINE_MS, headers=headers
+    first = await Connection(deployment, router).ask(
+        "/chat/a", "first", deadline_ms=_DEADLINE_MS
     )
     if first.is_whole or not first.body:
         return first, None
     await asyncio.sleep(_TAKE_UP_DELAY_S)
     left_ms = _DEADLINE_MS - int((loop.time() - began) * 1000)
-    again = await Connection(deployment, survivor).ask(
+    again = await Connection(deployment, other).ask(
         "/chat/a",
         "again",
         deadline_ms=left_ms,
-        headers=headers
-        | {
-            "Last-Event-Id": _ID.findall(first.body)[-1].decode(),
+        headers={
+            "Last-Event-Id": _LAST_ID.findall(first.body)[-1].decode(),
             "Resumes": first.attempt,
         },
     )
     return first, again
 
 
+def _build(record: Record) -> Deployment:
+    deployment = Deployment(record, _ROUTERS)
+    for service, version in _SERVICES.items():
+        for number in range(_WORKERS_EACH):
+            engine = deployment.add_worker(
+                Engine, f"i-{service}-{number}", service, slots=64
+            )
+            engine.version = version
+            engine.events, engine.event_s = 40, 0.1
+    split = [{"Service": name, "Weight": 1.0} for name in _SERVICES]
+    deployment.configure(
+        [
+            route(
+                "chat",
+                "streaming",
+                "",
+                StreamResume=True,
+                TrafficSplit=split,
+            )
+        ],
+        [
+            {
+                "Name": name,
+                "MaxConnections": 370,
+                "Engine": {"Slots": 64, "KvCapacity": 431002},
+            }
+            for name in _SERVICES
+        ],
+    )
+    return deployment
+
+
 async def case(record: Record, has_trouble: bool) -> int:
     """Plays the case."""
-    deployment = Deployment(record, _ROUTERS)
+    deployment = _build(record)
     try:
-        old = deployment.add_worker(Engine, "i-old", "triage-llm", slots=64)
-        old.events, old.event_s = 40, 0.18
-        deployment.configure(
-            [
-                route(
-                    "chat",
-                    "streaming",
-                    "triage-llm",
-                    StreamResume=True,
-                    TimeoutMs=_TIMEOUT_MS,
-                )
-            ],
-            [
-                {
-                    "Name": "triage-llm",
-                    "MaxConnections": 370,
-                    "Engine": {"Slots": 64, "KvCapacity": 431002},
-                }
-            ],
-            keys=[_key(router) for router in deployment.routers],
-        )
         await deployment.start()
-        # The routers have followed the store for longer than a stream lasts.
-        await asyncio.sleep(12.0)
-        victims = deployment.routers[:_KILLED]
-        survivors = deployment.routers[_KILLED:]
+        # All routers are in touch.
+        await asyncio.sleep(3.0)
+        killed, *others = deployment.routers
         streams = [
             asyncio.ensure_future(
-                _use(deployment, router, survivors[number % len(survivors)])
+                _use(deployment, killed, others[number % len(others)])
             )
-            for router in victims
-            for number in range(_STREAMS_PER_ROUTER)
+            for number in range(_STREAMS)
         ]
-        began = record.now()
-        await asyncio.sleep(_RELEASED_AT_S)
-        new = deployment.add_worker(Engine, "i-new", "triage-llm", slots=64)
-        new.version, new.events, new.event_s = "v2", 40, 0.1
-        await new.start()
-        deployment.register(new)
-        await asyncio.sleep(0.3)
-        old.extra_headers["Server-Leaving"] = "1"
-        deployment.store.delete("servers/i-old")
-        record.write("worker i-new serves, the entry of i-old is removed")
-        await asyncio.sleep(began + _KILLED_AT_S - record.now())
+        await asyncio.sleep(_KILLED_AT_S)
         if has_trouble:
-            record.write(f"{len(victims)} routers are killed")
-            for router in victims:
-                router.signal(signal.SIGKILL)
-        mixed = 0
-        for first, again in await asyncio.gather(*streams):
-            body = first.body + (again.body if again is not None else b"")
-            is_mixed = len(_versions(body)) > 1
-            mixed += is_mixed
-            record.write(
-                f"{first.attempt}: taken up: "
-                f"{again.status if again is not None else 'no'}, "
-                f"{_versions(body)}"
+            record.write("router 0 is killed")
+            killed.signal(signal.SIGKILL)
+        new = [
+            asyncio.ensure_future(
+                deployment.ask(
+                    others[number % len(others)],
+                    "/chat/a",
+                    "new",
+                    deadline_ms=_DEADLINE_MS,
+                )
             )
-        record.write(f"result: streams with events of two versions: {mixed}")
-        return BROKEN if mixed > _MAX_MIXED else HELD
+            for number in range(_STREAMS)
+        ]
+        results = await asyncio.gather(*streams)
+        begun = [each for each in await asyncio.gather(*new) if each.body]
+        taken_up = [again for _, again in results if again is not None]
+        gone_on = [
+            again for again in taken_up if again.body and again.status == 200
+        ]
+        record.write(
+            f"result: streams taken up: {len(taken_up)}, that go on: "
+            f"{len(gone_on)}; new streams: {len(new)}, that begin: {len(begun)}"
+        )
+        if not has_trouble:
+            return HELD if not taken_up else BROKEN
+        if len(taken_up) < _MIN_TAKEN_UP:
+            raise NotRunError("too few streams were taken up")
+        share = len(gone_on) / len(taken_up)
+        new_share = len(begun) / len(new)
+        return BROKEN if share < _MIN_SHARE * new_share else HELD
     finally:
         await deployment.stop()
 
