--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-exec python3 review/13/case.py
+exec python3 -B review/13/case.py
