Take-ups: the age of a stream follows from how long its callers wait

What callers saw: after a kill of five of eight routers during a release, 4 to 11 of 30 streams went on at another software version (ORDER).

Cause: a stream without a record was taken to have begun at most `TimeoutMs` less the caller's time left ago. The time-out ends one request; the caller waits for as long as its deadline says, and takes the stream up in a further request. With 15 s against 8 s the difference was negative, so a stream of 6 s counted as new, and only the last 3 s of the versions were looked at. Callers that this router had seen before corrected it, which a router to which they come for the first time has not. Lack of knowledge gave the most trusting value.

Change: routers learn the longest time that callers of each resumable route name in requests that take up nothing, and tell each other with the lists of members. A stream may be 1.25 times that old, less what its caller has left. With fewer than four such requests, or a caller that has more left than any was seen to have, it may be 60 s old, as long as records are kept; a router that lacks only this knowledge waits 0.6 s for the next requests. Callers that name no deadline stay bound by the time limit of the route.

Why it works: the time that a caller named at first less the time that it has left is what has passed, whatever the time-out. A kill of most routers leaves the knowledge at the others, and a kill of all leaves none, so that nothing is proved until it is there again.

--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -29,6 +29,7 @@
     decode_suspects,
     decode_sync,
     decode_versions,
+    decode_waits,
     encode_cold,
     encode_demand,
     encode_paces,
@@ -36,6 +37,7 @@
     encode_suspects,
     encode_sync,
     encode_versions,
+    encode_waits,
 )
 from crowwinch.fleet._zone_peers import ZonePeers
 from crowwinch.forwarding import (
@@ -321,6 +323,11 @@
                     members=(
                         self._table.next_members() if includes_members else []
                     ),
+                    waits=(
+                        encode_waits(self._sharing.caller_waits.reports())
+                        if includes_members
+                        else []
+                    ),
                     workspaces=(
                         self._workspace_reports() if includes_shares else None
                     ),
@@ -459,6 +466,7 @@
         if update.cold:
             sharing.cold.merge_peer(peer, update.life, decode_cold(update.cold))
         sharing.pace.merge_peer(peer, decode_paces(update.paces))
+        sharing.caller_waits.merge(decode_waits(update.waits))
         self._merge_directory_state(update)
         if update.era == self._state.era:
             self._state.merge_departures(
--- a/crowwinch/fleet/_stream_origins.py
+++ b/crowwinch/fleet/_stream_origins.py
@@ -13,11 +13,16 @@
 )
 from crowwinch.fleet._directory_sync import DirectorySync
 from crowwinch.fleet._stream_records import StreamRecords
-from crowwinch.forwarding import TakenUpStream
+from crowwinch.forwarding import RECORD_RETENTION_S, TakenUpStream
+from crowwinch.sharing import CallerWaits
 
 _LOGGER = logging.getLogger(__name__)
 
 _HISTORY_RETRY_S = 2.0
+# After a loss of all routers, new requests tell within this time how long the
+# callers of a route wait.
+_CALLERS_TIMEOUT_S = 0.6
+_CALLERS_POLL_S = 0.05
 
 
 class StreamOrigins:
@@ -31,6 +36,7 @@
         self,
         clock: Clock,
         records: StreamRecords,
+        caller_waits: CallerWaits,
         state: DirectoryState,
         store: Store,
         sync: DirectorySync,
@@ -42,6 +48,7 @@
         Args:
             clock: Monotonic time.
             records: Records of streams at the routers.
+            caller_waits: How long callers wait.
             state: Directory of this router.
             store: Keeps a history of its changes.
             sync: Brings the directory up to date.
@@ -51,6 +58,7 @@
         """
         self._clock = clock
         self._records = records
+        self._caller_waits = caller_waits
         self._state = state
         self._store = store
         self._sync = sync
@@ -69,12 +77,28 @@
         version = None
         if stream.attempt_id is not None:
             version = await self._records.find(
-                stream.attempt_id, stream.max_age_s
+                stream.attempt_id, self._max_age_s(stream)
             )
         if version is None:
             version = await self._find_only_version(stream, asked_at)
         return version
 
+    def _max_age_s(self, stream: TakenUpStream) -> float:
+        """Returns the maximum time in seconds since a stream began."""
+        age_s = self._known_max_age_s(stream)
+        if age_s is not None:
+            return age_s
+        if stream.left_s is None:
+            # The time limit of the route is all that binds the caller.
+            return stream.time_limit_s
+        return max(RECORD_RETENTION_S, stream.time_limit_s)
+
+    def _known_max_age_s(self, stream: TakenUpStream) -> float | None:
+        """Returns the age by what callers named, None if too little is."""
+        return self._caller_waits.max_stream_age_s(
+            stream.route, stream.left_s or 0.0
+        )
+
     async def _find_only_version(
         self, stream: TakenUpStream, asked_at: float
     ) -> str | None:
@@ -84,11 +108,10 @@
         has answered, another version may have joined and begun it.
         """
         state = self._state
-        version = state.only_version(stream.service, stream.max_age_s)
-        if version is None and state.history_s < self._store_history_s:
+        is_short = state.history_s < self._store_history_s
+        if is_short and not self._is_proved(stream):
             await self._read_history()
-            version = state.only_version(stream.service, stream.max_age_s)
-        if version is None:
+        if not await self._wait_for_proof(stream):
             return None
         if not await self._sync.sync(asked_at):
             _LOGGER.info(
@@ -100,7 +123,35 @@
             )
             return None
         waited_s = self._clock.monotonic() - asked_at
-        return state.only_version(stream.service, stream.max_age_s + waited_s)
+        return state.only_version(
+            stream.service, self._max_age_s(stream) + waited_s
+        )
+
+    def _is_proved(self, stream: TakenUpStream) -> bool:
+        """Returns whether one version was alone for the age of a stream."""
+        age_s = self._max_age_s(stream)
+        return self._state.only_version(stream.service, age_s) is not None
+
+    async def _wait_for_proof(self, stream: TakenUpStream) -> bool:
+        """Waits for a proof that depends on how long callers wait.
+
+        A router that has just started learns it from the next requests.
+
+        Returns:
+            Whether one version was alone for the age of the stream.
+        """
+        state = self._state
+        try:
+            async with asyncio.timeout(_CALLERS_TIMEOUT_S):
+                while not self._is_proved(stream):
+                    is_known = self._known_max_age_s(stream) is not None
+                    version_now = state.only_version(stream.service, 0.0)
+                    if is_known or version_now is None:
+                        return False
+                    await asyncio.sleep(_CALLERS_POLL_S)
+        except TimeoutError:
+            return False
+        return True
 
     async def _read_history(self) -> None:
         """Reads the changes of the store that it still keeps."""
--- a/crowwinch/fleet/_update_codec.py
+++ b/crowwinch/fleet/_update_codec.py
@@ -12,8 +12,10 @@
     PaceMessage,
     RateLimitMessage,
     VersionReport,
+    WaitReport,
 )
 from crowwinch.sharing import (
+    CallerWait,
     ColdReport,
     PaceReport,
     RateLimitReport,
@@ -210,3 +212,29 @@
         )
         for report in reports
     ]
+
+
+def encode_waits(waits: Iterable[CallerWait]) -> list[WaitReport]:
+    """Returns the messages about how long callers wait."""
+    return [
+        WaitReport(
+            wait.route,
+            math.ceil(wait.longest_s * _MS_PER_S),
+            max(round(wait.age_s * _MS_PER_S), 0),
+            wait.requests,
+        )
+        for wait in waits
+    ]
+
+
+def decode_waits(reports: Iterable[WaitReport]) -> list[CallerWait]:
+    """Returns what a peer knows of how long callers wait."""
+    return [
+        CallerWait(
+            report.route,
+            report.longest_ms / _MS_PER_S,
+            report.age_ms / _MS_PER_S,
+            report.requests,
+        )
+        for report in reports
+    ]
--- a/crowwinch/fleet/_update_size.py
+++ b/crowwinch/fleet/_update_size.py
@@ -14,6 +14,7 @@
     "prefixes",
     "demand",
     "workspaces",
+    "waits",
     "targets",
     "crashes",
     "paces",
--- a/crowwinch/fleet/tests/test_stream_origins.py
+++ b/crowwinch/fleet/tests/test_stream_origins.py
@@ -17,11 +17,22 @@
 from crowwinch.fleet import DirectorySync, StreamOrigins, StreamRecords
 from crowwinch.forwarding import TakenUpStream
 from crowwinch.platform import DocumentCodec
+from crowwinch.sharing import CallerWaits
 
 _HISTORY_S = 20.0
 _HEARTBEAT_S = 1.2
 _NOW_S = 1_000_000.0
-_STREAM = TakenUpStream("attempt", "llm", 8.0)
+# Longest time that callers have named, and what it says of the oldest stream.
+_WAIT_S = 10.0
+_MAX_WAIT_S = 1.25 * _WAIT_S
+
+
+def _stream(age_s=8.0, route="host.example/chat/"):
+    """Returns a stream whose age has a certain maximum."""
+    return TakenUpStream("attempt", "llm", route, 8.0, _MAX_WAIT_S - age_s)
+
+
+_STREAM = _stream()
 
 
 def _entry(
@@ -88,9 +99,13 @@
         sync = DirectorySync(
             self.clock, self.state, self.store, self._ask_peers
         )
+        self.waits = CallerWaits(self.clock)
+        for _ in range(4):
+            self.waits.record(_STREAM.route, _WAIT_S)
         self.origins = StreamOrigins(
             self.clock,
             records,
+            self.waits,
             self.state,
             self.store,
             sync,
@@ -184,7 +199,7 @@
 
     async def test_stream_that_may_be_older_than_the_history(self):
         self._start([_entry("i-1", "v1", 1)], 1)
-        old = TakenUpStream("attempt", "llm", _HISTORY_S)
+        old = _stream(_HISTORY_S)
         self.assertIsNone(await self.origins.find(old))
 
     async def test_store_that_does_not_answer(self):
@@ -263,6 +278,44 @@
         self.clock.move_to(145.0)
         self.assertEqual(await self.origins.find(_STREAM), "v2")
 
+    async def test_caller_that_waits_longer_than_the_time_limit(self):
+        """Guards against streams that are taken for younger (ORDER)."""
+        changes = [_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)]
+        self._start(changes)
+        self.clock.move_to(130.0)
+        self.state.apply_changes(Changes(50, (Item("servers/i-1", 50, None),)))
+        self.clock.move_to(135.0)
+        stream = TakenUpStream("attempt", "llm", _STREAM.route, 8.0, 9.0)
+        self.waits.record(stream.route, 15.0)
+        self.assertIsNone(await self.origins.find(stream))
+
+    async def test_callers_that_nobody_knows(self):
+        """Guards against a stream that is taken for new (ORDER, LOST)."""
+        unknown = _stream(route="other")
+        for age_s, expected in ((60.0, None), (64.0, "v2")):
+            with self.subTest(age_s=age_s):
+                changes = [_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)]
+                self._start(changes)
+                removal = Item("servers/i-1", 50, None)
+                self.state.apply_changes(Changes(50, (removal,)))
+                self.clock.move_to(100.0 + age_s)
+                self.assertEqual(await self.origins.find(unknown), expected)
+
+    async def test_next_requests_tell_how_long_callers_wait(self):
+        """Guards against refusals of all streams after a kill (LOST)."""
+        self._start([_entry("i-1", "v1", 1)])
+        self.state.merge_versions(
+            [VersionAge("llm", "v1", 0.0)], 20.0, self.clock.monotonic()
+        )
+        search = asyncio.ensure_future(
+            self.origins.find(_stream(route="other"))
+        )
+        await asyncio.sleep(0.1)
+        self.assertFalse(search.done())
+        for _ in range(4):
+            self.waits.record("other", _WAIT_S)
+        self.assertEqual(await search, "v1")
+
     async def test_record_goes_before_the_history(self):
         self._start([_entry("i-1", "v1", 1)])
         self.origins.record("attempt", "v0")
--- a/crowwinch/fleet/tests/test_update_size.py
+++ b/crowwinch/fleet/tests/test_update_size.py
@@ -27,6 +27,7 @@
     RateLimitMessage,
     TargetReport,
     VersionReport,
+    WaitReport,
     WorkspaceReport,
 )
 from crowwinch.platform import DocumentCodec
@@ -70,6 +71,7 @@
     "cold": lambda n: ColdMessage(f"{n}{_KEY}", 1, 2_000, 3),
     "demand": lambda n: DemandReport(f"{n}{_KEY}", 5.0),
     "versions": lambda n: VersionReport(f"{n}", _KEY, 1_000 + n),
+    "waits": lambda n: WaitReport(f"{n}{_KEY}", 15_000, 1, 4),
 }
 _LONG_NAMES = {
     "targets": TargetReport(_LONG, 1, 5),
@@ -78,6 +80,7 @@
     "cold": ColdMessage(_LONG, 1, 2_000, 3),
     "demand": DemandReport(_LONG, 5.0),
     "versions": VersionReport(_LONG, "v2", 2_000),
+    "waits": WaitReport(_LONG, 15_000, 1, 4),
 }
 
 
--- a/crowwinch/forwarding/__init__.py
+++ b/crowwinch/forwarding/__init__.py
@@ -35,6 +35,7 @@
     max_status_connections,
 )
 from crowwinch.forwarding._stream_versions import (
+    RECORD_RETENTION_S,
     LocalStreamVersions,
     StreamVersions,
     StreamVersionTable,
@@ -60,6 +61,7 @@
     "LocalStreamVersions",
     "MemoryPool",
     "PromptPart",
+    "RECORD_RETENTION_S",
     "RequestHead",
     "RequestLimits",
     "ResponseHead",
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -238,7 +238,7 @@
         self._sharing.rate_limits.record_demand(work.service)
         self._sharing.pace.record_demand(work.service)
         self._sharing.shares.record_demand(work.workspace, work.cost)
-        return RequestContext(
+        context = RequestContext(
             call=call,
             table=table,
             route=route,
@@ -255,6 +255,11 @@
             last_event_id=head.last_event_id,
             home_regions=table.home_regions(route, head.key),
         )
+        if context.begins_resumable_stream:
+            self._sharing.caller_waits.record(
+                route.key, head.deadline_s or timeout_s
+            )
+        return context
 
     def _choose_service(self, route: Route) -> str:
         services = list(route.services.items())
@@ -303,7 +308,9 @@
             TakenUpStream(
                 context.call.head.resumed_attempt_id,
                 context.work.service,
-                context.max_stream_age_s,
+                context.route.key,
+                context.route.timeout_s or _DEFAULT_TIMEOUT_S,
+                context.call.head.deadline_s,
             )
         )
         if context.software_version is None:
--- a/crowwinch/forwarding/_model.py
+++ b/crowwinch/forwarding/_model.py
@@ -129,6 +129,11 @@
     is_anonymous: bool
     home_regions: frozenset[str] | None = None
 
+    @property
+    def key(self) -> str:
+        """Requests that it matches; stays the same when it is renamed."""
+        return f"{self.host}{self.prefix}"
+
 
 @dataclass(frozen=True, slots=True)
 class Engine:
--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -113,14 +113,12 @@
         )
 
     @property
-    def max_stream_age_s(self) -> float:
-        """Maximum time in seconds since a stream that is taken up began.
-
-        Its caller waits no longer than the time-out of the route in all, unless
-        callers of its workspace have been seen to.
-        """
-        left_s = self.call.head.deadline_s or 0.0
-        return max(self.route.timeout_s - left_s, self.prior_wait_s, 0.0)
+    def begins_resumable_stream(self) -> bool:
+        """Whether the caller may take the stream up in a later request."""
+        return (
+            self.route.kind is RouteKind.RESUMABLE_STREAM
+            and not self.is_taken_up
+        )
 
     @property
     def run_state(self) -> RunState:
--- a/crowwinch/forwarding/_sharing_state.py
+++ b/crowwinch/forwarding/_sharing_state.py
@@ -5,6 +5,7 @@
 from crowwinch.sharing import (
     Admission,
     CallerDeadlines,
+    CallerWaits,
     ColdTargets,
     CrashSuspects,
     Decision,
@@ -44,6 +45,7 @@
 
     admission: Admission
     budget: SlidingWindowRetryBudget
+    caller_waits: CallerWaits
     cold: ColdTargets
     crashes: CrashSuspects
     health: TargetHealth
--- a/crowwinch/forwarding/_stream_versions.py
+++ b/crowwinch/forwarding/_stream_versions.py
@@ -8,7 +8,7 @@
 from crowwinch.coordination import Clock
 
 # Records are kept for as long as a caller may come back.
-_RETENTION_S = 60.0
+RECORD_RETENTION_S = 60.0
 # About 5 MB.
 _MAX_RECORDS = 20_000
 
@@ -74,7 +74,7 @@
     def _expire(self, now: float) -> None:
         while self._records:
             _, at = next(iter(self._records.values()))
-            if now - at <= _RETENTION_S:
+            if now - at <= RECORD_RETENTION_S:
                 return
             self._records.popitem(last=False)
 
@@ -86,12 +86,18 @@
     Attributes:
         attempt_id: Attempt that brought its first event, None if unknown.
         service: Service that runs it.
-        max_age_s: Maximum time in seconds since it began.
+        route: Key of its route.
+        time_limit_s: Maximum duration in seconds of a request of the route. A
+            stream may be older, as its caller may have taken it up before.
+        left_s: Time in seconds that its caller still waits, None if it sets no
+            limit.
     """
 
     attempt_id: str | None
     service: str
-    max_age_s: float
+    route: str
+    time_limit_s: float
+    left_s: float | None
 
 
 class StreamVersions(Protocol):
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -33,6 +33,7 @@
 from crowwinch.platform import HeaderCodec
 from crowwinch.sharing import (
     Admission,
+    CallerWaits,
     ColdTargets,
     CrashSuspects,
     EngineSpeeds,
@@ -217,6 +218,7 @@
             evacuated,
         ),
         budget=SlidingWindowRetryBudget(clock, 5.0, 10.0),
+        caller_waits=CallerWaits(clock),
         cold=cold,
         crashes=CrashSuspects(clock),
         health=health,
--- a/crowwinch/forwarding/tests/test_restarts.py
+++ b/crowwinch/forwarding/tests/test_restarts.py
@@ -94,7 +94,7 @@
                 reply = await router.call(attempt_id="first")
                 self.assertTrue(reply.is_complete)
                 version = await router.streams.find(
-                    TakenUpStream("first", "s", 5.0)
+                    TakenUpStream("first", "s", "host.example/a/", 5.0, 5.0)
                 )
                 self.assertNotIn(version, (None, "", "v1"))
 
--- a/crowwinch/forwarding/tests/test_stream_versions.py
+++ b/crowwinch/forwarding/tests/test_stream_versions.py
@@ -113,7 +113,9 @@
         reply = await router.call(attempt_id="first")
         self.assertTrue(reply.is_complete)
         used = [bool(target.requests) for target in self.targets]
-        version = await router.streams.find(TakenUpStream("first", "s", 5.0))
+        version = await router.streams.find(
+            TakenUpStream("first", "s", "host.example/a/", 5.0, 5.0)
+        )
         self.assertEqual(version, ("v1", "v2")[used.index(True)])
 
     async def test_stream_is_refused_if_its_version_is_not_known(self):
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -51,6 +51,7 @@
 )
 from crowwinch.sharing import (
     Admission,
+    CallerWaits,
     ColdStart,
     ColdTargets,
     CrashSuspects,
@@ -185,6 +186,7 @@
             StreamOrigins(
                 self._clock,
                 self._fleet.streams,
+                self._sharing.caller_waits,
                 self._state,
                 self._store,
                 sync,
@@ -288,6 +290,7 @@
             budget=SlidingWindowRetryBudget(
                 self._clock, settings.retry_ratio, settings.retry_window_s
             ),
+            caller_waits=CallerWaits(self._clock),
             cold=cold,
             crashes=CrashSuspects(
                 self._clock,
--- a/crowwinch/sharing/__init__.py
+++ b/crowwinch/sharing/__init__.py
@@ -5,6 +5,7 @@
 
 from crowwinch.sharing._admission import Admission
 from crowwinch.sharing._caller_deadlines import CallerDeadlines
+from crowwinch.sharing._caller_waits import CallerWait, CallerWaits
 from crowwinch.sharing._cold_starts import ColdCause, ColdReport, ColdStart
 from crowwinch.sharing._cold_targets import ColdTargets
 from crowwinch.sharing._crash_suspects import (
@@ -52,6 +53,8 @@
     "UNLIMITED",
     "Admission",
     "CallerDeadlines",
+    "CallerWait",
+    "CallerWaits",
     "Candidate",
     "ColdCause",
     "ColdReport",
--- a/tests/test_stream_version_processes.py
+++ b/tests/test_stream_version_processes.py
@@ -1,17 +1,27 @@
 """Streams that are taken up while two software versions serve, as processes."""
 
+import concurrent.futures
 import contextlib
 import http.client
+import json
 import signal
 import time
 import unittest
 
+from standins.processes import call
 from tests.platform_fleet import HOST, KEY, WORDS, PlatformFleet, wait_for
 
 _ROUTERS = 4
 _STREAMS = 3
 _EVENT_S = 0.15
 _TIMEOUT_S = 10.0
+# Requesters wait longer than the time limit of the route, 8 s.
+_LONG_WAIT_MS = 20_000
+_LONG_EVENT_S = 0.9
+_LONG_STREAMS = 4
+# After the first stream began. Versions that left over 3 s ago, and no longer
+# ago than the streams began, have to count.
+_KILLED_AT_S = 5.5
 _ENGINES = ("i-llm-1", "i-llm-2")
 
 
@@ -47,18 +57,20 @@
         )
         return connection.getresponse()
 
-    def _begin(self, index, attempt):
+    def _begin(self, index, attempt, headers=()):
         """Returns the first event of a new stream."""
-        response = self._open(index, attempt)
+        response = self._open(index, attempt, headers)
         event = b""
         while not event.endswith(b"\n\n"):
             event += response.read(1)
         return event
 
-    def _take_up(self, index, attempt, first):
+    def _take_up(self, index, attempt, first, left_ms=None):
         """Returns the status and the rest of a stream."""
         number = first.split(b"\n")[0].removeprefix(b"id: ").decode()
         headers = {"Last-Event-Id": number, "Resumes": attempt}
+        if left_ms is not None:
+            headers["X-Crowwinch-Deadline-Ms"] = str(left_ms)
         response = self._open(index, f"{attempt}-again", headers)
         with contextlib.suppress(http.client.IncompleteRead):
             return response.status, response.read()
@@ -121,3 +133,61 @@
                 else:
                     self.assertIn(b"stream_version_unknown", rest)
                     self.assertEqual(self._target_of(f"{name}-again"), [])
+
+    def test_caller_that_waits_longer_than_the_time_limit(self):
+        """Guards against an old stream that is taken for a new one (ORDER).
+
+        The routers that have its record are killed. The one that is left is
+        younger than the stream, and knows from them which versions served.
+        """
+        for is_released, expected in ((False, 200), (True, 503)):
+            with self.subTest(is_released=is_released):
+                self._play_kill_of_the_holders(is_released, expected)
+
+    def _play_kill_of_the_holders(self, is_released, expected):
+        fleet = self.fleet
+        old, new = _ENGINES
+        fleet.register(old, "llm")
+        fleet.set_work(old, _LONG_EVENT_S)
+        fleet.delete(f"servers/{new}")
+        fleet.set_work(new, _EVENT_S)
+        self._wait_in_step()
+        young = _ROUTERS - 1
+        self._kill(young)
+        began = time.monotonic()
+        deadline = {"X-Crowwinch-Deadline-Ms": str(_LONG_WAIT_MS)}
+        names = [f"long-{expected}-{n}" for n in range(_LONG_STREAMS)]
+        with concurrent.futures.ThreadPoolExecutor(_LONG_STREAMS) as pool:
+            first_events = pool.map(
+                lambda name: self._begin(0, name, deadline), names
+            )
+            events = dict(zip(names, first_events, strict=True))
+        if is_released:
+            fleet.register(new, "llm", born=time.time(), version="v2")
+            fleet.delete(f"servers/{old}")
+        fleet.start_router(young)
+        time.sleep(began + _KILLED_AT_S - time.monotonic())
+        for index in range(young):
+            self._kill(index)
+        fleet.set_work(old, _EVENT_S)
+        for name, first in events.items():
+            left_ms = _LONG_WAIT_MS - int(1000 * (time.monotonic() - began))
+            status, rest = self._take_up(young, name, first, left_ms)
+            self.assertEqual(status, expected, rest)
+            if status == 200:
+                self.assertEqual(first + rest, WORDS)
+        for index in range(young):
+            fleet.start_router(index)
+        fleet.wait_ready(range(_ROUTERS))
+
+    def _wait_in_step(self):
+        """Waits until all routers know all changes of the store."""
+        _, body = call("GET", f"{self.fleet.store.url}/kv-range?Prefix=none")
+        revision = json.loads(body)["CurrentRev"]
+        wait_for(
+            lambda: all(
+                self.fleet.state(index)["revision"] >= revision
+                for index in range(_ROUTERS)
+            ),
+            "routers are not in step",
+        )
