Records of streams at six peers instead of two

What callers saw: after a kill of three fifths of the routers, about a third of the streams of killed routers had no record left. They were refused, or went on only where the history proved their version (LOST).

Cause: the record of a stream was at its router and at two peers. A kill of five of eight takes all three in 29 of 100 cases.

Change: six peers hold each record. In a fleet of eight a kill of five leaves one always, in a large fleet a kill of three fifths in 95 of 100 cases. Eight peers are asked in place of six. A router that shuts down still hands each record to two peers, the latest records first and 64 in place of 32 a period, since it holds more of them.

--- a/crowwinch/fleet/_record_handover.py
+++ b/crowwinch/fleet/_record_handover.py
@@ -15,8 +15,8 @@
 )
 
 # Records that are placed in one update period. Each takes a hash for every
-# peer, and all that go to one peer fit in about 2 KB.
-_RECORDS_PER_PERIOD = 32
+# peer, and all that go to one peer fit in about 4 KB.
+_RECORDS_PER_PERIOD = 64
 # A receipt takes up to two update periods in a large fleet.
 _RESEND_S = 0.25
 _MS_PER_S = 1000.0
--- a/crowwinch/fleet/_stream_records.py
+++ b/crowwinch/fleet/_stream_records.py
@@ -25,13 +25,18 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Peers that hold a record besides the router that serves the stream.
-_HOLDERS = 2
+# Peers that hold a record besides the router that serves the stream. When three
+# fifths of a large fleet are lost at once, that one among them, a holder is
+# left in 95 of 100 cases (1 - 0.6 ** 6). A small fleet loses no record.
+_HOLDERS = 6
+# Peers to which a router that shuts down hands each of its records over. The
+# other holders still have theirs.
+_HANDOVER_HOLDERS = 2
 # Peers that are asked. The live peers may have changed since the record was
 # sent, and the router that served the stream did not count itself.
-_ASKED = 6
+_ASKED = 8
 # Peers that are asked at most, with those that started after the stream.
-_MAX_ASKED = 12
+_MAX_ASKED = 16
 _MS_PER_S = 1000.0
 # Datagrams are lost now and then, and in a large fleet they are read once per
 # update period of 0.05 s.
@@ -105,10 +110,11 @@
                 self._clock,
                 self._own_control,
                 self._table,
-                self._select_holders,
+                lambda key: self._select_holders(key, _HANDOVER_HOLDERS),
                 self._send,
             )
-            self._handover.add(self._table)
+            # The latest streams are those that their callers still wait for.
+            self._handover.add(reversed(self._table))
             _LOGGER.info(
                 "handing over stream records",
                 extra={"records": len(self._table)},
@@ -127,7 +133,7 @@
         self._store(key, version)
         self._send(
             StreamMessage("record", self._own_control, key, version),
-            self._select_holders(key),
+            self._select_holders(key, _HOLDERS),
         )
 
     async def find(self, attempt_id: str, max_age_s: float) -> str | None:
@@ -230,8 +236,8 @@
             if not peer.is_leaving
         }
 
-    def _select_holders(self, key: str) -> list[str]:
-        return _order(key, self._staying())[:_HOLDERS]
+    def _select_holders(self, key: str, count: int) -> list[str]:
+        return _order(key, self._staying())[:count]
 
     def _select_asked(self, key: str, max_age_s: float) -> list[str]:
         """Returns the peers that may hold a record.
--- a/crowwinch/forwarding/_stream_versions.py
+++ b/crowwinch/forwarding/_stream_versions.py
@@ -38,9 +38,13 @@
         return self._evictions
 
     def __iter__(self) -> Iterator[str]:
-        """Iterates over the attempts."""
+        """Iterates over the attempts, the oldest first."""
         return iter(self._records)
 
+    def __reversed__(self) -> Iterator[str]:
+        """Iterates over the attempts, the latest first."""
+        return reversed(self._records)
+
     def record(self, attempt_id: str, version: str, age_s: float = 0.0) -> None:
         """Records the version that began a stream; the first record counts.
 
