--- a/crowwinch/directory/__init__.py
+++ b/crowwinch/directory/__init__.py
@@ -14,7 +14,7 @@
 )
 from crowwinch.directory._readers import ReaderStatus, StoreReaderSelector
 from crowwinch.directory._state import DirectoryState
-from crowwinch.directory._version_history import VersionAge
+from crowwinch.directory._variant_history import VariantAge
 from crowwinch.directory._watcher import DirectoryWatcher
 
 __all__ = [
@@ -31,6 +31,6 @@
     "StoreReaderSelector",
     "TargetEntry",
     "TargetState",
-    "VersionAge",
+    "VariantAge",
     "ZoneEvacuation",
 ]
--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -3,7 +3,7 @@
 import dataclasses
 import logging
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from crowwinch.coordination import Clock
 from crowwinch.directory._departures import Departures
@@ -18,13 +18,13 @@
     TargetState,
     ZoneEvacuation,
 )
-from crowwinch.directory._version_history import (
-    VersionAge,
-    VersionHistory,
+from crowwinch.directory._variant_history import (
+    VariantAge,
+    VariantHistory,
     age_of_first_write,
     shows_all_targets,
 )
-from crowwinch.forwarding import RoutingTable
+from crowwinch.forwarding import Route, RoutingTable, StreamOrigin
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -46,6 +46,8 @@
 # A listing shows all versions that were there since the last contact, if that
 # is no longer ago than this: the entry of a target stays for three heartbeats.
 _MAX_UNSEEN_S = 3.0
+# Stands for the services of a stream's route while another route matched it.
+_OTHER_ROUTE = ""
 
 
 class DirectoryState:
@@ -86,7 +88,9 @@
         # The removals after this revision are complete.
         self._removals_complete_after = 0
         self._departures = Departures(clock)
-        self._versions = VersionHistory(clock)
+        # Software versions by service, and services by the key of each route.
+        self._versions = VariantHistory(clock)
+        self._route_services = VariantHistory(clock)
         self._last_contact = float("inf")
         self._synced_at = float("-inf")
         self._failing_since: float | None = None
@@ -153,28 +157,85 @@
         Returns:
             The version, None if there were several or it cannot be told.
         """
-        return self._versions.only_version(
-            service, self._targets.values(), age_s
-        )
+        current = {
+            target.software_version
+            for target in self._targets.values()
+            if target.service == service
+        }
+        return self._versions.only_variant(service, current, age_s)
+
+    def only_service(
+        self, route: str, current: Collection[str], age_s: float
+    ) -> str | None:
+        """Returns the only service that a route had for a time.
+
+        Args:
+            route: Key of the route.
+            current: Services to which it sends requests now.
+            age_s: Length of that time in seconds, up to now.
+
+        Returns:
+            The service, None if there were several or it cannot be told.
+        """
+        service = self._route_services.only_variant(route, current, age_s)
+        return None if service == _OTHER_ROUTE else service
+
+    def only_origin(
+        self, route: str, current: Collection[str], age_s: float
+    ) -> StreamOrigin | None:
+        """Returns the only origin that a stream of a route can have.
+
+        Args:
+            route: Key of the route.
+            current: Services to which it sends requests now.
+            age_s: Maximum time in seconds since the stream began.
+
+        Returns:
+            Its service and software version, None if there were several of
+            either or they cannot be told.
+        """
+        service = self.only_service(route, current, age_s)
+        if service is None:
+            return None
+        version = self.only_version(service, age_s)
+        return None if version is None else StreamOrigin(service, version)
 
     @property
     def history_s(self) -> float:
         """Seconds for which all software versions that served are known."""
         return self._versions.covered_s
 
-    def version_reports(self) -> tuple[list[VersionAge], float]:
+    @property
+    def route_history_s(self) -> float:
+        """Seconds for which the services of all routes are known."""
+        return self._route_services.covered_s
+
+    def version_reports(self) -> tuple[list[VariantAge], float]:
         """Returns the software versions of the configured services, for peers.
 
         Returns:
             The versions, and the seconds for which they are complete.
         """
         return self._versions.reports(
-            self._targets.values(),
+            (
+                (target.service, target.software_version)
+                for target in self._targets.values()
+            ),
             () if self._routing is None else self._routing.services,
         )
 
+    def route_reports(self) -> tuple[list[VariantAge], float]:
+        """Returns the former services of routes, for peers.
+
+        Those of now are known to a peer that has the same configuration.
+
+        Returns:
+            The services, and the seconds for which they are complete.
+        """
+        return self._route_services.reports(())
+
     def merge_versions(
-        self, ages: Iterable[VersionAge], covered_s: float, synced_at: float
+        self, ages: Iterable[VariantAge], covered_s: float, synced_at: float
     ) -> None:
         """Adds the software versions that a peer has seen.
 
@@ -186,6 +247,19 @@
         """
         self._versions.merge(ages, covered_s, synced_at)
 
+    def merge_route_services(
+        self, ages: Iterable[VariantAge], covered_s: float, synced_at: float
+    ) -> None:
+        """Adds the services that routes had as a peer has seen it.
+
+        Args:
+            ages: When each former service was last used.
+            covered_s: Seconds for which the peer has seen all services, 0 if it
+                has another configuration.
+            synced_at: As in `merge_versions`.
+        """
+        self._route_services.merge(ages, covered_s, synced_at)
+
     def record_old_directory(self, synced_at: float) -> None:
         """Records that a peer may have used an old directory until now.
 
@@ -194,11 +268,12 @@
                 changes.
         """
         self._versions.record_old_directory(synced_at)
+        self._route_services.record_old_directory(synced_at)
 
     def extend_history(
         self, changes: Changes, heartbeat_s: float, limit_s: float
     ) -> None:
-        """Adds the software versions in changes before the first listing.
+        """Adds what was in use before the first listing.
 
         Args:
             changes: Latest changes of the store, all that it still keeps.
@@ -208,14 +283,27 @@
         """
         if changes.era != self._era or not shows_all_targets(changes.items):
             return
-        decoded = (
-            self._decoder.decode(item.key, item.value)
-            for item in changes.items
-            if item.value is not None
+        targets: list[TargetEntry] = []
+        # Those written since the latest configuration.
+        later_targets: list[TargetEntry] = []
+        for item in sorted(changes.items, key=lambda each: each.revision):
+            if item.value is None:
+                continue
+            decoded = self._decoder.decode(item.key, item.value)
+            if isinstance(decoded, TargetEntry):
+                targets.append(decoded)
+                later_targets.append(decoded)
+            elif isinstance(decoded, RoutingTable):
+                later_targets.clear()
+        now = self._clock.time()
+        self._versions.extend(
+            ((entry.service, entry.software_version) for entry in targets),
+            min(age_of_first_write(targets, heartbeat_s, now), limit_s),
+        )
+        self._route_services.extend(
+            (),
+            min(age_of_first_write(later_targets, heartbeat_s, now), limit_s),
         )
-        targets = [entry for entry in decoded if isinstance(entry, TargetEntry)]
-        covered_s = age_of_first_write(targets, heartbeat_s, self._clock.time())
-        self._versions.extend(targets, min(covered_s, limit_s))
 
     @property
     def revision(self) -> int:
@@ -335,6 +423,7 @@
             return
         if self._misses_changes(listing):
             self._versions.restart()
+            self._route_services.restart()
         self._start_lapse_grace()
         present = {item.key for item in listing.items}
         missing = [
@@ -344,6 +433,7 @@
         ]
         self._apply([*listing.items, *missing], listing.revision)
         self._versions.start()
+        self._route_services.start()
         # The listing lacks items that were both added and removed since the
         # last revision, so removals before it are incomplete.
         self._removals_complete_after = self._revision
@@ -489,6 +579,7 @@
         decoded = self._decoder.decode(key, value)
         if isinstance(decoded, RoutingTable):
             if decoded.version > self.version:
+                self._record_route_changes(decoded)
                 self._routing = decoded
                 _LOGGER.info(
                     "configuration in force",
@@ -513,10 +604,39 @@
                     self._items[key], value=b""
                 )
 
+    def _record_route_changes(self, table: RoutingTable) -> None:
+        """Records the services of routes that a new configuration changes.
+
+        Requests that a route with a longer prefix takes over, or leaves to the
+        next shorter one, may have gone to any service before.
+        """
+        before = self._routing
+        if before is None:
+            return
+        for route in before.routes:
+            after = table.find(route.host, route.prefix)
+            if after is None:
+                self._record_other_route(table.match(route.host, route.prefix))
+            elif after.active_services != route.active_services:
+                for service in route.active_services:
+                    self._route_services.record(route.key, service)
+        for route in table.routes:
+            is_new = before.find(route.host, route.prefix) is None
+            if is_new and before.match(route.host, route.prefix) is not None:
+                self._record_other_route(route)
+
+    def _record_other_route(self, route: Route | None) -> None:
+        """Records that another route matched requests of a route until now."""
+        if route is not None:
+            self._route_services.record(route.key, _OTHER_ROUTE)
+
+    def _record_version(self, target: TargetEntry) -> None:
+        self._versions.record(target.service, target.software_version)
+
     def _apply_target(self, key: str, decoded: TargetEntry) -> None:
         before = self._targets.get(key)
         if before is not None:
-            self._versions.record(before)
+            self._record_version(before)
         self._targets[key] = decoded
         if decoded.state is TargetState.LEAVING:
             self._departures.record(
@@ -611,7 +731,7 @@
         self._evacuations.end(key, revision)
         target = self._targets.pop(key, None)
         if target is not None:
-            self._versions.record(target)
+            self._record_version(target)
             self._departures.record(
                 key,
                 target,
--- a/crowwinch/directory/_version_history.py
+++ b/crowwinch/directory/_variant_history.py
@@ -1,4 +1,4 @@
-"""Software versions that the targets of each service had lately."""
+"""Software versions of services and services of routes, also past ones."""
 
 import math
 from collections.abc import Collection, Iterable, Sequence
@@ -7,41 +7,42 @@
 from crowwinch.coordination import Clock
 from crowwinch.directory._model import Item, TargetEntry
 
-# Other routers may use a target for this long after its entry has gone here.
+# Other routers may use a variant for this long after it has gone here.
 _LAG_S = 3.0
 # Heartbeats come late at times, and clocks differ.
 _MAX_CLOCK_ERROR_S = 3.0
 _MS_PER_S = 1000.0
-# Versions that were there in this time are reported to peers.
+# Variants that were there in this time are reported to peers.
 _REPORTED_S = 60.0
-# Versions reported at a time, so that an update stays small.
+# Variants reported at a time, so that an update stays small.
 _MAX_REPORTS = 32
-# Versions of services, the longest unseen of which are forgotten first.
-_MAX_VERSIONS = 1_000
+# Pairs of group and variant, the longest unseen of which are forgotten first.
+_MAX_PAIRS = 1_000
 
 
 @dataclass(frozen=True, slots=True)
-class VersionAge:
-    """When targets of a software version were last there.
+class VariantAge:
+    """When a variant of a group was last there.
 
     Attributes:
-        service: Name of the service.
-        version: Version of the software of its targets.
-        age_s: Seconds since the last one was there.
+        group: Service whose targets are of several software versions, or route
+            that sends requests to several services.
+        variant: The version or the service.
+        age_s: Seconds since it was last there.
         used_age_s: Seconds since a router with an older directory may have used
-            one, None if no such router is known.
+            it, None if no such router is known.
     """
 
-    service: str
-    version: str
+    group: str
+    variant: str
     age_s: float
     used_age_s: float | None = None
 
 
-class VersionHistory:
-    """Tells whether one software version alone served a service for a time.
+class VariantHistory:
+    """Tells whether one variant of a group alone was there for a time.
 
-    That a version is alone now proves nothing: the other may have just left.
+    That a variant is alone now proves nothing: the other may have just left.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -51,10 +52,10 @@
             clock: Monotonic time.
         """
         self._clock = clock
-        # Time at which each pair of service and version was last there.
+        # Time at which each pair of group and variant was last there.
         self._last_seen: dict[tuple[str, str], float] = {}
-        # Time until which a router that was out of step may have used targets
-        # of each pair.
+        # Time until which a router that was out of step may have used each
+        # pair.
         self._last_used: dict[tuple[str, str], float] = {}
         self._complete_since = math.inf
 
@@ -64,13 +65,13 @@
         return max(self._clock.monotonic() - self._complete_since, 0.0)
 
     def start(self) -> None:
-        """Records that from now on all changes of targets are seen."""
+        """Records that from now on all changes are seen."""
         self._complete_since = min(
             self._complete_since, self._clock.monotonic()
         )
 
     def restart(self) -> None:
-        """Records that changes of targets until now were not seen."""
+        """Records that changes until now were not seen."""
         self._complete_since = self._clock.monotonic()
 
     def record_old_directory(self, synced_at: float) -> None:
@@ -85,53 +86,54 @@
         if now - synced_at <= _LAG_S:
             return
         if since < self._complete_since:
-            # It may hold versions that are not known here.
+            # It may hold variants that are not known here.
             self.restart()
         for pair, seen in self._last_seen.items():
             if seen >= since:
                 self._last_used[pair] = now
 
-    def record(self, target: TargetEntry) -> None:
-        """Records that a target is there now, or was there until now."""
-        pair = (target.service, target.software_version)
-        self._last_seen.pop(pair, None)
-        self._last_seen[pair] = self._clock.monotonic()
+    def record(self, group: str, variant: str) -> None:
+        """Records that a variant is there now, or was there until now."""
+        self._last_seen.pop((group, variant), None)
+        self._last_seen[group, variant] = self._clock.monotonic()
         self._forget_oldest()
 
-    def extend(self, targets: Iterable[TargetEntry], covered_s: float) -> None:
+    def extend(
+        self, pairs: Iterable[tuple[str, str]], covered_s: float
+    ) -> None:
         """Adds what was there before this router began to follow the store.
 
         Args:
-            targets: All entries that were there in the time.
+            pairs: All groups and variants that were there in the time.
             covered_s: Seconds before now for which they are complete.
         """
-        for target in targets:
-            self.record(target)
+        for pair in pairs:
+            self.record(*pair)
         self._complete_since = min(
             self._complete_since, self._clock.monotonic() - covered_s
         )
 
     def reports(
-        self, current: Iterable[TargetEntry], services: Collection[str]
-    ) -> tuple[list[VersionAge], float]:
+        self,
+        current: Iterable[tuple[str, str]],
+        groups: Collection[str] | None = None,
+    ) -> tuple[list[VariantAge], float]:
         """Returns what peers need to know.
 
         Args:
-            current: Targets that are there now.
-            services: Services whose versions are reported. The store may hold
+            current: Groups and variants that are there now.
+            groups: Groups that are reported, None for all. The store may hold
                 entries of others.
 
         Returns:
-            The versions, and the seconds for which they are complete.
+            The variants, and the seconds for which they are complete.
         """
         now = self._clock.monotonic()
-        seen_at = dict(self._last_seen)
-        for target in current:
-            seen_at[target.service, target.software_version] = now
+        seen_at = self._last_seen | dict.fromkeys(current, now)
         ages = {
             pair: now - max(seen, self._used_at(pair))
             for pair, seen in seen_at.items()
-            if pair[0] in services
+            if groups is None or pair[0] in groups
         }
         recent = sorted(
             (age_s, pair)
@@ -139,7 +141,7 @@
             if age_s <= _REPORTED_S
         )
         reports = [
-            VersionAge(*pair, now - seen_at[pair], self._used_age_s(pair, now))
+            VariantAge(*pair, now - seen_at[pair], self._used_age_s(pair, now))
             for _, pair in recent[:_MAX_REPORTS]
         ]
         covered_s = min(
@@ -148,19 +150,19 @@
         return reports, covered_s
 
     def merge(
-        self, ages: Iterable[VersionAge], covered_s: float, synced_at: float
+        self, ages: Iterable[VariantAge], covered_s: float, synced_at: float
     ) -> None:
         """Adds what a peer knows that has followed the store for longer.
 
         Args:
-            ages: When each version was last there.
-            covered_s: Seconds for which the peer has seen all versions.
+            ages: When each variant was last there.
+            covered_s: Seconds for which the peer has seen all variants.
             synced_at: Monotonic time up to which its directory includes all
                 changes.
         """
         now = self._clock.monotonic()
         for age in ages:
-            pair = (age.service, age.version)
+            pair = (age.group, age.variant)
             seen = max(self._last_seen.pop(pair, -math.inf), now - age.age_s)
             self._last_seen[pair] = seen
             if age.used_age_s is not None:
@@ -171,34 +173,30 @@
             since = now - min(covered_s, _REPORTED_S)
             self._complete_since = min(self._complete_since, since)
 
-    def only_version(
-        self, service: str, current: Iterable[TargetEntry], age_s: float
+    def only_variant(
+        self, group: str, current: Iterable[str], age_s: float
     ) -> str | None:
-        """Returns the only version that can have begun a stream.
+        """Returns the only variant that can have begun a stream.
 
         Args:
-            service: Service of the stream.
-            current: Targets that are there now.
+            group: Service or route of the stream.
+            current: Variants of the group that are there now.
             age_s: Maximum time in seconds since the stream began.
 
         Returns:
-            The version, None if there were several or the history is too short.
+            The variant, None if there were several or the history is too short.
         """
         since = self._clock.monotonic() - age_s - _LAG_S
         if self._complete_since > since:
             return None
-        versions = {
-            version
-            for (name, version), seen in self._last_seen.items()
-            if name == service
-            and max(seen, self._used_at((name, version))) >= since
-        }
-        versions |= {
-            target.software_version
-            for target in current
-            if target.service == service
+        variants = {
+            variant
+            for (name, variant), seen in self._last_seen.items()
+            if name == group
+            and max(seen, self._used_at((name, variant))) >= since
         }
-        return versions.pop() if len(versions) == 1 else None
+        variants.update(current)
+        return variants.pop() if len(variants) == 1 else None
 
     def _used_at(self, pair: tuple[str, str]) -> float:
         return self._last_used.get(pair, -math.inf)
@@ -208,7 +206,7 @@
         return None if used_at is None else now - used_at
 
     def _forget_oldest(self) -> None:
-        while len(self._last_seen) > _MAX_VERSIONS:
+        while len(self._last_seen) > _MAX_PAIRS:
             oldest = next(iter(self._last_seen))
             used = max(self._last_seen.pop(oldest), self._used_at(oldest))
             self._last_used.pop(oldest, None)
--- a/crowwinch/errors.py
+++ b/crowwinch/errors.py
@@ -51,6 +51,7 @@
     STREAM_VERSION_UNKNOWN = 27
     EVACUATED = 28
     NO_HOME_TARGET = 29
+    STREAM_SERVICE_REMOVED = 30
     HEAD_TOO_LARGE = 35
 
 
--- a/crowwinch/fleet/__init__.py
+++ b/crowwinch/fleet/__init__.py
@@ -6,7 +6,7 @@
 from crowwinch.fleet._endpoint import FleetEndpoint
 from crowwinch.fleet._peer_table import PeerTable
 from crowwinch.fleet._service import FleetService
-from crowwinch.fleet._stream_origins import StreamOrigins
+from crowwinch.fleet._stream_origins import FleetStreamOrigins
 from crowwinch.fleet._stream_records import StreamRecords
 
 __all__ = [
@@ -16,6 +16,6 @@
     "FleetEndpoint",
     "FleetService",
     "PeerTable",
-    "StreamOrigins",
+    "FleetStreamOrigins",
     "StreamRecords",
 ]
--- a/crowwinch/fleet/_record_handover.py
+++ b/crowwinch/fleet/_record_handover.py
@@ -7,11 +7,11 @@
 
 from crowwinch.coordination import Clock
 from crowwinch.fleet._endpoint import StreamDatagram
-from crowwinch.forwarding import StreamVersionTable
+from crowwinch.forwarding import StreamOriginTable
 from crowwinch.generated.fleet_messages import (
     HandoverReceipt,
     StreamHandover,
-    StreamVersion,
+    StreamRecord,
 )
 
 # Records that are placed in one update period. Each takes a hash for every
@@ -41,7 +41,7 @@
         self,
         clock: Clock,
         own_control: str,
-        table: StreamVersionTable,
+        table: StreamOriginTable,
         select_holders: Callable[[str], Sequence[str]],
         send: Callable[[StreamDatagram, Sequence[str]], None],
     ) -> None:
@@ -145,11 +145,14 @@
 
     def _send_batch(self, number: int, batch: _Batch) -> None:
         records = [
-            StreamVersion(
-                key, version, round(self._table.age_s(key) * _MS_PER_S)
+            StreamRecord(
+                key,
+                origin.version,
+                round(self._table.age_s(key) * _MS_PER_S),
+                origin.service or "",
             )
             for key in batch.keys
-            if (version := self._table.get(key)) is not None
+            if (origin := self._table.get(key)) is not None
         ]
         self._send(
             StreamHandover(self._own_control, number, records), [batch.peer]
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -26,6 +26,7 @@
     decode_demand,
     decode_paces,
     decode_rate_limits,
+    decode_routes,
     decode_suspects,
     decode_sync,
     decode_versions,
@@ -34,6 +35,7 @@
     encode_demand,
     encode_paces,
     encode_rate_limits,
+    encode_routes,
     encode_suspects,
     encode_sync,
     encode_versions,
@@ -152,7 +154,7 @@
 
     @property
     def streams(self) -> StreamRecords:
-        """Records of the software versions that began streams."""
+        """Records of the origins of streams."""
         return self._streams
 
     @property
@@ -382,6 +384,7 @@
         sharing = self._sharing
         sequence = next(self._sequence)
         versions, covered_s = self._state.version_reports()
+        routes, routes_covered_s = self._state.route_reports()
         return FleetUpdate(
             router=self._settings.name,
             availability_zone=self._settings.availability_zone,
@@ -414,6 +417,8 @@
             ),
             cold=encode_cold(sharing.cold.reports()),
             paces=encode_paces(sharing.pace.reports()),
+            routes=encode_routes(routes),
+            routes_ms=round(routes_covered_s * _MS_PER_S),
         )
 
     def _record_peers(self) -> dict[str, RecordPeer]:
@@ -506,6 +511,12 @@
             update.history_ms / _MS_PER_S if has_services else 0.0,
             synced_at,
         )
+        has_routes = update.version == state.version
+        state.merge_route_services(
+            decode_routes(update.routes),
+            update.routes_ms / _MS_PER_S if has_routes else 0.0,
+            synced_at,
+        )
 
 
 def _hosts(controls: Iterable[str]) -> list[str]:
--- a/crowwinch/fleet/_stream_origins.py
+++ b/crowwinch/fleet/_stream_origins.py
@@ -1,6 +1,7 @@
-"""Finds out which software version began a stream that is taken up."""
+"""Finds out which service and software version began a stream."""
 
 import asyncio
+import dataclasses
 import logging
 
 from crowwinch.coordination import Clock
@@ -13,7 +14,11 @@
 )
 from crowwinch.fleet._directory_sync import DirectorySync
 from crowwinch.fleet._stream_records import StreamRecords
-from crowwinch.forwarding import RECORD_RETENTION_S, TakenUpStream
+from crowwinch.forwarding import (
+    RECORD_RETENTION_S,
+    StreamOrigin,
+    TakenUpStream,
+)
 from crowwinch.sharing import CallerWaits
 
 _LOGGER = logging.getLogger(__name__)
@@ -25,11 +30,11 @@
 _CALLERS_POLL_S = 0.05
 
 
-class StreamOrigins:
-    """Finds the software version of a stream by all evidence that there is.
+class FleetStreamOrigins:
+    """Finds the origin of a stream by all evidence that there is.
 
-    After the loss of all routers there are no records. If one version alone was
-    there for as long as the stream can be old, it began it.
+    Without a record, the origin is known if the route had one service alone,
+    and that service one software version, for as long as the stream can be old.
     """
 
     def __init__(
@@ -67,21 +72,24 @@
         self._history_lock = asyncio.Lock()
         self._history_read_at = float("-inf")
 
-    def record(self, attempt_id: str, version: str) -> None:
-        """Records the version that began a stream, here and at peers."""
-        self._records.record(attempt_id, version)
+    def record(self, attempt_id: str, origin: StreamOrigin) -> None:
+        """Records the origin of a stream, here and at peers."""
+        self._records.record(attempt_id, origin)
+
+    async def find(self, stream: TakenUpStream) -> StreamOrigin | None:
+        """Returns the origin of a stream with its service.
 
-    async def find(self, stream: TakenUpStream) -> str | None:
-        """Returns the version that began a stream, None without proof."""
+        None without proof.
+        """
         asked_at = self._clock.monotonic()
-        version = None
+        record = None
         if stream.attempt_id is not None:
-            version = await self._records.find(
+            record = await self._records.find(
                 stream.attempt_id, self._max_age_s(stream)
             )
-        if version is None:
-            version = await self._find_only_version(stream, asked_at)
-        return version
+        if record is not None and record.service is not None:
+            return record
+        return await self._find_only_origin(stream, record, asked_at)
 
     def _max_age_s(self, stream: TakenUpStream) -> float:
         """Returns the maximum time in seconds since a stream began."""
@@ -99,23 +107,42 @@
             stream.route, stream.left_s or 0.0
         )
 
-    async def _find_only_version(
-        self, stream: TakenUpStream, asked_at: float
-    ) -> str | None:
-        """Returns the version that alone was there for the age of a stream.
+    async def _find_only_origin(
+        self,
+        stream: TakenUpStream,
+        record: StreamOrigin | None,
+        asked_at: float,
+    ) -> StreamOrigin | None:
+        """Returns the only origin that a stream can have for its age.
 
         The stream broke before now. Until the store or a peer in step with it
         has answered, another version may have joined and begun it.
+
+        Args:
+            stream: Stream that is taken up.
+            record: Its record if that lacks the service, None without one.
+            asked_at: Monotonic time at which the caller asked.
         """
         state = self._state
-        is_short = state.history_s < self._store_history_s
-        if is_short and not self._is_proved(stream):
+        is_short = (
+            min(state.history_s, state.route_history_s) < self._store_history_s
+        )
+        if is_short and self._prove(stream, record) is None:
             await self._read_history()
-        if not await self._wait_for_proof(stream):
+        if not await self._wait_for_proof(stream, record):
+            _LOGGER.info(
+                "origin of a stream not proved",
+                extra={
+                    "stream": stream.attempt_id,
+                    "max_age_s": round(self._max_age_s(stream), 2),
+                    "versions_known_s": round(state.history_s, 2),
+                    "services_known_s": round(state.route_history_s, 2),
+                },
+            )
             return None
         if not await self._sync.sync(asked_at):
             _LOGGER.info(
-                "directory not confirmed; version of a stream unknown",
+                "directory not confirmed; origin of a stream unknown",
                 extra={
                     "stream": stream.attempt_id,
                     "synced_s": round(asked_at - state.synced_at, 3),
@@ -123,30 +150,47 @@
             )
             return None
         waited_s = self._clock.monotonic() - asked_at
-        return state.only_version(
-            stream.service, self._max_age_s(stream) + waited_s
+        return self._prove(stream, record, waited_s)
+
+    def _prove(
+        self,
+        stream: TakenUpStream,
+        record: StreamOrigin | None,
+        waited_s: float = 0.0,
+    ) -> StreamOrigin | None:
+        """Returns the only origin of a stream by all that was in use."""
+        return self._only_origin(
+            stream, record, self._max_age_s(stream) + waited_s
         )
 
-    def _is_proved(self, stream: TakenUpStream) -> bool:
-        """Returns whether one version was alone for the age of a stream."""
-        age_s = self._max_age_s(stream)
-        return self._state.only_version(stream.service, age_s) is not None
+    def _only_origin(
+        self, stream: TakenUpStream, record: StreamOrigin | None, age_s: float
+    ) -> StreamOrigin | None:
+        """Returns the only origin that a stream of at most an age can have."""
+        state = self._state
+        if record is None:
+            return state.only_origin(stream.route, stream.services, age_s)
+        service = state.only_service(stream.route, stream.services, age_s)
+        if service is None:
+            return None
+        return dataclasses.replace(record, service=service)
 
-    async def _wait_for_proof(self, stream: TakenUpStream) -> bool:
+    async def _wait_for_proof(
+        self, stream: TakenUpStream, record: StreamOrigin | None
+    ) -> bool:
         """Waits for a proof that depends on how long callers wait.
 
         A router that has just started learns it from the next requests.
 
         Returns:
-            Whether one version was alone for the age of the stream.
+            Whether the stream can have one origin only.
         """
-        state = self._state
         try:
             async with asyncio.timeout(_CALLERS_TIMEOUT_S):
-                while not self._is_proved(stream):
+                while self._prove(stream, record) is None:
                     is_known = self._known_max_age_s(stream) is not None
-                    version_now = state.only_version(stream.service, 0.0)
-                    if is_known or version_now is None:
+                    origin_now = self._only_origin(stream, record, 0.0)
+                    if is_known or origin_now is None:
                         return False
                     await asyncio.sleep(_CALLERS_POLL_S)
         except TimeoutError:
--- a/crowwinch/fleet/_stream_records.py
+++ b/crowwinch/fleet/_stream_records.py
@@ -1,4 +1,4 @@
-"""Records of the software versions that began streams, at several routers.
+"""Records of the origins of streams, at several routers.
 
 A caller takes up a broken stream at any router, also when the one that served
 it is gone. Each record is therefore sent to routers that a hash of the attempt
@@ -10,13 +10,14 @@
 import logging
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Literal
 
 import xxhash
 
 from crowwinch.coordination import Clock, rank
 from crowwinch.fleet._endpoint import StreamDatagram
 from crowwinch.fleet._record_handover import RecordHandover
-from crowwinch.forwarding import StreamVersionTable
+from crowwinch.forwarding import StreamOrigin, StreamOriginTable
 from crowwinch.generated.fleet_messages import (
     HandoverReceipt,
     StreamHandover,
@@ -82,7 +83,7 @@
         self._own_control = own_control
         self._peers = peers
         self._send = send
-        self._table = StreamVersionTable(clock)
+        self._table = StreamOriginTable(clock)
         # Set when this router shuts down.
         self._handover: RecordHandover | None = None
         # Lookups that wait for answers, by attempt.
@@ -127,26 +128,28 @@
         """Returns whether this router itself has the record of a stream."""
         return self._table.get(_digest(attempt_id)) is not None
 
-    def record(self, attempt_id: str, version: str) -> None:
-        """Records the version that began a stream, here and at peers."""
+    def record(self, attempt_id: str, origin: StreamOrigin) -> None:
+        """Records the origin of a stream, here and at peers."""
         key = _digest(attempt_id)
-        self._store(key, version)
+        self._store(key, origin)
         self._send(
-            StreamMessage("record", self._own_control, key, version),
+            self._build_message("record", key, origin),
             self._select_holders(key, _HOLDERS),
         )
 
-    async def find(self, attempt_id: str, max_age_s: float) -> str | None:
-        """Returns the version that began a stream, None if nobody knows it.
+    async def find(
+        self, attempt_id: str, max_age_s: float
+    ) -> StreamOrigin | None:
+        """Returns the origin of a stream, None if nobody knows it.
 
         Args:
             attempt_id: Attempt that brought the first event.
             max_age_s: Maximum time in seconds since the stream began.
         """
         key = _digest(attempt_id)
-        version = self._table.get(key)
-        if version is not None:
-            return version
+        origin = self._table.get(key)
+        if origin is not None:
+            return origin
         lookup = self._lookups.get(key)
         if lookup is None:
             lookup = self._lookups[key] = _Lookup()
@@ -172,24 +175,23 @@
         key = message.stream
         if message.kind == "query":
             self._send(
-                StreamMessage(
-                    "answer", self._own_control, key, self._table.get(key)
-                ),
+                self._build_message("answer", key, self._table.get(key)),
                 [message.control],
             )
             return
-        if message.version is not None:
-            self._store(key, message.version)
+        origin = _decode_origin(message.service, message.version)
+        if origin is not None:
+            self._store(key, origin)
         lookup = self._lookups.get(key)
         if lookup is not None:
-            lookup.add_answer(message.control, message.version)
+            lookup.add_answer(message.control, origin)
 
     @receive.register
     def _(self, message: StreamHandover) -> None:
         for record in message.records:
-            self._store(
-                record.stream, record.version, record.age_ms / _MS_PER_S
-            )
+            origin = _decode_origin(record.service, record.version)
+            if origin is not None:
+                self._store(record.stream, origin, record.age_ms / _MS_PER_S)
         self._send(
             HandoverReceipt(self._own_control, message.number),
             [message.control],
@@ -200,14 +202,28 @@
         if self._handover is not None:
             self._handover.confirm(message)
 
-    def _store(self, key: str, version: str, age_s: float = 0.0) -> None:
-        self._table.record(key, version, age_s)
+    def _store(
+        self, key: str, origin: StreamOrigin, age_s: float = 0.0
+    ) -> None:
+        self._table.record(key, origin, age_s)
         if self._handover is not None:
             self._handover.add([key])
 
+    def _build_message(
+        self,
+        kind: Literal["record", "answer"],
+        key: str,
+        origin: StreamOrigin | None,
+    ) -> StreamMessage:
+        if origin is None:
+            return StreamMessage(kind, self._own_control, key, None)
+        return StreamMessage(
+            kind, self._own_control, key, origin.version, origin.service or ""
+        )
+
     async def _ask(
         self, key: str, lookup: "_Lookup", max_age_s: float
-    ) -> str | None:
+    ) -> StreamOrigin | None:
         for _ in range(_MAX_QUERIES):
             silent = [
                 peer
@@ -282,13 +298,18 @@
         self.answered: set[str] = set()
         self.done = asyncio.Event()
 
-    def add_answer(self, peer: str, version: str | None) -> None:
+    def add_answer(self, peer: str, origin: StreamOrigin | None) -> None:
         """Records the answer of a peer."""
         self.answered.add(peer)
-        if version is not None or self.answered >= self.asked:
+        if origin is not None or self.answered >= self.asked:
             self.done.set()
 
 
+def _decode_origin(service: str, version: str | None) -> StreamOrigin | None:
+    """Returns the origin in a message, None without one."""
+    return None if version is None else StreamOrigin(service or None, version)
+
+
 def _digest(attempt_id: str) -> str:
     """Returns a key of fixed length, since callers choose the identifier."""
     return xxhash.xxh3_128_hexdigest(
--- a/crowwinch/fleet/_update_codec.py
+++ b/crowwinch/fleet/_update_codec.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from crowwinch.directory import VersionAge
+from crowwinch.directory import VariantAge
 from crowwinch.generated.fleet_messages import (
     ColdMessage,
     CrashReport,
@@ -11,6 +11,7 @@
     DemandReport,
     PaceMessage,
     RateLimitMessage,
+    RouteReport,
     VersionReport,
     WaitReport,
 )
@@ -188,12 +189,12 @@
     return {report.service: report.per_s for report in reports}
 
 
-def encode_versions(ages: Iterable[VersionAge]) -> list[VersionReport]:
+def encode_versions(ages: Iterable[VariantAge]) -> list[VersionReport]:
     """Returns the messages about software versions."""
     return [
         VersionReport(
-            age.service,
-            age.version,
+            age.group,
+            age.variant,
             round(age.age_s * _MS_PER_S),
             _encode_age(age.used_age_s),
         )
@@ -201,10 +202,10 @@
     ]
 
 
-def decode_versions(reports: Iterable[VersionReport]) -> list[VersionAge]:
+def decode_versions(reports: Iterable[VersionReport]) -> list[VariantAge]:
     """Returns the software versions that a peer has seen."""
     return [
-        VersionAge(
+        VariantAge(
             report.service,
             report.version,
             report.age_ms / _MS_PER_S,
@@ -238,3 +239,29 @@
         )
         for report in reports
     ]
+
+
+def encode_routes(ages: Iterable[VariantAge]) -> list[RouteReport]:
+    """Returns the messages about former services of routes."""
+    return [
+        RouteReport(
+            age.group,
+            age.variant,
+            round(age.age_s * _MS_PER_S),
+            _encode_age(age.used_age_s),
+        )
+        for age in ages
+    ]
+
+
+def decode_routes(reports: Iterable[RouteReport]) -> list[VariantAge]:
+    """Returns the former services of routes that a peer knows of."""
+    return [
+        VariantAge(
+            report.route,
+            report.service,
+            report.age_ms / _MS_PER_S,
+            _decode_age(report.used_age_ms),
+        )
+        for report in reports
+    ]
--- a/crowwinch/fleet/_update_size.py
+++ b/crowwinch/fleet/_update_size.py
@@ -6,7 +6,11 @@
 
 import msgspec
 
-from crowwinch.generated.fleet_messages import FleetUpdate, VersionReport
+from crowwinch.generated.fleet_messages import (
+    FleetUpdate,
+    RouteReport,
+    VersionReport,
+)
 
 # Lists in the order in which they are shortened: what only improves placement
 # goes before what keeps targets from requests that they must not get.
@@ -20,9 +24,12 @@
     "paces",
     "rate_limits",
     "cold",
+    "routes",
     "versions",
     "departures",
 )
+# Time for which a list is complete, which ends with an entry that is left out.
+_COVERED_FIELDS = {"versions": "history_ms", "routes": "routes_ms"}
 # Names in the store may be longer than any that is in use.
 _MAX_ENTRY_BYTES = 1_000
 # A list that takes more than this part of the room is shortened first.
@@ -87,15 +94,15 @@
     update: FleetUpdate, name: str, kept: list[Any], dropped: Sequence[Any]
 ) -> FleetUpdate:
     update = msgspec.structs.replace(update, **{name: kept})
-    if name != "versions":
+    covered = _COVERED_FIELDS.get(name)
+    if covered is None:
         return update
-    return msgspec.structs.replace(
-        update, history_ms=min(update.history_ms, *map(_age_ms, dropped))
-    )
+    covered_ms = min(getattr(update, covered), *map(_age_ms, dropped))
+    return msgspec.structs.replace(update, **{covered: covered_ms})
 
 
-def _age_ms(report: VersionReport) -> int:
-    """Returns the time since targets of a version may last have been used."""
+def _age_ms(report: VersionReport | RouteReport) -> int:
+    """Returns the time since a version or service may last have been used."""
     if report.used_age_ms < 0:
         return report.age_ms
     return min(report.age_ms, report.used_age_ms)
--- a/crowwinch/fleet/tests/support.py
+++ b/crowwinch/fleet/tests/support.py
@@ -22,7 +22,7 @@
     TargetState,
     ZoneEvacuation,
 )
-from crowwinch.fleet import FleetService
+from crowwinch.fleet import FleetService, FleetStreamOrigins
 from crowwinch.fleet._directory_exchange import (
     DirectoryFetchError,
     build_page,
@@ -30,6 +30,8 @@
 from crowwinch.forwarding import (
     GatewaySettings,
     RequestLimits,
+    Route,
+    RouteKind,
     RoutingTable,
     Service,
     SocketAddress,
@@ -40,10 +42,14 @@
 _STEP_S = 0.05
 ZONES = 5
 SERVICES = ("llm", "other")
+# Time limit of the route.
+TIMEOUT_S = 8.0
 EVACUATION = "evacuate"
 _PORT = 9
 # A call times out this long after the end of its requested wait.
 _CALL_TIMEOUT_S = 1.0
+# Time for which the store keeps its changes, as routers are told.
+_HISTORY_S = 20.0
 # Revisions that the store keeps for watches.
 _HISTORY_REVISIONS = 200
 # Iterations of the event loop that suffice to run all callbacks that are due.
@@ -53,25 +59,47 @@
 _CONFIGURATION = Item("config", 1, b"1")
 
 
+def _make_route(services):
+    return Route(
+        "chat",
+        "host",
+        "/chat/",
+        RouteKind.RESUMABLE_STREAM,
+        TIMEOUT_S,
+        0.5,
+        1,
+        dict.fromkeys(services, 1.0),
+        2,
+        False,
+    )
+
+
 class _Decoder:
     """Decodes the text of an item as the state and version of a target.
 
-    Targets without a version are of another service. A target whose key is
-    `ZONE/NAME` is in that zone, others in the first one; `evacuate/ZONE` is an
-    evacuation.
+    Targets without a version are of another service; one with
+    `VERSION@SERVICE` is of that service. A target whose key is `ZONE/NAME` is
+    in that zone, others in the first one; `evacuate/ZONE` is an evacuation. A
+    configuration is
+    `VERSION` or `VERSION:SERVICES` with the services of a route.
     """
 
     def decode(self, key, value):
         if key == _CONFIGURATION.key:
+            version, _, names = value.decode().partition(":")
             services = {name: Service(name, 0, None) for name in SERVICES}
-            return RoutingTable(int(value), (), services, None, RequestLimits())
+            routes = (_make_route(names.split(",")),) if names else ()
+            return RoutingTable(
+                int(version), routes, services, None, RequestLimits()
+            )
         prefix, separator, name = key.partition("/")
         if prefix == EVACUATION:
             return ZoneEvacuation(name)
         state, _, version = value.decode().partition(":")
+        version, _, service = version.partition("@")
         return TargetEntry(
             key,
-            "llm" if version else "other",
+            service or ("llm" if version else "other"),
             SocketAddress("10.1.0.1", 80),
             prefix if separator else "zone-0",
             4,
@@ -354,6 +382,14 @@
     )
 
 
+class _FakeSync:
+    """Takes each router to be in step with the store."""
+
+    async def sync(self, since):
+        del since
+        return True
+
+
 class _Router:
     def __init__(self, clock, store, settings):
         self.host = settings.address
@@ -372,9 +408,20 @@
             lambda: self.is_leaving,
             lambda reason: None,
         )
+        client = store.client(self.host)
+        self.origins = FleetStreamOrigins(
+            clock,
+            self.service.streams,
+            self.sharing.caller_waits,
+            self.state,
+            client,
+            _FakeSync(),
+            _HISTORY_S,
+            0.0,
+        )
         self.watcher = DirectoryWatcher(
             self.timers,
-            store.client(self.host),
+            client,
             self.state,
             self.readers,
             random.Random(self.host),
--- a/crowwinch/fleet/tests/test_large_fleets.py
+++ b/crowwinch/fleet/tests/test_large_fleets.py
@@ -4,14 +4,16 @@
 import math
 import unittest
 
-from crowwinch.directory import VersionAge
+from crowwinch.directory import VariantAge
 from crowwinch.fleet.tests.support import FleetModel
+from crowwinch.forwarding import StreamOrigin
 from crowwinch.sharing import PromptPart, TargetView, Work
 
 # Sizes around the number of destinations of an update, and sizes in which every
 # fourth update went to the same routers.
 _SIZES = (8, 13, 17, 25, 49, 90)
 _STARTUP_S = 3.0
+_ORIGIN = StreamOrigin("llm", "v1")
 _WORK = Work(
     "llm",
     "workspace",
@@ -163,12 +165,12 @@
 
         self._run_scenario(scenario)
 
-    def test_version_of_a_stream_is_held_by_six_peers(self):
+    def test_origin_of_a_stream_is_held_by_six_peers(self):
         """Guards against records that are lost with the router of a stream."""
 
         async def scenario(fleet):
             first, *others = fleet.routers
-            first.service.streams.record("attempt", "v1")
+            first.service.streams.record("attempt", _ORIGIN)
             await fleet.run(0.1)
             held = [
                 router.service.streams.holds("attempt") for router in others
@@ -183,13 +185,13 @@
         async def scenario(fleet):
             first, *others = fleet.routers
             first.state.merge_versions(
-                [VersionAge("other", "v1", 0.0)],
+                [VariantAge("other", "v1", 0.0)],
                 30.0,
                 fleet.clock.monotonic(),
             )
             await fleet.run(1.0)
             known = [
-                any(age.service == "other" for age in reports)
+                any(age.group == "other" for age in reports)
                 for reports, _ in (
                     router.state.version_reports() for router in others
                 )
--- a/crowwinch/fleet/tests/test_record_handover.py
+++ b/crowwinch/fleet/tests/test_record_handover.py
@@ -7,7 +7,7 @@
 from crowwinch.coordination import ManualClock
 from crowwinch.fleet._record_handover import RecordHandover
 from crowwinch.fleet.tests.support import FleetModel
-from crowwinch.forwarding import StreamVersionTable
+from crowwinch.forwarding import StreamOrigin, StreamOriginTable
 from crowwinch.generated.fleet_messages import HandoverReceipt, StreamHandover
 
 _STARTUP_S = 3.0
@@ -17,15 +17,16 @@
 # Time after a start at which callers take streams up at a router.
 _SETTLED_S = 3.0
 _STREAMS_PER_ROUTER = 4
+_ORIGIN = StreamOrigin("llm", "v1")
 
 
 async def _find(fleet, router, names, age_s):
     """Looks streams up while the fleet goes on."""
-    *versions, _ = await asyncio.gather(
+    *origins, _ = await asyncio.gather(
         *(router.service.streams.find(name, age_s) for name in names),
         fleet.run(0.5),
     )
-    return versions
+    return origins
 
 
 class RollTest(unittest.TestCase):
@@ -66,7 +67,7 @@
                 if action == "stop":
                     began[number] = fleet.clock.monotonic()
                     for name in names:
-                        router.service.streams.record(name, "v1")
+                        router.service.streams.record(name, _ORIGIN)
                     router.is_leaving = True
                 elif action == "end":
                     fleet.network.frozen.add(router.host)
@@ -85,7 +86,7 @@
         for size, gap_s in ((2, 11.0), (4, 1.0), (8, 1.0), (20, 0.5)):
             with self.subTest(size=size, gap_s=gap_s):
                 found = self._roll(size, gap_s)
-                self.assertGreaterEqual(found.count("v1"), 0.95 * len(found))
+                self.assertGreaterEqual(found.count(_ORIGIN), 0.95 * len(found))
 
 
 class _Receivers:
@@ -98,7 +99,7 @@
         self.messages = 0
         self.lives = dict.fromkeys((f"10.0.0.{n}:1" for n in range(size)), 1)
         self.held = {control: {} for control in self.lives}
-        self.table = StreamVersionTable(self.clock)
+        self.table = StreamOriginTable(self.clock)
         self.handover = RecordHandover(
             self.clock,
             "10.0.1.1:1",
@@ -139,7 +140,7 @@
     def _start(self, size, records, loss=0.0):
         peers = _Receivers(size, loss)
         for number in range(records):
-            peers.table.record(str(number), "v1")
+            peers.table.record(str(number), _ORIGIN)
         peers.handover.add(peers.table)
         return peers
 
@@ -201,8 +202,8 @@
         peers.clock.move_to(40.0)
         peers.run(0.2)
         self.assertEqual(peers.held["10.0.0.0:1"], {"0": 40_000})
-        table = StreamVersionTable(peers.clock)
-        table.record("0", "v1", 40.0)
+        table = StreamOriginTable(peers.clock)
+        table.record("0", _ORIGIN, 40.0)
         self.assertAlmostEqual(table.age_s("0"), 40.0)
 
     def test_no_records_are_sent_once_all_peers_have_them(self):
--- a/crowwinch/fleet/tests/test_stream_origins.py
+++ b/crowwinch/fleet/tests/test_stream_origins.py
@@ -1,6 +1,7 @@
 """Tests of take-ups after the loss of all records."""
 
 import asyncio
+import dataclasses
 import json
 import unittest
 
@@ -12,10 +13,10 @@
     Item,
     Listing,
     StoreError,
-    VersionAge,
+    VariantAge,
 )
-from crowwinch.fleet import DirectorySync, StreamOrigins, StreamRecords
-from crowwinch.forwarding import TakenUpStream
+from crowwinch.fleet import DirectorySync, FleetStreamOrigins, StreamRecords
+from crowwinch.forwarding import StreamOrigin, TakenUpStream
 from crowwinch.platform import DocumentCodec
 from crowwinch.sharing import CallerWaits
 
@@ -29,7 +30,7 @@
 
 def _stream(age_s=8.0, route="host.example/chat/"):
     """Returns a stream whose age has a certain maximum."""
-    return TakenUpStream("attempt", "llm", route, 8.0, _MAX_WAIT_S - age_s)
+    return TakenUpStream("attempt", route, ("llm",), 8.0, _MAX_WAIT_S - age_s)
 
 
 _STREAM = _stream()
@@ -102,7 +103,7 @@
         self.waits = CallerWaits(self.clock)
         for _ in range(4):
             self.waits.record(_STREAM.route, _WAIT_S)
-        self.origins = StreamOrigins(
+        self.origins = FleetStreamOrigins(
             self.clock,
             records,
             self.waits,
@@ -113,6 +114,14 @@
             _HEARTBEAT_S,
         )
 
+    async def _find_version(self, stream):
+        """Returns the version that began a stream of service llm."""
+        origin = await self.origins.find(stream)
+        if origin is None:
+            return None
+        self.assertEqual(origin.service, "llm")
+        return origin.version
+
     async def _ask_peers(self):
         if self.peer_answers:
             self.state.record_sync(self.clock.monotonic())
@@ -144,7 +153,7 @@
                     _entry("j-0", "v2", last + 1, "draining"),
                 ]
                 self._start(later, last)
-                self.assertEqual(await self.origins.find(_STREAM), "v2")
+                self.assertEqual(await self._find_version(_STREAM), "v2")
 
     async def test_other_version_has_left_within_the_history(self):
         """Guards against a search that stops before the oldest change."""
@@ -153,7 +162,7 @@
         for kept in (1, 2, 3, 4, 5, 7, 8, 9, 40, 90, last):
             with self.subTest(kept=kept):
                 self._start(changes, last - kept)
-                self.assertIsNone(await self.origins.find(_STREAM))
+                self.assertIsNone(await self._find_version(_STREAM))
                 self.assertLessEqual(self.store.calls, 16)
 
     async def test_target_that_was_removed_without_a_write(self):
@@ -164,7 +173,7 @@
             Item("servers/i-9", 3, None),
         ]
         self._start(changes, 2)
-        self.assertIsNone(await self.origins.find(_STREAM))
+        self.assertIsNone(await self._find_version(_STREAM))
 
     async def test_history_that_the_store_has_discarded(self):
         """Guards against changes that are too few to reach back (ORDER)."""
@@ -177,7 +186,7 @@
         ):
             with self.subTest(later=len(later)):
                 self._start([*changes, *later], 3)
-                self.assertIsNone(await self.origins.find(_STREAM))
+                self.assertIsNone(await self._find_version(_STREAM))
 
     async def test_history_reaches_back_to_its_first_write(self):
         changes = [_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)]
@@ -186,32 +195,43 @@
             with self.subTest(age_s=age_s):
                 later = _entry("i-2", "v2", 4, age_s=age_s, beats=7)
                 self._start([*changes, later], 3)
-                self.assertEqual(await self.origins.find(_STREAM), expected)
+                self.assertEqual(await self._find_version(_STREAM), expected)
+
+    async def test_history_of_routes_reaches_back_to_a_configuration(self):
+        """Guards against a service that the route had before (ORDER)."""
+        document = json.dumps({"Version": 2}).encode()
+        configuration = Item("op/config", 2, document)
+        for revision, expected in ((1, "v1"), (3, None)):
+            with self.subTest(revision=revision):
+                target = _entry("i-1", "v1", 3 if revision == 1 else 1)
+                change = dataclasses.replace(configuration, revision=revision)
+                self._start(sorted([target, change], key=lambda e: e.revision))
+                self.assertEqual(await self._find_version(_STREAM), expected)
 
     async def test_two_versions_serve(self):
         self._start([_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)], 2)
-        self.assertIsNone(await self.origins.find(_STREAM))
+        self.assertIsNone(await self._find_version(_STREAM))
 
     async def test_versions_of_other_services_do_not_count(self):
         other = _entry("i-9", "v7", 1, service="desk")
         self._start([other, _entry("i-1", "v1", 2)])
-        self.assertEqual(await self.origins.find(_STREAM), "v1")
+        self.assertEqual(await self._find_version(_STREAM), "v1")
 
     async def test_stream_that_may_be_older_than_the_history(self):
         self._start([_entry("i-1", "v1", 1)], 1)
         old = _stream(_HISTORY_S)
-        self.assertIsNone(await self.origins.find(old))
+        self.assertIsNone(await self._find_version(old))
 
     async def test_store_that_does_not_answer(self):
         self._start([_entry("i-1", "v1", 1)])
         self.store.is_down = True
-        self.assertIsNone(await self.origins.find(_STREAM))
+        self.assertIsNone(await self._find_version(_STREAM))
 
     async def test_calls_to_the_store_are_bounded(self):
         """Guards against calls for each take-up of a crowd."""
         self._start([_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)], 2)
         for _ in range(50):
-            await self.origins.find(_STREAM)
+            await self._find_version(_STREAM)
         self.assertLessEqual(self.store.calls, 2)
 
     async def test_router_that_runs_for_long_reads_the_latest_changes(self):
@@ -219,7 +239,7 @@
         self._start([_entry("i-1", "v1", 1)])
         self.clock.move_to(130.0)
         found = await asyncio.gather(
-            *(self.origins.find(_STREAM) for _ in range(50))
+            *(self._find_version(_STREAM) for _ in range(50))
         )
         self.assertEqual(set(found), {"v1"})
         self.assertEqual(self.store.calls, 1)
@@ -230,33 +250,35 @@
         self._start(changes)
         self.clock.move_to(130.0)
         changes.append(_entry("i-2", "v2", 2))
-        self.assertIsNone(await self.origins.find(_STREAM))
+        self.assertIsNone(await self._find_version(_STREAM))
 
     async def test_router_that_is_cut_off_proves_nothing(self):
         """Guards against a router that has not noticed its cut (ORDER)."""
         self._start([_entry("i-1", "v1", 1)])
         self.clock.move_to(130.0)
         self.store.is_down = True
-        self.assertIsNone(await self.origins.find(_STREAM))
+        self.assertIsNone(await self._find_version(_STREAM))
 
     async def test_router_that_the_store_refuses_asks_a_peer(self):
         """Guards against refusals while the peers are in step (LOST)."""
         self._start([_entry("i-1", "v1", 1)])
         self.clock.move_to(130.0)
         self.store.is_down = self.peer_answers = True
-        self.assertEqual(await self.origins.find(_STREAM), "v1")
+        self.assertEqual(await self._find_version(_STREAM), "v1")
 
     async def test_router_learns_of_versions_from_its_peers(self):
         """Guards against refusals by each router that has just started."""
         for versions, expected in ((("v1",), "v1"), (("v1", "v2"), None)):
             with self.subTest(versions=versions):
                 self._start([_entry("i-1", "v1", 1)])
+                now = self.clock.monotonic()
                 self.state.merge_versions(
-                    [VersionAge("llm", version, 5.0) for version in versions],
+                    [VariantAge("llm", version, 5.0) for version in versions],
                     60.0,
-                    self.clock.monotonic(),
+                    now,
                 )
-                self.assertEqual(await self.origins.find(_STREAM), expected)
+                self.state.merge_route_services((), 60.0, now)
+                self.assertEqual(await self._find_version(_STREAM), expected)
                 # Only what is known to be alone needs the latest changes.
                 self.assertEqual(self.store.calls, int(expected is not None))
 
@@ -264,9 +286,9 @@
         """Guards against a history with a gap that counts as complete."""
         self._start([_entry("i-1", "v1", 1)], 1)
         self.state.merge_versions(
-            [VersionAge("llm", "v1", 20.0)], 60.0, self.clock.monotonic() - 5.0
+            [VariantAge("llm", "v1", 20.0)], 60.0, self.clock.monotonic() - 5.0
         )
-        self.assertIsNone(await self.origins.find(_STREAM))
+        self.assertIsNone(await self._find_version(_STREAM))
 
     async def test_version_that_left_while_the_router_runs(self):
         changes = [_entry("i-1", "v1", 1), _entry("i-2", "v2", 2)]
@@ -274,9 +296,9 @@
         self.clock.move_to(130.0)
         self.state.apply_changes(Changes(50, (Item("servers/i-1", 50, None),)))
         self.clock.move_to(135.0)
-        self.assertIsNone(await self.origins.find(_STREAM))
+        self.assertIsNone(await self._find_version(_STREAM))
         self.clock.move_to(145.0)
-        self.assertEqual(await self.origins.find(_STREAM), "v2")
+        self.assertEqual(await self._find_version(_STREAM), "v2")
 
     async def test_caller_that_waits_longer_than_the_time_limit(self):
         """Guards against streams that are taken for younger (ORDER)."""
@@ -285,9 +307,9 @@
         self.clock.move_to(130.0)
         self.state.apply_changes(Changes(50, (Item("servers/i-1", 50, None),)))
         self.clock.move_to(135.0)
-        stream = TakenUpStream("attempt", "llm", _STREAM.route, 8.0, 9.0)
+        stream = dataclasses.replace(_STREAM, left_s=9.0)
         self.waits.record(stream.route, 15.0)
-        self.assertIsNone(await self.origins.find(stream))
+        self.assertIsNone(await self._find_version(stream))
 
     async def test_callers_that_nobody_knows(self):
         """Guards against a stream that is taken for new (ORDER, LOST)."""
@@ -299,16 +321,16 @@
                 removal = Item("servers/i-1", 50, None)
                 self.state.apply_changes(Changes(50, (removal,)))
                 self.clock.move_to(100.0 + age_s)
-                self.assertEqual(await self.origins.find(unknown), expected)
+                self.assertEqual(await self._find_version(unknown), expected)
 
     async def test_next_requests_tell_how_long_callers_wait(self):
         """Guards against refusals of all streams after a kill (LOST)."""
         self._start([_entry("i-1", "v1", 1)])
-        self.state.merge_versions(
-            [VersionAge("llm", "v1", 0.0)], 20.0, self.clock.monotonic()
-        )
+        now = self.clock.monotonic()
+        self.state.merge_versions([VariantAge("llm", "v1", 0.0)], 20.0, now)
+        self.state.merge_route_services((), 20.0, now)
         search = asyncio.ensure_future(
-            self.origins.find(_stream(route="other"))
+            self._find_version(_stream(route="other"))
         )
         await asyncio.sleep(0.1)
         self.assertFalse(search.done())
@@ -318,5 +340,5 @@
 
     async def test_record_goes_before_the_history(self):
         self._start([_entry("i-1", "v1", 1)])
-        self.origins.record("attempt", "v0")
-        self.assertEqual(await self.origins.find(_STREAM), "v0")
+        self.origins.record("attempt", StreamOrigin("llm", "v0"))
+        self.assertEqual(await self._find_version(_STREAM), "v0")
--- a/crowwinch/fleet/tests/test_stream_records.py
+++ b/crowwinch/fleet/tests/test_stream_records.py
@@ -8,9 +8,10 @@
 from crowwinch.coordination import ManualClock
 from crowwinch.fleet import StreamRecords
 from crowwinch.fleet._stream_records import RecordPeer
-from crowwinch.forwarding import StreamVersionTable
+from crowwinch.forwarding import StreamOrigin, StreamOriginTable
 
 _ZONES = 3
+_ORIGIN = StreamOrigin("llm", "v1")
 # Maximum age of the streams that are looked up.
 _AGE_S = 10.0
 
@@ -62,14 +63,14 @@
             with self.subTest(size):
                 network = _Network(size)
                 first, *others = network.routers
-                network.routers[first].record("attempt", "v1")
+                network.routers[first].record("attempt", _ORIGIN)
                 await asyncio.sleep(0)
                 network.kill(first)
                 for control in others:
                     found = await network.routers[control].find(
                         "attempt", _AGE_S
                     )
-                    self.assertEqual(found, "v1")
+                    self.assertEqual(found, _ORIGIN)
 
     async def test_records_survive_the_loss_of_a_zone(self):
         """Guards against records that are held in one zone only."""
@@ -77,7 +78,7 @@
         names = [f"attempt-{n}" for n in range(50)]
         first = next(iter(network.routers))
         for name in names:
-            network.routers[first].record(name, "v1")
+            network.routers[first].record(name, _ORIGIN)
         await asyncio.sleep(0)
         for lost in {"az-0", "az-1", "az-2"}:
             routers = dict(network.routers)
@@ -88,7 +89,7 @@
             }
             asker = next(iter(network.routers.values()))
             found = [await asker.find(name, _AGE_S) for name in names]
-            self.assertEqual(found, ["v1"] * len(names))
+            self.assertEqual(found, [_ORIGIN] * len(names))
             network.routers = routers
 
     async def test_lost_datagrams_are_sent_again(self):
@@ -100,14 +101,14 @@
         first, *_, last = network.routers
         names = [f"attempt-{number}" for number in range(40)]
         for name in names:
-            network.routers[first].record(name, "v1")
+            network.routers[first].record(name, _ORIGIN)
         await asyncio.sleep(0)
         network.kill(first)
         network.loss = 0.3
         found = await asyncio.gather(
             *(network.routers[last].find(name, _AGE_S) for name in names)
         )
-        self.assertGreaterEqual(found.count("v1"), 0.95 * len(names))
+        self.assertGreaterEqual(found.count(_ORIGIN), 0.95 * len(names))
 
     async def test_unknown_stream_is_reported_at_once(self):
         """Guards against a wait for the time-out when all have answered."""
@@ -119,8 +120,8 @@
     async def test_router_without_peers_knows_its_own_records(self):
         network = _Network(1)
         (router,) = network.routers.values()
-        router.record("attempt", "v1")
-        self.assertEqual(await router.find("attempt", _AGE_S), "v1")
+        router.record("attempt", _ORIGIN)
+        self.assertEqual(await router.find("attempt", _AGE_S), _ORIGIN)
         self.assertIsNone(await router.find("other", _AGE_S))
 
     async def test_records_survive_the_loss_of_most_routers(self):
@@ -135,19 +136,19 @@
                 names = [f"attempt-{number}" for number in range(200)]
                 for number, name in enumerate(names):
                     router = network.routers[killed[number % len(killed)]]
-                    router.record(name, "v1")
+                    router.record(name, _ORIGIN)
                 await asyncio.sleep(0)
                 for control in killed:
                     network.kill(control)
                 asker = next(iter(network.routers.values()))
                 found = [await asker.find(name, _AGE_S) for name in names]
-                self.assertGreaterEqual(found.count("v1"), 0.9 * len(names))
+                self.assertGreaterEqual(found.count(_ORIGIN), 0.9 * len(names))
 
     async def test_few_peers_hold_and_are_asked(self):
         """Guards against messages that grow with the fleet."""
         network = _Network(90)
         first, second, *_ = network.routers
-        network.routers[first].record("attempt", "v1")
+        network.routers[first].record("attempt", _ORIGIN)
         self.assertEqual(network.messages, 6)
         await network.routers[second].find("unknown", _AGE_S)
         self.assertLessEqual(network.messages, 6 + 2 * 8)
@@ -164,7 +165,7 @@
         network.routers |= {control: records[control] for control in older}
         names = [f"attempt-{number}" for number in range(60)]
         for name in names:
-            network.routers[first].record(name, "v1")
+            network.routers[first].record(name, _ORIGIN)
         await asyncio.sleep(0)
         network.kill(first)
         network.clock.move_to(_AGE_S + 1.0)
@@ -174,41 +175,49 @@
         found = [
             await network.routers[asker].find(name, _AGE_S) for name in names
         ]
-        self.assertGreaterEqual(found.count("v1"), 0.95 * len(names))
+        self.assertGreaterEqual(found.count(_ORIGIN), 0.95 * len(names))
 
     async def test_identifier_that_is_not_text(self):
         """Guards against a request that fails for its identifier."""
         network = _Network(2)
         router = next(iter(network.routers.values()))
-        router.record("\udcff" * 9, "v1")
-        self.assertEqual(await router.find("\udcff" * 9, _AGE_S), "v1")
+        router.record("\udcff" * 9, _ORIGIN)
+        self.assertEqual(await router.find("\udcff" * 9, _AGE_S), _ORIGIN)
 
 
-class StreamVersionTableTest(unittest.TestCase):
+class StreamOriginTableTest(unittest.TestCase):
     """Guards against records that are kept for ever or change."""
 
     def setUp(self):
         self.clock = ManualClock()
-        self.table = StreamVersionTable(self.clock)
+        self.table = StreamOriginTable(self.clock)
 
     def test_first_record_counts(self):
-        self.table.record("a", "v1")
-        self.table.record("a", "v2")
-        self.assertEqual(self.table.get("a"), "v1")
+        self.table.record("a", _ORIGIN)
+        self.table.record("a", StreamOrigin("llm", "v2"))
+        self.assertEqual(self.table.get("a"), _ORIGIN)
+
+    def test_service_is_added_to_a_record_without_one(self):
+        """Guards against a record whose router does not tell the service."""
+        self.table.record("a", StreamOrigin(None, "v1"))
+        self.table.record("a", StreamOrigin("llm", "v2"))
+        self.assertEqual(self.table.get("a"), StreamOrigin(None, "v1"))
+        self.table.record("a", _ORIGIN)
+        self.assertEqual(self.table.get("a"), _ORIGIN)
 
     def test_records_end_after_their_last_use(self):
-        self.table.record("a", "v1")
+        self.table.record("a", _ORIGIN)
         self.clock.move_to(50.0)
-        self.table.record("a", "v1")
+        self.table.record("a", _ORIGIN)
         self.clock.move_to(100.0)
-        self.table.record("b", "v1")
-        self.assertEqual(self.table.get("a"), "v1")
+        self.table.record("b", _ORIGIN)
+        self.assertEqual(self.table.get("a"), _ORIGIN)
         self.clock.move_to(120.0)
-        self.table.record("c", "v1")
+        self.table.record("c", _ORIGIN)
         self.assertIsNone(self.table.get("a"))
 
     def test_number_of_records_is_bounded(self):
         for number in range(20_100):
-            self.table.record(str(number), "v1")
+            self.table.record(str(number), _ORIGIN)
         self.assertEqual(len(self.table), 20_000)
         self.assertEqual(self.table.evictions, 100)
--- a/crowwinch/fleet/tests/test_update_size.py
+++ b/crowwinch/fleet/tests/test_update_size.py
@@ -25,6 +25,7 @@
     FleetUpdate,
     PrefixReport,
     RateLimitMessage,
+    RouteReport,
     TargetReport,
     VersionReport,
     WaitReport,
@@ -71,6 +72,7 @@
     "cold": lambda n: ColdMessage(f"{n}{_KEY}", 1, 2_000, 3),
     "demand": lambda n: DemandReport(f"{n}{_KEY}", 5.0),
     "versions": lambda n: VersionReport(f"{n}", _KEY, 1_000 + n),
+    "routes": lambda n: RouteReport(f"{n}{_KEY}", "llm", 1_000 + n),
     "waits": lambda n: WaitReport(f"{n}{_KEY}", 15_000, 1, 4),
 }
 _LONG_NAMES = {
@@ -80,6 +82,7 @@
     "cold": ColdMessage(_LONG, 1, 2_000, 3),
     "demand": DemandReport(_LONG, 5.0),
     "versions": VersionReport(_LONG, "v2", 2_000),
+    "routes": RouteReport(_LONG, "llm", 2_000),
     "waits": WaitReport(_LONG, 15_000, 1, 4),
 }
 
@@ -163,6 +166,13 @@
         self.assertEqual(received.versions, [_SOUND_VERSION])
         self.assertLessEqual(received.history_ms, 2_000)
 
+    async def test_history_ends_at_a_service_that_is_left_out(self):
+        """Guards against a service that peers take as never used."""
+        received = await self._deliver(
+            routes=[RouteReport(_LONG, "llm", 2_000)], routes_ms=60_000
+        )
+        self.assertEqual(received.routes_ms, 2_000)
+
 
 def _entry(name, service, version="v1"):
     document = {
@@ -227,4 +237,4 @@
         for _, service, state in routers:
             self.assertEqual(service.live_peers, len(hosts) - 1)
             versions, _ = state.version_reports()
-            self.assertEqual([age.service for age in versions], ["llm"])
+            self.assertEqual([age.group for age in versions], ["llm"])
--- a/crowwinch/forwarding/__init__.py
+++ b/crowwinch/forwarding/__init__.py
@@ -34,11 +34,12 @@
     StatusServer,
     max_status_connections,
 )
-from crowwinch.forwarding._stream_versions import (
+from crowwinch.forwarding._stream_origins import (
     RECORD_RETENTION_S,
-    LocalStreamVersions,
-    StreamVersions,
-    StreamVersionTable,
+    LocalStreamOrigins,
+    StreamOrigin,
+    StreamOrigins,
+    StreamOriginTable,
     TakenUpStream,
 )
 from crowwinch.forwarding._target_client import TargetClient
@@ -58,7 +59,7 @@
     "Forwarder",
     "GatewaySettings",
     "GuardedServer",
-    "LocalStreamVersions",
+    "LocalStreamOrigins",
     "MemoryPool",
     "PromptPart",
     "RECORD_RETENTION_S",
@@ -72,8 +73,9 @@
     "SharingState",
     "SocketAddress",
     "StatusServer",
-    "StreamVersionTable",
-    "StreamVersions",
+    "StreamOrigin",
+    "StreamOriginTable",
+    "StreamOrigins",
     "TakenUpStream",
     "Target",
     "TargetClient",
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -1,6 +1,7 @@
 """Forwards a request: routing, admission, attempts, response."""
 
 import asyncio
+import dataclasses
 import functools
 from collections.abc import Callable, Mapping
 
@@ -29,7 +30,11 @@
 from crowwinch.forwarding._retry_policy import RetryPolicy
 from crowwinch.forwarding._sharing_state import Placement, SharingState
 from crowwinch.forwarding._shutdown import Shutdown
-from crowwinch.forwarding._stream_versions import StreamVersions, TakenUpStream
+from crowwinch.forwarding._stream_origins import (
+    StreamOrigin,
+    StreamOrigins,
+    TakenUpStream,
+)
 from crowwinch.forwarding._target_client import TargetClient
 from crowwinch.forwarding._target_lives import TargetLives
 from crowwinch.forwarding._target_observer import TargetObserver
@@ -74,7 +79,7 @@
         codec: WireCodec,
         metrics: Metrics,
         random: Callable[[], float],
-        streams: StreamVersions,
+        streams: StreamOrigins,
         lives: TargetLives,
         response_memory: MemoryPool,
         describe_state: Callable[[], Mapping[str, object]] = dict,
@@ -91,7 +96,7 @@
             codec: Encodes and decodes headers.
             metrics: Counters and histograms.
             random: Returns a random number in [0, 1).
-            streams: Finds the software versions of streams.
+            streams: Finds the origins of streams.
             lives: Confirms the start times of targets.
             response_memory: Pool for bytes of targets that are kept before they
                 are relayed.
@@ -159,7 +164,8 @@
             self._shutdown.refuse_if_too_late(context)
             if self._was_late():
                 await _process_socket_events()
-            self._refuse_if_certain(context)
+            if not context.is_taken_up:
+                self._refuse_if_certain(context)
             async with asyncio.timeout(
                 context.deadline - self._clock.monotonic()
             ) as time_limit:
@@ -224,8 +230,12 @@
             route.timeout_s or _DEFAULT_TIMEOUT_S,
             head.deadline_s or _DEFAULT_TIMEOUT_S,
         )
+        is_taken_up = route.kind is RouteKind.RESUMABLE_STREAM and bool(
+            head.last_event_id
+        )
         work = Work(
-            service=self._choose_service(route),
+            # A stream that is taken up goes on at the service that began it.
+            service="" if is_taken_up else self._choose_service(route),
             workspace=workspace or "",
             model=head.model,
             parts=head.parts,
@@ -234,9 +244,6 @@
             target_latency_s=route.target_latency_s,
             priority=route.priority,
         )
-        self._sharing.budget.record_request(work.service)
-        self._sharing.rate_limits.record_demand(work.service)
-        self._sharing.pace.record_demand(work.service)
         self._sharing.shares.record_demand(work.workspace, work.cost)
         context = RequestContext(
             call=call,
@@ -253,14 +260,23 @@
                 else 0.0
             ),
             last_event_id=head.last_event_id,
+            is_taken_up=is_taken_up,
             home_regions=table.home_regions(route, head.key),
         )
-        if context.begins_resumable_stream:
-            self._sharing.caller_waits.record(
-                route.key, head.deadline_s or timeout_s
-            )
+        if not is_taken_up:
+            self._count_request(work.service)
+            if route.kind is RouteKind.RESUMABLE_STREAM:
+                self._sharing.caller_waits.record(
+                    route.key, head.deadline_s or timeout_s
+                )
         return context
 
+    def _count_request(self, service: str) -> None:
+        """Counts a request for the limits on a service."""
+        self._sharing.budget.record_request(service)
+        self._sharing.rate_limits.record_demand(service)
+        self._sharing.pace.record_demand(service)
+
     def _choose_service(self, route: Route) -> str:
         services = list(route.services.items())
         if len(services) == 1:
@@ -279,7 +295,8 @@
             RefusalError: If no response can be returned.
         """
         if context.is_taken_up:
-            await self._find_stream_version(context)
+            await self._find_stream_origin(context)
+            self._refuse_if_certain(context)
         while True:
             self._retry_policy.refuse_crash_suspect(context)
             placement = await self._admit(context)
@@ -297,27 +314,38 @@
             else:
                 return
 
-    async def _find_stream_version(self, context: RequestContext) -> None:
-        """Finds the software version that began a stream.
+    async def _find_stream_origin(self, context: RequestContext) -> None:
+        """Finds the service and software version that began a stream.
 
         Raises:
-            RefusalError: If it is not known. Another version must not go on
-                with the stream.
+            RefusalError: If they are not known, or the route no longer sends
+                requests to the service. Nothing else must go on with the
+                stream.
         """
-        context.software_version = await self._streams.find(
+        services = context.route.active_services
+        origin = await self._streams.find(
             TakenUpStream(
                 context.call.head.resumed_attempt_id,
-                context.work.service,
                 context.route.key,
+                services,
                 context.route.timeout_s or _DEFAULT_TIMEOUT_S,
                 context.call.head.deadline_s,
             )
         )
-        if context.software_version is None:
+        if origin is None or origin.service is None:
             raise RefusalError(
                 RefusalReason.STREAM_VERSION_UNKNOWN,
                 "the software version that began the stream is not known",
             )
+        if origin.service not in services:
+            raise RefusalError(
+                RefusalReason.STREAM_SERVICE_REMOVED,
+                f"the route has no service {origin.service!r} any more, "
+                "which began the stream",
+            )
+        context.software_version = origin.version
+        context.work = dataclasses.replace(context.work, service=origin.service)
+        self._count_request(origin.service)
 
     async def _admit(self, context: RequestContext) -> Placement:
         """Waits until the request is assigned to a target.
@@ -522,7 +550,7 @@
     def _note_stream_start(
         self, context: RequestContext, target: Target
     ) -> None:
-        """Binds a stream to the software version of its first event.
+        """Binds a stream to the service and version of its first event.
 
         Before it, the caller has nothing that another version could not begin
         again.
@@ -530,7 +558,10 @@
         if context.software_version is None:
             context.software_version = target.software_version
         if context.route.kind is RouteKind.RESUMABLE_STREAM:
-            self._streams.record(context.stream_id, context.software_version)
+            self._streams.record(
+                context.stream_id,
+                StreamOrigin(context.work.service, context.software_version),
+            )
 
     def _deadline_refusal(self, context: RequestContext) -> RefusalError:
         if context.may_have_run:
--- a/crowwinch/forwarding/_model.py
+++ b/crowwinch/forwarding/_model.py
@@ -134,6 +134,14 @@
         """Requests that it matches; stays the same when it is renamed."""
         return f"{self.host}{self.prefix}"
 
+    @property
+    def active_services(self) -> tuple[str, ...]:
+        """Services that get new requests: those with weight, or the last."""
+        weighted = tuple(
+            name for name, weight in self.services.items() if weight > 0.0
+        )
+        return weighted or tuple(self.services)[-1:]
+
 
 @dataclass(frozen=True, slots=True)
 class Engine:
@@ -253,6 +261,10 @@
                 return route
         return None
 
+    def find(self, host: str, prefix: str) -> Route | None:
+        """Returns the route of a host and a prefix, None without one."""
+        return self._by_prefix.get((host, prefix))
+
     def is_key_allowed(self, route: Route, key: str) -> bool:
         """Returns whether a key may be used on a route."""
         if self.workspaces is None or route.is_anonymous:
--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -30,6 +30,8 @@
             including those that were refused.
         unreachable_count: Number of attempts that no target has received.
         last_event_id: Id of the event after which a stream resumes.
+        is_taken_up: Whether the caller got the first events of the stream in an
+            earlier request.
         relayed_event_id: Id of the last event that the caller got, None without
             one.
         software_version: Version of the software of the targets that may go on
@@ -59,6 +61,7 @@
     attempt_count: int = 0
     unreachable_count: int = 0
     last_event_id: str | None = None
+    is_taken_up: bool = False
     relayed_event_id: str | None = None
     software_version: str | None = None
     home_regions: frozenset[str] | None = None
@@ -105,21 +108,6 @@
         """Attempt that brought the first event of the stream, or will."""
         return self.call.head.resumed_attempt_id or self.call.head.attempt_id
 
-    @property
-    def is_taken_up(self) -> bool:
-        """Whether the caller got the first events in an earlier request."""
-        return self.route.kind is RouteKind.RESUMABLE_STREAM and bool(
-            self.call.head.last_event_id
-        )
-
-    @property
-    def begins_resumable_stream(self) -> bool:
-        """Whether the caller may take the stream up in a later request."""
-        return (
-            self.route.kind is RouteKind.RESUMABLE_STREAM
-            and not self.is_taken_up
-        )
-
     @property
     def run_state(self) -> RunState:
         """Run state that a refusal reports."""
--- a/crowwinch/forwarding/_stream_versions.py
+++ b/crowwinch/forwarding/_stream_origins.py
@@ -1,20 +1,34 @@
-"""Software versions of the targets that began streams."""
+"""Services and software versions of the targets that began streams."""
 
 from collections import OrderedDict
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from crowwinch.coordination import Clock
 
 # Records are kept for as long as a caller may come back.
 RECORD_RETENTION_S = 60.0
-# About 5 MB.
+# About 6 MB.
 _MAX_RECORDS = 20_000
 
 
-class StreamVersionTable:
-    """Software version by the attempt that brought the first event."""
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """What the targets that may go on with a stream have in common.
+
+    Attributes:
+        service: Service of the target that began it, None if a router recorded
+            it that does not tell the service.
+        version: Version of the software of that target.
+    """
+
+    service: str | None
+    version: str
+
+
+class StreamOriginTable:
+    """Origins of streams by the attempt that brought the first event."""
 
     def __init__(self, clock: Clock) -> None:
         """Creates an empty table.
@@ -23,9 +37,11 @@
             clock: Monotonic time.
         """
         self._clock = clock
-        # Version and time of last use of each record, the oldest first. Those
+        # Origin and time of last use of each record, the oldest first. Those
         # that peers handed over are older than their place.
-        self._records: OrderedDict[str, tuple[str, float]] = OrderedDict()
+        self._records: OrderedDict[str, tuple[StreamOrigin, float]] = (
+            OrderedDict()
+        )
         self._evictions = 0
 
     def __len__(self) -> int:
@@ -45,25 +61,29 @@
         """Iterates over the attempts, the latest first."""
         return reversed(self._records)
 
-    def record(self, attempt_id: str, version: str, age_s: float = 0.0) -> None:
-        """Records the version that began a stream; the first record counts.
+    def record(
+        self, attempt_id: str, origin: StreamOrigin, age_s: float = 0.0
+    ) -> None:
+        """Records the origin of a stream; the first record counts.
 
         Args:
             attempt_id: Attempt that brought the first event.
-            version: Software version of its target.
+            origin: Service and software version of its target.
             age_s: Time in seconds since the record was last used.
         """
         now = self._clock.monotonic()
         used_at = now - age_s
-        known, known_at = self._records.pop(attempt_id, (version, used_at))
+        known, known_at = self._records.pop(attempt_id, (origin, used_at))
+        if known.service is None and known.version == origin.version:
+            known = replace(known, service=origin.service)
         self._records[attempt_id] = (known, max(known_at, used_at))
         if len(self._records) > _MAX_RECORDS:
             self._records.popitem(last=False)
             self._evictions += 1
         self._expire(now)
 
-    def get(self, attempt_id: str) -> str | None:
-        """Returns the version that began a stream, None if it is not known."""
+    def get(self, attempt_id: str) -> StreamOrigin | None:
+        """Returns the origin of a stream, None if it is not known."""
         record = self._records.get(attempt_id)
         return None if record is None else record[0]
 
@@ -89,8 +109,8 @@
 
     Attributes:
         attempt_id: Attempt that brought its first event, None if unknown.
-        service: Service that runs it.
         route: Key of its route.
+        services: Services to which the route sends requests now.
         time_limit_s: Maximum duration in seconds of a request of the route. A
             stream may be older, as its caller may have taken it up before.
         left_s: Time in seconds that its caller still waits, None if it sets no
@@ -98,29 +118,32 @@
     """
 
     attempt_id: str | None
-    service: str
     route: str
+    services: tuple[str, ...]
     time_limit_s: float
     left_s: float | None
 
 
-class StreamVersions(Protocol):
-    """Finds the software version that began a stream, at any router."""
+class StreamOrigins(Protocol):
+    """Finds the origins of streams, at any router."""
 
-    def record(self, attempt_id: str, version: str) -> None:
-        """Records the version before the first event is passed on.
+    def record(self, attempt_id: str, origin: StreamOrigin) -> None:
+        """Records an origin before the first event is passed on.
 
         Args:
             attempt_id: Identifier of the attempt that brings the event.
-            version: Software version of its target.
+            origin: Service and software version of its target.
         """
 
-    async def find(self, stream: TakenUpStream) -> str | None:
-        """Returns the version that began a stream, None without proof."""
+    async def find(self, stream: TakenUpStream) -> StreamOrigin | None:
+        """Returns the origin of a stream with its service.
+
+        None without proof.
+        """
 
 
-class LocalStreamVersions:
-    """Software versions of the streams of a router without peers."""
+class LocalStreamOrigins:
+    """Origins of the streams of a router without peers."""
 
     def __init__(self, clock: Clock) -> None:
         """Creates an instance without records.
@@ -128,12 +151,12 @@
         Args:
             clock: Monotonic time.
         """
-        self._table = StreamVersionTable(clock)
+        self._table = StreamOriginTable(clock)
 
-    def record(self, attempt_id: str, version: str) -> None:
-        """Records the version that began a stream."""
-        self._table.record(attempt_id, version)
+    def record(self, attempt_id: str, origin: StreamOrigin) -> None:
+        """Records the origin of a stream."""
+        self._table.record(attempt_id, origin)
 
-    async def find(self, stream: TakenUpStream) -> str | None:
-        """Returns the recorded version, None without one."""
+    async def find(self, stream: TakenUpStream) -> StreamOrigin | None:
+        """Returns the recorded origin, None without one."""
         return self._table.get(stream.attempt_id or "")
--- a/crowwinch/forwarding/tests/support.py
+++ b/crowwinch/forwarding/tests/support.py
@@ -14,7 +14,7 @@
     CallerServer,
     Engine,
     Forwarder,
-    LocalStreamVersions,
+    LocalStreamOrigins,
     MemoryPool,
     RequestLimits,
     Route,
@@ -294,7 +294,7 @@
             {KEY: Workspace("tenant")},
             limits or RequestLimits(),
         )
-        self.streams = LocalStreamVersions(self.clock)
+        self.streams = LocalStreamOrigins(self.clock)
         # By default the directory is in step with all restarts.
         self.synced_at = lambda: float("inf")
         self.response_memory = MemoryPool(RESPONSE_MEMORY_BYTES, 8_192)
--- a/crowwinch/forwarding/tests/test_restarts.py
+++ b/crowwinch/forwarding/tests/test_restarts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from crowwinch.forwarding import RouteKind, TakenUpStream
+from crowwinch.forwarding import RouteKind, StreamOrigin, TakenUpStream
 from crowwinch.forwarding.tests.support import (
     RouterTest,
     chunk,
@@ -79,7 +79,7 @@
             with self.subTest(has_report=has_report):
                 self.has_report, self.life = has_report, _SECOND_LIFE
                 router = await self._start_router()
-                router.streams.record("first", "v1")
+                router.streams.record("first", StreamOrigin("s", "v1"))
                 reply = await router.call(attempt_id="second", extra=_TAKE_UP)
                 self.assertEqual(reply.status, 503)
                 self.assertIn(b'"run_state":"not_run"', reply.body)
@@ -93,10 +93,10 @@
                 router = await self._start_router()
                 reply = await router.call(attempt_id="first")
                 self.assertTrue(reply.is_complete)
-                version = await router.streams.find(
-                    TakenUpStream("first", "s", "host.example/a/", 5.0, 5.0)
+                origin = await router.streams.find(
+                    TakenUpStream("first", "host.example/a/", ("s",), 5.0, 5.0)
                 )
-                self.assertNotIn(version, (None, "", "v1"))
+                self.assertNotIn(origin.version, ("", "v1"))
 
     async def test_stream_that_breaks_as_its_target_restarts(self):
         """Guards against a resume within the answer at another version."""
--- a/crowwinch/forwarding/tests/test_stream_ends.py
+++ b/crowwinch/forwarding/tests/test_stream_ends.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from crowwinch.forwarding import RouteKind
+from crowwinch.forwarding import RouteKind, StreamOrigin
 from crowwinch.forwarding.tests.support import (
     RouterTest,
     chunk,
@@ -109,7 +109,7 @@
         router = await self.router(
             script, kind=RouteKind.RESUMABLE_STREAM, is_engine=True
         )
-        router.streams.record("first", "")
+        router.streams.record("first", StreamOrigin("s", ""))
         reply = await router.call(
             attempt_id="second", extra="Last-Event-Id: 2\r\nResumes: first\r\n"
         )
--- a/crowwinch/forwarding/tests/test_stream_versions.py
+++ b/crowwinch/forwarding/tests/test_stream_versions.py
@@ -1,8 +1,10 @@
 """Tests of streams while two software versions of a service serve."""
 
 import asyncio
+import dataclasses
+from unittest import mock
 
-from crowwinch.forwarding import RouteKind, TakenUpStream
+from crowwinch.forwarding import RouteKind, StreamOrigin, TakenUpStream
 from crowwinch.forwarding.tests.support import (
     RouterTest,
     chunk,
@@ -101,7 +103,7 @@
         for version in ("v1", "v2"):
             with self.subTest(version):
                 router = await self._start_router("v1", "v2", "v1", "v2")
-                router.streams.record("first", version)
+                router.streams.record("first", StreamOrigin("s", version))
                 reply = await self._take_up(router)
                 self.assertTrue(reply.is_complete)
                 used = [bool(target.requests) for target in self.targets]
@@ -113,10 +115,11 @@
         reply = await router.call(attempt_id="first")
         self.assertTrue(reply.is_complete)
         used = [bool(target.requests) for target in self.targets]
-        version = await router.streams.find(
-            TakenUpStream("first", "s", "host.example/a/", 5.0, 5.0)
+        origin = await router.streams.find(
+            TakenUpStream("first", "host.example/a/", ("s",), 5.0, 5.0)
         )
-        self.assertEqual(version, ("v1", "v2")[used.index(True)])
+        expected = StreamOrigin("s", ("v1", "v2")[used.index(True)])
+        self.assertEqual(origin, expected)
 
     async def test_stream_is_refused_if_its_version_is_not_known(self):
         """Guards against a guess, and against a refusal that is not true."""
@@ -131,7 +134,34 @@
 
     async def test_stream_is_refused_if_its_version_has_left(self):
         router = await self._start_router("v2", "v2")
-        router.streams.record("first", "v1")
+        router.streams.record("first", StreamOrigin("s", "v1"))
         reply = await self._take_up(router)
         self.assertEqual(reply.status, 503)
         self.assertEqual(self.attempt_count, 0)
+
+    async def test_stream_is_refused_if_its_route_has_left_the_service(self):
+        """Guards against a stream that goes on at another service (ORDER)."""
+        router = await self._start_router("v1", "v1")
+        router.streams.record("first", StreamOrigin("other", "v1"))
+        reply = await self._take_up(router)
+        self.assertEqual(reply.status, 503)
+        self.assertIn(b"stream_service_removed", reply.body)
+        self.assertIn(b'"run_state":"not_run"', reply.body)
+        self.assertEqual(self.attempt_count, 0)
+
+    async def test_stream_counts_for_the_service_that_goes_on_with_it(self):
+        """Guards against limits that count it for a service drawn anew."""
+        router = await self._start_router("v1", "v1")
+        route = router.routing.routes[0]
+        services = {"other": 1e9, "s": 1e-9}
+        router.routing = dataclasses.replace(
+            router.routing,
+            routes=(dataclasses.replace(route, services=services),),
+        )
+        router.streams.record("first", StreamOrigin("s", "v1"))
+        with mock.patch.object(
+            type(router.sharing.budget), "record_request"
+        ) as record_request:
+            reply = await self._take_up(router)
+        self.assertTrue(reply.is_complete)
+        record_request.assert_called_once_with("s")
--- a/crowwinch/gateway/_application.py
+++ b/crowwinch/gateway/_application.py
@@ -22,7 +22,7 @@
     TargetEntry,
 )
 from crowwinch.errors import PeerRejection, RefusalReason, RetryReason
-from crowwinch.fleet import DirectorySync, FleetService, StreamOrigins
+from crowwinch.fleet import DirectorySync, FleetService, FleetStreamOrigins
 from crowwinch.forwarding import (
     CallerServer,
     Forwarder,
@@ -183,7 +183,7 @@
             codec,
             self._metrics,
             self._rng.random,
-            StreamOrigins(
+            FleetStreamOrigins(
                 self._clock,
                 self._fleet.streams,
                 self._sharing.caller_waits,
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -22,6 +22,8 @@
 _ZONE = "az-1"
 HOST = "host.example"
 KEY = "key-1"
+# Services whose targets write streams.
+ENGINE_SERVICES = ("llm", "llm-b")
 WORDS = b"".join(f"id: {n}\ndata: w{n}\n\n".encode() for n in range(1, 9))
 
 _ROUTES = (
@@ -32,8 +34,16 @@
 )
 
 
-def configuration(version: int, **changes: object) -> bytes:
-    """Returns a configuration document."""
+def configuration(
+    version: int, plan_services: Sequence[str] = ("llm",), **changes: object
+) -> bytes:
+    """Returns a configuration document.
+
+    Args:
+        version: Number of the version.
+        plan_services: Services over which the route `plan` is split.
+        changes: Fields that replace others.
+    """
     routes = [
         {
             "Name": name,
@@ -43,6 +53,10 @@
             "TimeoutMs": 8000,
             "TargetLatencyMs": 500,
             "Service": service,
+            "TrafficSplit": [
+                {"Service": each, "Weight": 1.0}
+                for each in (plan_services if name == "plan" else ())
+            ],
             "MaxAttempts": 2,
             "StreamResume": resume,
         }
@@ -53,7 +67,10 @@
         "Routes": routes,
         "Services": [
             {"Name": "desk"},
-            {"Name": "llm", "Engine": {"Slots": 8, "KvCapacity": 100000}},
+            *(
+                {"Name": name, "Engine": {"Slots": 8, "KvCapacity": 100000}}
+                for name in ENGINE_SERVICES
+            ),
         ],
         "Tenants": [{"Name": "tenant", "ApiKeys": [KEY]}],
     }
@@ -158,7 +175,7 @@
         self, name: str, service: str, born: float = _STARTED_S
     ) -> None:
         """Starts a target and registers it."""
-        options = ("--engine",) if service == "llm" else ()
+        options = ("--engine",) if service in ENGINE_SERVICES else ()
         target = start_standin("operators_platform", "--target", name, *options)
         self.targets[name] = target
         self.register(name, service, born=born)
--- a/tests/test_stream_version_processes.py
+++ b/tests/test_stream_version_processes.py
@@ -9,7 +9,15 @@
 import unittest
 
 from standins.processes import call
-from tests.platform_fleet import HOST, KEY, WORDS, PlatformFleet, wait_for
+from tests.platform_fleet import (
+    ENGINE_SERVICES,
+    HOST,
+    KEY,
+    WORDS,
+    PlatformFleet,
+    configuration,
+    wait_for,
+)
 
 _ROUTERS = 4
 _STREAMS = 3
@@ -22,24 +30,19 @@
 # After the first stream began. Versions that left over 3 s ago, and no longer
 # ago than the streams began, have to count.
 _KILLED_AT_S = 5.5
+# Both services of a route get one of them.
+_SPLIT_STREAMS = 10
 _ENGINES = ("i-llm-1", "i-llm-2")
 
 
-class StreamVersionProcessesTest(unittest.TestCase):
-    """Guards against streams joined from two versions after a kill."""
+class _StreamTest(unittest.TestCase):
+    """Begins streams at routers, kills these and takes the streams up."""
 
     def setUp(self):
         self.fleet = PlatformFleet(_ROUTERS)
         self.addCleanup(self.fleet.stop)
         self.fleet.start()
 
-    def _set_versions(self, *versions):
-        for name, version in zip(_ENGINES, versions, strict=True):
-            self.fleet.register(name, "llm", version=version)
-            self.fleet.set_work(name, _EVENT_S)
-        # Routers that know the versions serve a request after the change.
-        self.fleet.wait_ready(range(_ROUTERS))
-
     def _open(self, index, attempt, headers=()):
         host, port = self.fleet.caller_address(index)
         connection = http.client.HTTPConnection(host, port, timeout=_TIMEOUT_S)
@@ -86,6 +89,29 @@
         router.signal(signal.SIGKILL)
         router.handle.wait()
 
+    def _wait_in_step(self):
+        """Waits until all routers know all changes of the store."""
+        _, body = call("GET", f"{self.fleet.store.url}/kv-range?Prefix=none")
+        revision = json.loads(body)["CurrentRev"]
+        wait_for(
+            lambda: all(
+                self.fleet.state(index)["revision"] >= revision
+                for index in range(_ROUTERS)
+            ),
+            "routers are not in step",
+        )
+
+
+class StreamVersionProcessesTest(_StreamTest):
+    """Guards against streams joined from two versions after a kill."""
+
+    def _set_versions(self, *versions):
+        for name, version in zip(_ENGINES, versions, strict=True):
+            self.fleet.register(name, "llm", version=version)
+            self.fleet.set_work(name, _EVENT_S)
+        # Routers that know the versions serve a request after the change.
+        self.fleet.wait_ready(range(_ROUTERS))
+
     def test_any_router_goes_on_at_the_same_version(self):
         fleet = self.fleet
         self._set_versions("v1", "v2")
@@ -180,14 +206,60 @@
             fleet.start_router(index)
         fleet.wait_ready(range(_ROUTERS))
 
-    def _wait_in_step(self):
-        """Waits until all routers know all changes of the store."""
-        _, body = call("GET", f"{self.fleet.store.url}/kv-range?Prefix=none")
-        revision = json.loads(body)["CurrentRev"]
-        wait_for(
-            lambda: all(
-                self.fleet.state(index)["revision"] >= revision
-                for index in range(_ROUTERS)
-            ),
-            "routers are not in step",
-        )
+
+class SplitRouteProcessesTest(_StreamTest):
+    """Guards against streams that go on at a service drawn anew (LOST)."""
+
+    def setUp(self):
+        super().setUp()
+        fleet = self.fleet
+        for service, version in zip(ENGINE_SERVICES, ("v4", "v7"), strict=True):
+            for number in (1, 2):
+                name = f"i-{service}-{number}"
+                if name not in fleet.targets:
+                    fleet.start_target(name, service)
+                fleet.register(name, service, version=version)
+                fleet.set_work(name, _EVENT_S)
+        self._split_route(4, ENGINE_SERVICES)
+
+    def _split_route(self, version, services):
+        self.fleet.put("op/config", configuration(version, services))
+        self._wait_in_step()
+
+    def _begin_streams(self):
+        """Returns the first event of each stream, and the service it is of."""
+        streams = {}
+        for number in range(_SPLIT_STREAMS):
+            name = f"split-{number}"
+            first = self._begin(0, name)
+            streams[name] = (first, self._service_of(name))
+        services = {service for _, service in streams.values()}
+        self.assertEqual(services, set(ENGINE_SERVICES))
+        return streams
+
+    def _service_of(self, attempt):
+        (target,) = self._target_of(attempt)
+        return target.removeprefix("i-").rpartition("-")[0]
+
+    def test_streams_go_on_at_their_service(self):
+        streams = self._begin_streams()
+        self._kill(0)
+        for number, (name, (first, service)) in enumerate(streams.items()):
+            router = 1 + number % (_ROUTERS - 1)
+            status, rest = self._take_up(router, name, first)
+            self.assertEqual((status, first + rest), (200, WORDS))
+            self.assertEqual(self._service_of(f"{name}-again"), service)
+
+    def test_service_that_the_route_no_longer_has(self):
+        """Guards against streams that go on at it, or at another one."""
+        streams = self._begin_streams()
+        self._split_route(5, ENGINE_SERVICES[:1])
+        self._kill(0)
+        for name, (first, service) in streams.items():
+            status, rest = self._take_up(1, name, first)
+            if service in ENGINE_SERVICES[:1]:
+                self.assertEqual((status, first + rest), (200, WORDS))
+                continue
+            self.assertEqual(status, 503)
+            self.assertIn(b"stream_service_removed", rest)
+            self.assertEqual(self._target_of(f"{name}-again"), [])
