Route history: only routes whose streams may be taken up count

Change: routes that callers cannot take up streams of are left out. The comparison of two configurations is a function of its own.

Evidence: test_many_new_routes_leave_the_history_of_others fails without the condition; test_route_services plays edits of services, weights and prefixes.

--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -18,13 +18,14 @@
     TargetState,
     ZoneEvacuation,
 )
+from crowwinch.directory._route_services import OTHER_ROUTE, former_services
 from crowwinch.directory._variant_history import (
     VariantAge,
     VariantHistory,
     age_of_first_write,
     shows_all_targets,
 )
-from crowwinch.forwarding import Route, RoutingTable, StreamOrigin
+from crowwinch.forwarding import RoutingTable, StreamOrigin
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -46,8 +47,6 @@
 # A listing shows all versions that were there since the last contact, if that
 # is no longer ago than this: the entry of a target stays for three heartbeats.
 _MAX_UNSEEN_S = 3.0
-# Stands for the services of a stream's route while another route matched it.
-_OTHER_ROUTE = ""
 
 
 class DirectoryState:
@@ -178,7 +177,7 @@
             The service, None if there were several or it cannot be told.
         """
         service = self._route_services.only_variant(route, current, age_s)
-        return None if service == _OTHER_ROUTE else service
+        return None if service == OTHER_ROUTE else service
 
     def only_origin(
         self, route: str, current: Collection[str], age_s: float
@@ -579,7 +578,9 @@
         decoded = self._decoder.decode(key, value)
         if isinstance(decoded, RoutingTable):
             if decoded.version > self.version:
-                self._record_route_changes(decoded)
+                if self._routing is not None:
+                    for pair in former_services(self._routing, decoded):
+                        self._route_services.record(*pair)
                 self._routing = decoded
                 _LOGGER.info(
                     "configuration in force",
@@ -604,32 +605,6 @@
                     self._items[key], value=b""
                 )
 
-    def _record_route_changes(self, table: RoutingTable) -> None:
-        """Records the services of routes that a new configuration changes.
-
-        Requests that a route with a longer prefix takes over, or leaves to the
-        next shorter one, may have gone to any service before.
-        """
-        before = self._routing
-        if before is None:
-            return
-        for route in before.routes:
-            after = table.find(route.host, route.prefix)
-            if after is None:
-                self._record_other_route(table.match(route.host, route.prefix))
-            elif after.active_services != route.active_services:
-                for service in route.active_services:
-                    self._route_services.record(route.key, service)
-        for route in table.routes:
-            is_new = before.find(route.host, route.prefix) is None
-            if is_new and before.match(route.host, route.prefix) is not None:
-                self._record_other_route(route)
-
-    def _record_other_route(self, route: Route | None) -> None:
-        """Records that another route matched requests of a route until now."""
-        if route is not None:
-            self._route_services.record(route.key, _OTHER_ROUTE)
-
     def _record_version(self, target: TargetEntry) -> None:
         self._versions.record(target.service, target.software_version)
 
--- a/crowwinch/forwarding/_forwarder.py
+++ b/crowwinch/forwarding/_forwarder.py
@@ -24,7 +24,7 @@
     AttemptHead,
     WireCodec,
 )
-from crowwinch.forwarding._model import Route, RouteKind, RoutingTable
+from crowwinch.forwarding._model import Route, RoutingTable
 from crowwinch.forwarding._request_context import RequestContext
 from crowwinch.forwarding._request_log import CALLER_GONE, SERVED, RequestLog
 from crowwinch.forwarding._retry_policy import RetryPolicy
@@ -230,9 +230,7 @@
             route.timeout_s or _DEFAULT_TIMEOUT_S,
             head.deadline_s or _DEFAULT_TIMEOUT_S,
         )
-        is_taken_up = route.kind is RouteKind.RESUMABLE_STREAM and bool(
-            head.last_event_id
-        )
+        is_taken_up = route.is_resumable and bool(head.last_event_id)
         work = Work(
             # A stream that is taken up goes on at the service that began it.
             service="" if is_taken_up else self._choose_service(route),
@@ -265,7 +263,7 @@
         )
         if not is_taken_up:
             self._count_request(work.service)
-            if route.kind is RouteKind.RESUMABLE_STREAM:
+            if route.is_resumable:
                 self._sharing.caller_waits.record(
                     route.key, head.deadline_s or timeout_s
                 )
@@ -519,7 +517,7 @@
         if target is None:
             return None
         self._lives.check_connections(target)
-        if context.route.kind is not RouteKind.RESUMABLE_STREAM:
+        if not context.route.is_resumable:
             return target
         try:
             confirmed = await self._lives.confirm(target)
@@ -557,7 +555,7 @@
         """
         if context.software_version is None:
             context.software_version = target.software_version
-        if context.route.kind is RouteKind.RESUMABLE_STREAM:
+        if context.route.is_resumable:
             self._streams.record(
                 context.stream_id,
                 StreamOrigin(context.work.service, context.software_version),
--- a/crowwinch/forwarding/_model.py
+++ b/crowwinch/forwarding/_model.py
@@ -134,6 +134,11 @@
         """Requests that it matches; stays the same when it is renamed."""
         return f"{self.host}{self.prefix}"
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether callers may take up streams that break off."""
+        return self.kind is RouteKind.RESUMABLE_STREAM
+
     @property
     def active_services(self) -> tuple[str, ...]:
         """Services that get new requests: those with weight, or the last."""
--- a/crowwinch/forwarding/_request_context.py
+++ b/crowwinch/forwarding/_request_context.py
@@ -6,7 +6,7 @@
 
 from crowwinch.errors import RunState
 from crowwinch.forwarding._call import Call
-from crowwinch.forwarding._model import Route, RouteKind, RoutingTable
+from crowwinch.forwarding._model import Route, RoutingTable
 from crowwinch.forwarding._target_set import Target
 from crowwinch.sharing import RequestFeatures, Work
 
@@ -98,10 +98,7 @@
     @property
     def can_resume(self) -> bool:
         """Whether another target can go on with the started response."""
-        return (
-            self.route.kind is RouteKind.RESUMABLE_STREAM
-            and self.relayed_event_id is not None
-        )
+        return self.route.is_resumable and self.relayed_event_id is not None
 
     @property
     def stream_id(self) -> str:
