Soak: a route over two services, and kills of three fifths of the routers

Engines of a second service join the fleet, with software versions of the same names. Configurations split the route of streams that may be taken up over both services, or give it the first one only. Events name the service beside the version, so that a stream joined over services is seen.

--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -14,7 +14,10 @@
 # Time until an evacuation must be in force, as on the operators' platform.
 EVACUATE_S = 5.0
 _DRAIN_S = 2.0
-_SERVICES = {name: "desk" for name in DESKS} | {name: "llm" for name in ENGINES}
+_SERVICES = dict.fromkeys(DESKS, "desk") | ENGINES
+_MOST_ROUTERS_SHARE = 0.6
+# Services between which the route of streams that may be taken up changes.
+_PLAN_SERVICES = (("llm",), ("llm", "llm-b"))
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +71,7 @@
         self._unplanned: tuple[Callable[[], Awaitable[None]], ...] = (
             self._kill_router,
             self._kill_all_routers,
+            self._kill_most_routers,
             self._freeze_router,
             self._kill_target,
             self._freeze_target,
@@ -168,10 +172,19 @@
             await self._kill(*taken)
 
     async def _kill_all_routers(self) -> None:
-        tasks = []
-        while (taken := self._take_router()) is not None:
-            tasks.append(self._kill(*taken))
-        await asyncio.gather(*tasks)
+        await self._kill_routers(len(self._fleet.routers))
+
+    async def _kill_most_routers(self) -> None:
+        await self._kill_routers(
+            round(_MOST_ROUTERS_SHARE * len(self._fleet.routers))
+        )
+
+    async def _kill_routers(self, count: int) -> None:
+        """Kills some routers at the same moment."""
+        taken = [self._take_router() for _ in range(count)]
+        await asyncio.gather(
+            *(self._kill(*each) for each in taken if each is not None)
+        )
 
     async def _freeze_router(self) -> None:
         taken = self._take_router()
@@ -348,6 +361,7 @@
     async def _publish(self) -> None:
         self._version += self._rng.randint(1, 3)
         number = self._version
-        since = await asyncio.to_thread(self._fleet.publish, number)
-        self._log("store", f"version {number}")
+        services = self._rng.choice(_PLAN_SERVICES)
+        since = await asyncio.to_thread(self._fleet.publish, number, services)
+        self._log("store", f"version {number}, {', '.join(services)}")
         self.versions.append(Version(number, since))
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -2,14 +2,26 @@
 
 import json
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from standins.datagram_relay import DatagramRelay
 from standins.processes import Process, call, start_standin
-from tests.platform_fleet import PlatformFleet, configuration
+from tests.platform_fleet import (
+    ENGINE_SERVICES,
+    PlatformFleet,
+    configuration,
+)
 
 DESKS = ("i-desk-1", "i-desk-2")
-ENGINES = ("i-llm-1", "i-llm-2", "i-llm-3")
+ENGINES = {
+    "i-llm-1": "llm",
+    "i-llm-2": "llm",
+    "i-llm-3": "llm",
+    "i-llm-b-1": "llm-b",
+    "i-llm-b-2": "llm-b",
+}
+# Versions of different services have the same names and are different software.
 VERSIONS = ("v1", "v2")
 _ZONES = {"hall-a": "midlands", "hall-b": "midlands"}
 # A part of the fleet counts as calm again this long after a disturbance, as on
@@ -64,8 +76,9 @@
 
     def start(self) -> None:
         """Starts targets and routers and waits until they serve."""
-        self.target_zones[ENGINES[-1]] = self.zone(0)
-        self.start_target(ENGINES[-1], "llm")
+        for number, name in enumerate(("i-llm-3", "i-llm-b-1", "i-llm-b-2")):
+            self.target_zones[name] = self.zone(number)
+            self.start_target(name, ENGINES[name])
         super().start()
 
     def stop(self) -> None:
@@ -107,7 +120,7 @@
             name,
             "--run-log",
             str(self.run_log),
-            *(("--engine",) if service == "llm" else ()),
+            *(("--engine",) if service in ENGINE_SERVICES else ()),
             *options,
         )
         target.operator_url = target.url
@@ -117,8 +130,8 @@
     def _introduce(self, name: str, service: str, version: str) -> None:
         """Lets a target know its version, and registers it."""
         born = time.time()
-        if service == "llm":
-            self.set_start(name, born, version=version)
+        if service in ENGINE_SERVICES:
+            self.set_start(name, born, version=f"{service}-{version}")
         self.register(name, service, born=born, version=version)
 
     def note(
@@ -167,15 +180,21 @@
         self._datagrams.set_cut(frozenset(self._cut_off))
         self.cut(f"store-{index}", ["forward", "back"] if is_cut else [])
 
-    def publish(self, version: int) -> float:
+    def publish(self, version: int, plan_services: Sequence[str]) -> float:
         """Writes a configuration whose second key is that of its version.
 
+        Args:
+            version: Number of the version.
+            plan_services: Services of streams that may be taken up.
+
         Returns:
             When the store had it, in Unix seconds.
         """
         keys = ["key-1", version_key(version)]
         tenants = [{"Name": "tenant", "ApiKeys": keys}]
-        self.put("op/config", configuration(version, Tenants=tenants))
+        self.put(
+            "op/config", configuration(version, plan_services, Tenants=tenants)
+        )
         return time.time()
 
     def note_ended_routers(self) -> None:
--- a/tests/soak/_load.py
+++ b/tests/soak/_load.py
@@ -26,7 +26,7 @@
 # Beyond the deadline, so that an answer which comes too late is seen.
 _TIMEOUT_S = 12.0
 _LONGEST_PAUSE_S = 0.05
-_VERSION_LINE = re.compile(rb"^: (v\d+)\n", re.M)
+_VERSION_LINE = re.compile(rb"^: (\S*v\d+)\n", re.M)
 # Pause and number of tries of a caller whose stream broke off.
 _TAKE_UP_PAUSE_S = 0.2
 _MAX_TAKE_UPS = 3
@@ -88,7 +88,7 @@
     Attributes:
         attempts: The requests that brought them.
         events: Bytes of all complete events, without their versions.
-        versions: Software versions that the events name.
+        versions: Services and software versions that the events name.
     """
 
     attempts: list[str]
