Directory: a class of its own for what streams may have begun at

The directory state had grown by the histories of versions and services. They are a class now, with the questions of take-ups and the exchange with peers; `DirectoryState.origins` holds it. No behaviour changes.

Tests that were missing: a record of a router that does not tell the service, as long as a fleet is updated, on the wire and in the proof, and streams of a split route without a record.

--- a/crowwinch/directory/_state.py
+++ b/crowwinch/directory/_state.py
@@ -3,7 +3,7 @@
 import dataclasses
 import logging
 import math
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from crowwinch.coordination import Clock
 from crowwinch.directory._departures import Departures
@@ -18,14 +18,8 @@
     TargetState,
     ZoneEvacuation,
 )
-from crowwinch.directory._route_services import OTHER_ROUTE, former_services
-from crowwinch.directory._variant_history import (
-    VariantAge,
-    VariantHistory,
-    age_of_first_write,
-    shows_all_targets,
-)
-from crowwinch.forwarding import RoutingTable, StreamOrigin
+from crowwinch.directory._origin_history import OriginHistory
+from crowwinch.forwarding import RoutingTable
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -87,9 +81,9 @@
         # The removals after this revision are complete.
         self._removals_complete_after = 0
         self._departures = Departures(clock)
-        # Software versions by service, and services by the key of each route.
-        self._versions = VariantHistory(clock)
-        self._route_services = VariantHistory(clock)
+        self._origins = OriginHistory(
+            clock, self._targets.values, lambda: self._routing
+        )
         self._last_contact = float("inf")
         self._synced_at = float("-inf")
         self._failing_since: float | None = None
@@ -146,128 +140,10 @@
             and not self._departures.is_outdated(key, entry, self._era)
         ]
 
-    def only_version(self, service: str, age_s: float) -> str | None:
-        """Returns the only software version that served a service for a time.
-
-        Args:
-            service: Name of the service.
-            age_s: Length of that time in seconds, up to now.
-
-        Returns:
-            The version, None if there were several or it cannot be told.
-        """
-        current = {
-            target.software_version
-            for target in self._targets.values()
-            if target.service == service
-        }
-        return self._versions.only_variant(service, current, age_s)
-
-    def only_service(
-        self, route: str, current: Collection[str], age_s: float
-    ) -> str | None:
-        """Returns the only service that a route had for a time.
-
-        Args:
-            route: Key of the route.
-            current: Services to which it sends requests now.
-            age_s: Length of that time in seconds, up to now.
-
-        Returns:
-            The service, None if there were several or it cannot be told.
-        """
-        service = self._route_services.only_variant(route, current, age_s)
-        return None if service == OTHER_ROUTE else service
-
-    def only_origin(
-        self, route: str, current: Collection[str], age_s: float
-    ) -> StreamOrigin | None:
-        """Returns the only origin that a stream of a route can have.
-
-        Args:
-            route: Key of the route.
-            current: Services to which it sends requests now.
-            age_s: Maximum time in seconds since the stream began.
-
-        Returns:
-            Its service and software version, None if there were several of
-            either or they cannot be told.
-        """
-        service = self.only_service(route, current, age_s)
-        if service is None:
-            return None
-        version = self.only_version(service, age_s)
-        return None if version is None else StreamOrigin(service, version)
-
-    @property
-    def history_s(self) -> float:
-        """Seconds for which all software versions that served are known."""
-        return self._versions.covered_s
-
     @property
-    def route_history_s(self) -> float:
-        """Seconds for which the services of all routes are known."""
-        return self._route_services.covered_s
-
-    def version_reports(self) -> tuple[list[VariantAge], float]:
-        """Returns the software versions of the configured services, for peers.
-
-        Returns:
-            The versions, and the seconds for which they are complete.
-        """
-        return self._versions.reports(
-            (
-                (target.service, target.software_version)
-                for target in self._targets.values()
-            ),
-            () if self._routing is None else self._routing.services,
-        )
-
-    def route_reports(self) -> tuple[list[VariantAge], float]:
-        """Returns the former services of routes, for peers.
-
-        Those of now are known to a peer that has the same configuration.
-
-        Returns:
-            The services, and the seconds for which they are complete.
-        """
-        return self._route_services.reports(())
-
-    def merge_versions(
-        self, ages: Iterable[VariantAge], covered_s: float, synced_at: float
-    ) -> None:
-        """Adds the software versions that a peer has seen.
-
-        Args:
-            ages: When each version was last there.
-            covered_s: Seconds for which the peer has seen all versions.
-            synced_at: Monotonic time up to which the peer's directory includes
-                all changes.
-        """
-        self._versions.merge(ages, covered_s, synced_at)
-
-    def merge_route_services(
-        self, ages: Iterable[VariantAge], covered_s: float, synced_at: float
-    ) -> None:
-        """Adds the services that routes had as a peer has seen it.
-
-        Args:
-            ages: When each former service was last used.
-            covered_s: Seconds for which the peer has seen all services, 0 if it
-                has another configuration.
-            synced_at: As in `merge_versions`.
-        """
-        self._route_services.merge(ages, covered_s, synced_at)
-
-    def record_old_directory(self, synced_at: float) -> None:
-        """Records that a peer may have used an old directory until now.
-
-        Args:
-            synced_at: Monotonic time up to which that directory included all
-                changes.
-        """
-        self._versions.record_old_directory(synced_at)
-        self._route_services.record_old_directory(synced_at)
+    def origins(self) -> OriginHistory:
+        """Services and software versions at which streams may have begun."""
+        return self._origins
 
     def extend_history(
         self, changes: Changes, heartbeat_s: float, limit_s: float
@@ -280,29 +156,10 @@
                 entries.
             limit_s: Maximum time in seconds for which the store keeps changes.
         """
-        if changes.era != self._era or not shows_all_targets(changes.items):
-            return
-        targets: list[TargetEntry] = []
-        # Those written since the latest configuration.
-        later_targets: list[TargetEntry] = []
-        for item in sorted(changes.items, key=lambda each: each.revision):
-            if item.value is None:
-                continue
-            decoded = self._decoder.decode(item.key, item.value)
-            if isinstance(decoded, TargetEntry):
-                targets.append(decoded)
-                later_targets.append(decoded)
-            elif isinstance(decoded, RoutingTable):
-                later_targets.clear()
-        now = self._clock.time()
-        self._versions.extend(
-            ((entry.service, entry.software_version) for entry in targets),
-            min(age_of_first_write(targets, heartbeat_s, now), limit_s),
-        )
-        self._route_services.extend(
-            (),
-            min(age_of_first_write(later_targets, heartbeat_s, now), limit_s),
-        )
+        if changes.era == self._era:
+            self._origins.extend(
+                changes.items, self._decoder, heartbeat_s, limit_s
+            )
 
     @property
     def revision(self) -> int:
@@ -421,8 +278,7 @@
             )
             return
         if self._misses_changes(listing):
-            self._versions.restart()
-            self._route_services.restart()
+            self._origins.restart()
         self._start_lapse_grace()
         present = {item.key for item in listing.items}
         missing = [
@@ -431,8 +287,7 @@
             if key not in present and item.revision <= listing.revision
         ]
         self._apply([*listing.items, *missing], listing.revision)
-        self._versions.start()
-        self._route_services.start()
+        self._origins.start()
         # The listing lacks items that were both added and removed since the
         # last revision, so removals before it are incomplete.
         self._removals_complete_after = self._revision
@@ -578,9 +433,7 @@
         decoded = self._decoder.decode(key, value)
         if isinstance(decoded, RoutingTable):
             if decoded.version > self.version:
-                if self._routing is not None:
-                    for pair in former_services(self._routing, decoded):
-                        self._route_services.record(*pair)
+                self._origins.record_configuration(decoded)
                 self._routing = decoded
                 _LOGGER.info(
                     "configuration in force",
@@ -605,13 +458,10 @@
                     self._items[key], value=b""
                 )
 
-    def _record_version(self, target: TargetEntry) -> None:
-        self._versions.record(target.service, target.software_version)
-
     def _apply_target(self, key: str, decoded: TargetEntry) -> None:
         before = self._targets.get(key)
         if before is not None:
-            self._record_version(before)
+            self._origins.record_target(before)
         self._targets[key] = decoded
         if decoded.state is TargetState.LEAVING:
             self._departures.record(
@@ -706,7 +556,7 @@
         self._evacuations.end(key, revision)
         target = self._targets.pop(key, None)
         if target is not None:
-            self._record_version(target)
+            self._origins.record_target(target)
             self._departures.record(
                 key,
                 target,
--- a/crowwinch/directory/tests/test_route_services.py
+++ b/crowwinch/directory/tests/test_route_services.py
@@ -77,7 +77,9 @@
     def _only_service(self, age_s):
         route = self.state.routing.match("host.example", "/chat/x")
         self.assertEqual(route.key, _CHAT)
-        return self.state.only_service(_CHAT, route.active_services, age_s)
+        return self.state.origins.only_service(
+            _CHAT, route.active_services, age_s
+        )
 
     def test_changes(self):
         for name, (before, after, is_certain) in _CASES.items():
@@ -108,7 +110,7 @@
         added = [_route(f"/n{n}/", resume=False) for n in range(1_500)]
         self._configure(2, [_ROUTE, _route("/", resume=False), *added])
         self.assertEqual(self._only_service(10.0), "a")
-        self.assertEqual(self.state.route_reports()[0], [])
+        self.assertEqual(self.state.origins.service_reports()[0], [])
 
 
 if __name__ == "__main__":
--- a/crowwinch/fleet/_service.py
+++ b/crowwinch/fleet/_service.py
@@ -226,7 +226,7 @@
         if self._endpoint.poll():
             self._drained_at = self._timers.clock.monotonic()
         for synced_at in self._directories.silent_since(_SILENCE_S):
-            self._state.record_old_directory(synced_at)
+            self._state.origins.record_old_directory(synced_at)
         sharing = self._sharing
         sharing.loads.refresh()
         sharing.shares.refresh()
@@ -383,8 +383,8 @@
     def _build_update(self) -> FleetUpdate:
         sharing = self._sharing
         sequence = next(self._sequence)
-        versions, covered_s = self._state.version_reports()
-        routes, routes_covered_s = self._state.route_reports()
+        versions, covered_s = self._state.origins.version_reports()
+        routes, routes_covered_s = self._state.origins.service_reports()
         return FleetUpdate(
             router=self._settings.name,
             availability_zone=self._settings.availability_zone,
@@ -499,20 +499,20 @@
         synced_at = decode_sync(update.synced_ms, self._drained_at)
         previous = self._directories.replace(update.control, synced_at)
         if previous is not None:
-            state.record_old_directory(previous)
+            state.origins.record_old_directory(previous)
         if synced_at is None:
             return
         if state.includes(update.era, update.revision):
             state.record_sync(synced_at)
         # A peer with an older configuration leaves out newer services.
         has_services = update.version >= state.version
-        state.merge_versions(
+        state.origins.merge_versions(
             decode_versions(update.versions),
             update.history_ms / _MS_PER_S if has_services else 0.0,
             synced_at,
         )
         has_routes = update.version == state.version
-        state.merge_route_services(
+        state.origins.merge_services(
             decode_routes(update.routes),
             update.routes_ms / _MS_PER_S if has_routes else 0.0,
             synced_at,
--- a/crowwinch/fleet/_stream_origins.py
+++ b/crowwinch/fleet/_stream_origins.py
@@ -123,10 +123,9 @@
             record: Its record if that lacks the service, None without one.
             asked_at: Monotonic time at which the caller asked.
         """
-        state = self._state
-        is_short = (
-            min(state.history_s, state.route_history_s) < self._store_history_s
-        )
+        origins = self._state.origins
+        known_s = min(origins.versions_known_s, origins.services_known_s)
+        is_short = known_s < self._store_history_s
         if is_short and self._prove(stream, record) is None:
             await self._read_history()
         if not await self._wait_for_proof(stream, record):
@@ -135,8 +134,8 @@
                 extra={
                     "stream": stream.attempt_id,
                     "max_age_s": round(self._max_age_s(stream), 2),
-                    "versions_known_s": round(state.history_s, 2),
-                    "services_known_s": round(state.route_history_s, 2),
+                    "versions_known_s": round(origins.versions_known_s, 2),
+                    "services_known_s": round(origins.services_known_s, 2),
                 },
             )
             return None
@@ -145,7 +144,7 @@
                 "directory not confirmed; origin of a stream unknown",
                 extra={
                     "stream": stream.attempt_id,
-                    "synced_s": round(asked_at - state.synced_at, 3),
+                    "synced_s": round(asked_at - self._state.synced_at, 3),
                 },
             )
             return None
@@ -167,10 +166,10 @@
         self, stream: TakenUpStream, record: StreamOrigin | None, age_s: float
     ) -> StreamOrigin | None:
         """Returns the only origin that a stream of at most an age can have."""
-        state = self._state
+        origins = self._state.origins
         if record is None:
-            return state.only_origin(stream.route, stream.services, age_s)
-        service = state.only_service(stream.route, stream.services, age_s)
+            return origins.only_origin(stream.route, stream.services, age_s)
+        service = origins.only_service(stream.route, stream.services, age_s)
         if service is None:
             return None
         return dataclasses.replace(record, service=service)
@@ -219,7 +218,7 @@
                 "history of the store read",
                 extra={
                     "changes": len(changes.items),
-                    "covered_s": round(self._state.history_s, 2),
+                    "covered_s": round(self._state.origins.versions_known_s, 2),
                 },
             )
 
--- a/crowwinch/fleet/tests/test_endpoint.py
+++ b/crowwinch/fleet/tests/test_endpoint.py
@@ -17,7 +17,7 @@
 from crowwinch.errors import PeerRejection
 from crowwinch.fleet import DirectoryExchange, DirectoryPull, FleetEndpoint
 from crowwinch.forwarding import SocketAddress
-from crowwinch.generated.fleet_messages import FleetUpdate
+from crowwinch.generated.fleet_messages import FleetUpdate, StreamMessage
 from standins.processes import free_port
 
 _UPDATE = FleetUpdate(
@@ -55,6 +55,20 @@
         self._receive(b"\x02" + msgspec.msgpack.encode(_UPDATE))
         self.assertEqual(self.received, [_UPDATE])
 
+    def test_records_of_routers_of_other_versions(self):
+        """Guards against streams that are lost while a fleet is updated."""
+        fields = ["record", "10.0.0.1:9", "digest", "v1"]
+        for added, service in (([], ""), (["llm"], "llm"), (["llm", 5], "llm")):
+            with self.subTest(added=added):
+                streams = []
+                endpoint = FleetEndpoint(
+                    "127.0.0.1", 0, self.fail, self.fail, streams.append
+                )
+                datagram = msgspec.msgpack.encode([*fields, *added])
+                endpoint.handle_datagram(b"\x03" + datagram)
+                (message,) = streams
+                self.assertEqual(message, StreamMessage(*fields, service))
+
     def test_invalid_datagrams_are_counted_and_dropped(self):
         good = b"\x02" + msgspec.msgpack.encode(_UPDATE)
         fields = list(msgspec.to_builtins(_UPDATE))
--- a/crowwinch/fleet/tests/test_large_fleets.py
+++ b/crowwinch/fleet/tests/test_large_fleets.py
@@ -184,7 +184,7 @@
 
         async def scenario(fleet):
             first, *others = fleet.routers
-            first.state.merge_versions(
+            first.state.origins.merge_versions(
                 [VariantAge("other", "v1", 0.0)],
                 30.0,
                 fleet.clock.monotonic(),
@@ -193,12 +193,13 @@
             known = [
                 any(age.group == "other" for age in reports)
                 for reports, _ in (
-                    router.state.version_reports() for router in others
+                    router.state.origins.version_reports() for router in others
                 )
             ]
             self.assertTrue(all(known))
             self.assertGreater(
-                min(router.state.history_s for router in others), 29.0
+                min(router.state.origins.versions_known_s for router in others),
+                29.0,
             )
 
         self._run_scenario(scenario)
--- a/crowwinch/fleet/tests/test_stream_origins.py
+++ b/crowwinch/fleet/tests/test_stream_origins.py
@@ -272,12 +272,12 @@
             with self.subTest(versions=versions):
                 self._start([_entry("i-1", "v1", 1)])
                 now = self.clock.monotonic()
-                self.state.merge_versions(
+                self.state.origins.merge_versions(
                     [VariantAge("llm", version, 5.0) for version in versions],
                     60.0,
                     now,
                 )
-                self.state.merge_route_services((), 60.0, now)
+                self.state.origins.merge_services((), 60.0, now)
                 self.assertEqual(await self._find_version(_STREAM), expected)
                 # Only what is known to be alone needs the latest changes.
                 self.assertEqual(self.store.calls, int(expected is not None))
@@ -285,7 +285,7 @@
     async def test_peer_that_is_out_of_step_fills_no_gap(self):
         """Guards against a history with a gap that counts as complete."""
         self._start([_entry("i-1", "v1", 1)], 1)
-        self.state.merge_versions(
+        self.state.origins.merge_versions(
             [VariantAge("llm", "v1", 20.0)], 60.0, self.clock.monotonic() - 5.0
         )
         self.assertIsNone(await self._find_version(_STREAM))
@@ -327,8 +327,10 @@
         """Guards against refusals of all streams after a kill (LOST)."""
         self._start([_entry("i-1", "v1", 1)])
         now = self.clock.monotonic()
-        self.state.merge_versions([VariantAge("llm", "v1", 0.0)], 20.0, now)
-        self.state.merge_route_services((), 20.0, now)
+        self.state.origins.merge_versions(
+            [VariantAge("llm", "v1", 0.0)], 20.0, now
+        )
+        self.state.origins.merge_services((), 20.0, now)
         search = asyncio.ensure_future(
             self._find_version(_stream(route="other"))
         )
@@ -338,6 +340,28 @@
             self.waits.record("other", _WAIT_S)
         self.assertEqual(await search, "v1")
 
+    async def test_record_of_a_router_that_does_not_tell_the_service(self):
+        """Guards against a service drawn anew while a fleet is updated."""
+        split = dataclasses.replace(_STREAM, services=("llm", "other"))
+        record = StreamOrigin(None, "v0")
+        for stream, expected in (
+            (_STREAM, StreamOrigin("llm", "v0")),
+            (split, None),
+        ):
+            with self.subTest(services=stream.services):
+                self._start([_entry("i-1", "v1", 1)])
+                self.clock.move_to(130.0)
+                self.origins.record("attempt", record)
+                self.assertEqual(await self.origins.find(stream), expected)
+
+    async def test_streams_of_a_split_route_are_not_guessed(self):
+        """Guards against services that name their software alike (ORDER)."""
+        other = _entry("i-2", "v1", 2, service="other")
+        self._start([_entry("i-1", "v1", 1), other])
+        self.clock.move_to(130.0)
+        split = dataclasses.replace(_STREAM, services=("llm", "other"))
+        self.assertIsNone(await self.origins.find(split))
+
     async def test_record_goes_before_the_history(self):
         self._start([_entry("i-1", "v1", 1)])
         self.origins.record("attempt", StreamOrigin("llm", "v0"))
--- a/crowwinch/fleet/tests/test_update_size.py
+++ b/crowwinch/fleet/tests/test_update_size.py
@@ -236,5 +236,5 @@
                 await asyncio.sleep(0.001)
         for _, service, state in routers:
             self.assertEqual(service.live_peers, len(hosts) - 1)
-            versions, _ = state.version_reports()
+            versions, _ = state.origins.version_reports()
             self.assertEqual([age.group for age in versions], ["llm"])
--- a/crowwinch/fleet/tests/test_version_proofs.py
+++ b/crowwinch/fleet/tests/test_version_proofs.py
@@ -29,7 +29,7 @@
     def _versions(self, fleet, age_s=_STREAM_AGE_S):
         """Returns what all routers but the first take as the only version."""
         return {
-            router.state.only_version("llm", age_s)
+            router.state.origins.only_version("llm", age_s)
             for router in fleet.routers[1:]
         }
 
