--- a/crowwinch/forwarding/_stream_origins.py
+++ b/crowwinch/forwarding/_stream_origins.py
@@ -9,7 +9,7 @@
 
 # Records are kept for as long as a caller may come back.
 RECORD_RETENTION_S = 60.0
-# About 6 MB.
+# About 8 MB.
 _MAX_RECORDS = 20_000
 
 
